--- a/internal/wire/profile.go
+++ b/internal/config/profile.go
@@ -1,11 +1,50 @@
-package wire
+package config
 
 import (
+	"encoding/json"
 	"fmt"
+	"math"
+	"time"
 
 	"gannetspur/policy"
 )
 
+// FromMS turns fractional milliseconds, exact to the microsecond, into a duration.
+func FromMS(ms float64) time.Duration {
+	return time.Duration(math.Round(ms*1000)) * time.Microsecond
+}
+
+// Site is one deployment's settings: what the module is given, and what only
+// its surroundings need.
+type Site struct {
+	Policy         policy.Settings
+	Reports        []string // names of the load report's values, in order
+	Zones          []string // names by place
+	Kinds          []string
+	MaxStreams     int           // attempts on one connection at once
+	ConnectTimeout time.Duration // a connection not up by then has failed
+	IdleClose      time.Duration // engines close what is idle for this long
+	NoteEvery      time.Duration
+}
+
+// UnmarshalJSON reads the settings object of the simulator's first message.
+func (s *Site) UnmarshalJSON(b []byte) error {
+	var p profile
+	if err := json.Unmarshal(b, &p); err != nil {
+		return err
+	}
+	set, err := p.settings()
+	if err != nil {
+		return err
+	}
+	*s = Site{
+		Policy: set, Reports: p.Report.Names, Zones: p.Zones, Kinds: p.Kinds,
+		MaxStreams: p.Limits.Streams, ConnectTimeout: FromMS(p.Limits.Connect),
+		IdleClose: FromMS(p.Limits.IdleClose), NoteEvery: set.NoteEvery,
+	}
+	return nil
+}
+
 // profile is the settings object of INIT; keys that it does not name are skipped.
 type profile struct {
 	Balancers int
@@ -26,6 +65,7 @@
 		KindsOpen []string `json:"kinds-open"`
 	}
 	Kinds    []string
+	Zones    []string
 	Projects []struct {
 		Name  string
 		Quota float64 `json:"quota-per-s"`
@@ -64,13 +104,15 @@
 		LookBack   float64 `json:"look-back-ms"`
 	}
 	Limits struct {
-		Cancel   bool
-		Probes   bool    `json:"may-probe"`
-		Connect  float64 `json:"connect-timeout-ms"`
-		Most     float64 `json:"max-retry-after-ms"`
-		Tries    int     `json:"most-tries"`
-		ComeBack bool    `json:"retry-after"`
-		Copies   bool    `json:"second-copies"`
+		Cancel    bool
+		Probes    bool    `json:"may-probe"`
+		Connect   float64 `json:"connect-timeout-ms"`
+		IdleClose float64 `json:"idle-close-ms"`
+		Streams   int     `json:"max-streams"`
+		Most      float64 `json:"max-retry-after-ms"`
+		Tries     int     `json:"most-tries"`
+		ComeBack  bool    `json:"retry-after"`
+		Copies    bool    `json:"second-copies"`
 	}
 	Extra struct {
 		Cores     []float64 `json:"cores-by-kind"`
@@ -105,23 +147,23 @@
 	}
 	s := policy.Settings{
 		Gateways: p.Balancers, Zone: p.Zone, OverShare: p.OverShare,
-		NoteEvery: fromMS(p.Extra.Tells), GrantsHeeded: p.Extra.Grants, PriorityHeeds: p.Extra.Priority,
+		NoteEvery: FromMS(p.Extra.Tells), GrantsHeeded: p.Extra.Grants, PriorityHeeds: p.Extra.Priority,
 		MostGrant: p.Extra.GrantCap, Short: short, CostTold: p.Extra.TellsCost,
 		LoadTold:  len(p.Report.Names) > 0 && p.Report.How != "silent",
-		ListAsked: p.Mode == "on_request", Round: fromMS(p.Round),
+		ListAsked: p.Mode == "on_request", Round: FromMS(p.Round),
 		Rules: policy.Rules{
-			AnswerSlack: fromMS(p.Contract.Slack), DrainGrace: fromMS(p.Contract.Stop),
-			ColdStart: p.Contract.Start, ColdFor: fromMS(p.Contract.Cold),
-			TipMultiple: p.Contract.Tip, TipFor: fromMS(p.Contract.Fall),
-			Settle: fromMS(p.Contract.Settle), ExtraFree: p.Contract.ExtraFree,
-			ExtraShare: p.Contract.ExtraShare, LookBack: fromMS(p.Contract.LookBack),
-			AskListWithin: fromMS(p.Contract.Ask),
+			AnswerSlack: FromMS(p.Contract.Slack), DrainGrace: FromMS(p.Contract.Stop),
+			ColdStart: p.Contract.Start, ColdFor: FromMS(p.Contract.Cold),
+			TipMultiple: p.Contract.Tip, TipFor: FromMS(p.Contract.Fall),
+			Settle: FromMS(p.Contract.Settle), ExtraFree: p.Contract.ExtraFree,
+			ExtraShare: p.Contract.ExtraShare, LookBack: FromMS(p.Contract.LookBack),
+			AskListWithin: FromMS(p.Contract.Ask),
 		},
 		Limits: policy.Limits{
 			Tries: p.Limits.Tries, Copies: p.Limits.Copies, Cancel: p.Limits.Cancel,
 			Probes:   p.Limits.Probes,
-			ComeBack: p.Limits.ComeBack, MostComeBack: fromMS(p.Limits.Most),
-			ConnectWithin: fromMS(p.Limits.Connect),
+			ComeBack: p.Limits.ComeBack, MostComeBack: FromMS(p.Limits.Most),
+			ConnectWithin: FromMS(p.Limits.Connect),
 		},
 		Goal: policy.Goal{Whole: p.Goal.Whole, WorstClass: p.Goal.WorstClass,
 			WorstTenant: p.Goal.WorstTenant, WorstWindow: p.Goal.WorstWindow},
@@ -148,9 +190,9 @@
 			return fmt.Errorf("classes[%d].group: unknown value %q", i, c.Group)
 		}
 		s.Classes = append(s.Classes, policy.Class{
-			Name: c.Name, Aim: fromMS(c.Aim), Stretch: c.Stretch, Deadline: fromMS(c.Hard), Worth: c.Worth,
+			Name: c.Name, Aim: FromMS(c.Aim), Stretch: c.Stretch, Deadline: FromMS(c.Hard), Worth: c.Worth,
 			LateShare: c.Late, Threads: at(p.Extra.Threads, i), Effect: effect, Group: group,
-			Window: fromMS(c.Window), Stream: c.Streamed, InOrder: c.InOrder, Load: at(p.Extra.IsLoad, i),
+			Window: FromMS(c.Window), Stream: c.Streamed, InOrder: c.InOrder, Load: at(p.Extra.IsLoad, i),
 			WaitsOnLoad: at(p.Extra.Yields, i), Zones: c.RunsIn, Kinds: c.KindsOpen,
 		})
 	}
--- /dev/null
+++ b/internal/core/admit.go
@@ -0,0 +1,17 @@
+package core
+
+import "gannetspur/policy"
+
+// admit puts a request before the module, which sends or refuses it.
+func (c *Core) admit(r *Request) {
+	c.tell(policy.Arrive{
+		Query: r.query, Class: r.Class, Set: r.Set, Deadline: r.Deadline,
+		Work: r.Work, MemoryMB: r.MemoryMB, Repeat: r.Repeat,
+	})
+}
+
+// leave tells the module that a client is gone; it gives up what is out.
+func (c *Core) leave(r *Request) {
+	c.tell(policy.Gone{Query: r.query})
+	c.forget(r)
+}
--- /dev/null
+++ b/internal/core/book.go
@@ -0,0 +1,47 @@
+package core
+
+import "gannetspur/policy"
+
+// End ends an attempt. The first call counts; a late answer after a time-out or
+// a cancel is passed by.
+func (c *Core) End(a *Attempt, end End, rep Report) {
+	if a.ended {
+		c.stats.Add("end-ignored." + end.String())
+		return
+	}
+	a.ended = true
+	a.timer.Stop()
+	a.Link = nil
+	r := a.Request
+	r.out--
+	c.stats.Add("ended." + end.String())
+	if end == EndServed {
+		c.final(r.query, Answer{Verdict: Served, Result: rep.Result})
+	}
+	c.tell(policy.Outcome{
+		Query: r.query, Attempt: a.n, Result: end.Result(), Elapsed: c.clock.Now() - a.Sent,
+		Final: r.answered, Work: rep.Work, MemoryMB: rep.MemoryMB, Load: rep.Load,
+	})
+	c.forget(r)
+}
+
+// Note tells of an attempt that is out.
+func (c *Core) Note(a *Attempt, kind policy.NoteKind, value float64) {
+	if a.ended {
+		return
+	}
+	c.stats.Add("notes")
+	c.tell(policy.Note{Query: a.Request.query, Attempt: a.n, Kind: kind, Value: value})
+}
+
+// forget drops a request that is answered and has nothing out, once no event
+// waits: until then the module may still name it, and each send is owed an end.
+func (c *Core) forget(r *Request) {
+	switch {
+	case !r.answered || r.out > 0:
+	case c.busy:
+		c.over = append(c.over, r)
+	default:
+		delete(c.requests, r.query)
+	}
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,173 @@
+// Package core takes requests through their life: take in, admit, route, send,
+// relay, book. It knows no wire: fronts, engine links and the roster meet it
+// through the interfaces of this file. Decisions are the policy module's.
+//
+// A Core belongs to one goroutine, which also owns the Gateway in it.
+package core
+
+import (
+	"log"
+	"time"
+
+	"gannetspur/internal/deadline"
+	"gannetspur/internal/stats"
+	"gannetspur/policy"
+)
+
+// Clock tells module time, which never goes back.
+type Clock interface{ Now() time.Duration }
+
+// Client is where a request came from. It is given exactly one answer, unless
+// Core.Gone was called first.
+type Client interface{ Answer(r *Request, a Answer) }
+
+// Links carries attempts to engines.
+type Links interface {
+	// Send begins an attempt; Core.End ends it.
+	Send(a *Attempt)
+	// Drop gives an attempt up that has not ended. Core.End may be left out.
+	Drop(a *Attempt)
+	// Hurry sets the priority of an attempt that is out.
+	Hurry(a *Attempt, priority int)
+	// Engine tells of an engine's entry or of a change to it.
+	Engine(e Engine)
+}
+
+// Engine is an entry of the roster with what the decisions don't need.
+type Engine struct {
+	policy.Engine
+	Addr string // where it listens
+}
+
+// Request is one query or load, from its last byte to its one final answer.
+type Request struct {
+	ID        string // the client's, passed on unchanged
+	Class     string
+	Token     string // idempotency key; "": none
+	Statement any    // what the front read, for links of the same wire
+	Set       int64  // group of tables
+	Deadline  time.Duration
+	Work      time.Duration // estimate; 0: none
+	MemoryMB  float64       // estimate; 0: none
+	Repeat    bool
+	Client    Client
+
+	query    uint64
+	tries    []*Attempt
+	out      int
+	answered bool
+	grant    float64
+	priority int
+}
+
+// Attempt is one send of a request to one engine.
+type Attempt struct {
+	Request  *Request
+	Engine   string        // by id: a new engine may have a gone one's address
+	Within   time.Duration // from Sent
+	Sent     time.Duration
+	MemoryMB float64 // to grant; 0: the engine's own choice
+	Priority int
+	Link     any // the links' own
+
+	n     int
+	ended bool
+	timer *deadline.Entry
+}
+
+// Ended tells whether the attempt is over.
+func (a *Attempt) Ended() bool { return a.ended }
+
+// Report is what came with the end of an attempt.
+type Report struct {
+	Result   any // the whole answer, for fronts of the same wire
+	Work     time.Duration
+	MemoryMB float64
+	Load     policy.Load
+	Detail   any // of an error, for fronts of the same wire
+}
+
+// Core is the front end without its wires.
+type Core struct {
+	gateway *policy.Gateway
+	clock   Clock
+	timers  *deadline.Queue
+	links   Links
+	stats   *stats.Counters
+	log     *log.Logger
+	round   time.Duration
+	classes map[string]policy.Class
+
+	last     uint64 // query given out last
+	requests map[uint64]*Request
+	unended  int // requests without a final answer
+	events   []policy.Event
+	actions  []policy.Action
+	busy     bool
+	over     []*Request // to be forgotten once no event waits
+}
+
+// New returns a core for the settings. SetLinks must follow before any event.
+func New(set policy.Settings, seed uint64, clock Clock, timers *deadline.Queue, counters *stats.Counters, l *log.Logger) (*Core, error) {
+	g, err := policy.New(set, seed)
+	if err != nil {
+		return nil, err
+	}
+	c := &Core{
+		gateway: g, clock: clock, timers: timers, stats: counters, log: l, round: set.Round,
+		classes: map[string]policy.Class{}, requests: map[uint64]*Request{},
+	}
+	for _, class := range set.Classes {
+		c.classes[class.Name] = class
+	}
+	return c, nil
+}
+
+// SetLinks names where attempts go.
+func (c *Core) SetLinks(l Links) { c.links = l }
+
+// Class looks a class up by name.
+func (c *Core) Class(name string) (policy.Class, bool) {
+	class, ok := c.classes[name]
+	return class, ok
+}
+
+// Now is module time.
+func (c *Core) Now() time.Duration { return c.clock.Now() }
+
+// Unanswered is the number of requests that are owed an answer.
+func (c *Core) Unanswered() int { return c.unended }
+
+// Roster tells of the engine list, or of a change to it.
+func (c *Core) Roster(mode policy.ListMode, engines []Engine) {
+	c.stats.Add("roster.events")
+	ev := policy.Engines{Mode: mode}
+	for _, e := range engines {
+		ev.Engines = append(ev.Engines, e.Engine)
+		c.links.Engine(e) // before the module may name it in a send
+	}
+	c.tell(ev)
+}
+
+// tell hands an event to the module and carries out what it says. Events that
+// come up meanwhile wait their turn: a Gateway is not called from within a call.
+func (c *Core) tell(ev policy.Event) {
+	c.events = append(c.events, ev)
+	if c.busy {
+		return
+	}
+	c.busy = true
+	for len(c.events) > 0 {
+		ev, c.events = c.events[0], c.events[1:]
+		c.actions = c.gateway.Handle(c.clock.Now(), ev, c.actions[:0])
+		for _, a := range c.actions {
+			c.route(a)
+		}
+	}
+	c.events = c.events[:0]
+	c.busy = false
+	for _, r := range c.over {
+		c.forget(r)
+	}
+	c.over = c.over[:0]
+}
--- /dev/null
+++ b/internal/core/end.go
@@ -0,0 +1,64 @@
+package core
+
+import "gannetspur/policy"
+
+// End is how a connection or an attempt ended: every way there is.
+type End uint8
+
+// Ends. The zero value is the most cautious: the attempt may have run.
+const (
+	EndUnknown        End = iota
+	EndServed             // the whole answer is here
+	EndError              // the engine answered with an error
+	EndFull               // the engine turned it away unseen
+	EndPast               // the engine found its time over before it ran
+	EndPagesLost          // it ran, but some of its pages can't be had any more
+	EndTimeout            // no answer within the attempt's time
+	EndRefused            // the engine refused the connection
+	EndConnectTimeout     // no connection in time
+	EndNoDescriptor       // no descriptor was free for a connection
+	EndNoEngine           // the roster has no address for the engine
+	EndReset              // the connection broke
+	EndGarbage            // what came on the connection can't be read
+	EndOversize           // more came than the buffer may hold
+	EndCancelled          // given up from this side
+	EndNotSent            // ended before any of it was written
+	EndIdle               // a connection that nothing was open on
+	endCount
+)
+
+var endNames = [endCount]string{
+	"unknown", "served", "error", "full", "past", "pages-lost", "timeout", "refused", "connect-timeout",
+	"no-descriptor", "no-engine", "reset", "garbage", "oversize", "cancelled", "not-sent", "idle",
+}
+
+func (e End) String() string {
+	if e < endCount {
+		return endNames[e]
+	}
+	return endNames[EndUnknown]
+}
+
+// Result is what an end means to the decisions, and the only place that says so.
+// What proves that nothing ran is named; all else may have run.
+func (e End) Result() policy.Result {
+	switch e {
+	case EndServed:
+		return policy.Served
+	case EndError, EndPagesLost:
+		return policy.Failed
+	case EndFull:
+		return policy.Full
+	case EndTimeout:
+		return policy.TimedOut
+	case EndRefused, EndConnectTimeout, EndNoDescriptor, EndNoEngine:
+		return policy.NoConnection
+	case EndReset, EndGarbage, EndOversize:
+		return policy.Lost
+	case EndCancelled:
+		return policy.Cancelled
+	case EndPast, EndNotSent:
+		return policy.NotSent
+	}
+	return policy.Unknown
+}
--- /dev/null
+++ b/internal/core/relay.go
@@ -0,0 +1,55 @@
+package core
+
+import "time"
+
+// Verdict is the kind of a final answer.
+type Verdict uint8
+
+// The three final answers.
+const (
+	Failed  Verdict = iota // no promise of what ran
+	Refused                // trying again is harmless
+	Served
+)
+
+var verdictNames = [...]string{"failed", "refused", "served"}
+
+func (v Verdict) String() string { return verdictNames[v] }
+
+// Answer is a final answer.
+type Answer struct {
+	Verdict  Verdict
+	ComeBack time.Duration // with Refused: not before this long from now; 0: unsaid
+	Late     bool          // the request's time was over
+	Sent     bool          // it went to an engine at least once
+	Result   any           // with Served
+	Detail   any           // of the latest engine error, if there was one
+}
+
+// final gives the client its one answer, at once. A second one is passed by.
+func (c *Core) final(query uint64, a Answer) {
+	r := c.requests[query]
+	if r == nil || r.answered {
+		return
+	}
+	a.Late = a.Verdict != Served && c.clock.Now() >= r.Deadline-c.round
+	a.Sent = len(r.tries) > 0
+	c.stats.Add("answered." + a.Verdict.String() + "." + r.Class)
+	if a.Late {
+		c.stats.Add("answered-late." + r.Class)
+	}
+	c.close(r)
+	r.Client.Answer(r, a)
+	c.forget(r)
+}
+
+// FailAll gives every open request its final answer. For the very end of a stop,
+// when those who wait would else be left with none.
+func (c *Core) FailAll() {
+	for query, r := range c.requests {
+		if !r.answered {
+			c.final(query, Answer{Verdict: Failed})
+			c.leave(r)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/route.go
@@ -0,0 +1,34 @@
+package core
+
+import "gannetspur/policy"
+
+// route carries out one action of the module. Actions on what is over are
+// passed by, as the module may not know yet.
+func (c *Core) route(action policy.Action) {
+	switch a := action.(type) {
+	case policy.Send:
+		if r := c.requests[a.Query]; r != nil {
+			c.send(r, a)
+		}
+	case policy.Grant:
+		if r := c.requests[a.Query]; r != nil {
+			c.grant(r, a)
+		}
+	case policy.Cancel:
+		if r := c.requests[a.Query]; r != nil {
+			c.cancel(r, a.Attempt)
+		}
+	case policy.Refuse:
+		c.final(a.Query, Answer{Verdict: Refused, ComeBack: a.ComeBack})
+	case policy.Fail:
+		c.final(a.Query, Answer{Verdict: Failed})
+	case policy.Wake:
+		c.timers.Add(c.clock.Now()+a.After, func() { c.tell(policy.Timer{Token: a.Token}) })
+	case policy.Log:
+		c.log.Print(a.Text)
+	case policy.Probe, policy.Subscribe:
+		// Neither is permitted where this program runs: engines are not probed,
+		// and the roster tells unasked.
+		c.stats.Add("policy.ignored")
+	}
+}
--- /dev/null
+++ b/internal/core/send.go
@@ -0,0 +1,55 @@
+package core
+
+import (
+	"time"
+
+	"gannetspur/policy"
+)
+
+// send begins an attempt. Every attempt ends once, in End, however its link fares.
+func (c *Core) send(r *Request, s policy.Send) {
+	a := &Attempt{
+		Request: r, Engine: s.Engine, Within: s.Within, Sent: c.clock.Now(),
+		MemoryMB: r.grant, Priority: r.priority, n: len(r.tries),
+	}
+	r.tries = append(r.tries, a)
+	r.out++
+	c.stats.Add("sent." + r.Class)
+	if a.n > 0 {
+		c.stats.Add("sent-again." + r.Class)
+	}
+	if r.answered { // the module asked before it heard that the client has left
+		c.End(a, EndNotSent, Report{})
+		return
+	}
+	a.timer = c.timers.Add(a.Sent+max(s.Within, time.Millisecond), func() {
+		c.links.Drop(a)
+		c.End(a, EndTimeout, Report{})
+	})
+	c.links.Send(a)
+}
+
+// grant sets what the next sends get, and the priority of those that are out.
+func (c *Core) grant(r *Request, g policy.Grant) {
+	r.grant = g.MemoryMB
+	if r.priority == g.Priority {
+		return
+	}
+	r.priority = g.Priority
+	for _, a := range r.tries {
+		if !a.ended {
+			a.Priority = g.Priority
+			c.links.Hurry(a, g.Priority)
+		}
+	}
+}
+
+// cancel gives one attempt up; an end that is on its way comes too late.
+func (c *Core) cancel(r *Request, n int) {
+	if n < 0 || n >= len(r.tries) || r.tries[n].ended {
+		return
+	}
+	a := r.tries[n]
+	c.links.Drop(a)
+	c.End(a, EndCancelled, Report{})
+}
--- /dev/null
+++ b/internal/engine/lines/links.go
@@ -0,0 +1,397 @@
+// Package lines carries attempts to engines that speak the platform's line
+// protocol: many requests on one connection, answers in any order.
+package lines
+
+import (
+	"errors"
+	"fmt"
+	"log"
+	"slices"
+	"strconv"
+	"time"
+
+	"gannetspur/internal/config"
+	"gannetspur/internal/core"
+	"gannetspur/internal/netio"
+	"gannetspur/internal/stats"
+	"gannetspur/policy"
+)
+
+const (
+	maxBuffer = 4 << 20 // of one connection: the pages of all its streams at once
+	maxPages  = 64
+	// pastFor is how long an id that was given up on a connection is not used
+	// there again: a late answer to the first would be taken for one to the second.
+	pastFor = 30 * time.Second
+	// idlePart of the engines' idle time is when an idle connection is closed from
+	// here, so that no send crosses a close from there.
+	idlePart = 0.8
+)
+
+// Rows is a whole result: its pages as the engine sent them, each of whole rows.
+type Rows [][]byte
+
+// Links holds the connections to all engines.
+type Links struct {
+	loop    *netio.Loop
+	core    *core.Core
+	site    config.Site
+	stats   *stats.Counters
+	log     *log.Logger
+	engines map[string]*engine // by id
+}
+
+// New returns links that report to the core.
+func New(loop *netio.Loop, c *core.Core, site config.Site, counters *stats.Counters, l *log.Logger) *Links {
+	site.MaxStreams = max(site.MaxStreams, 1)
+	if site.ConnectTimeout <= 0 {
+		site.ConnectTimeout = 250 * time.Millisecond
+	}
+	return &Links{loop: loop, core: c, site: site, stats: counters, log: l, engines: map[string]*engine{}}
+}
+
+type engine struct {
+	id, addr string
+	started  time.Duration
+	links    []*link
+}
+
+// link is one connection, from the start of its dial.
+type link struct {
+	all     *Links
+	engine  *engine
+	conn    *netio.Conn // nil until it is up
+	streams map[string]*stream
+	past    map[string]time.Duration // ids given up here, until then
+	retired bool                     // takes no more
+	used    time.Duration
+	end     core.End // why it is being closed from here
+}
+
+// stream is one attempt on a link.
+type stream struct {
+	attempt *core.Attempt
+	link    *link
+	written bool
+	pages   Rows
+	missing int // pages
+	report  core.Report
+}
+
+// Engine takes an entry of the roster. Links to an engine that has moved, has
+// started anew or is gone take no more, and close when nothing is open on them.
+func (ls *Links) Engine(e core.Engine) {
+	old := ls.engines[e.ID]
+	if old == nil {
+		if e.State != policy.EngineGone {
+			ls.engines[e.ID] = &engine{id: e.ID, addr: e.Addr, started: e.Started}
+		}
+		return
+	}
+	if e.State == policy.EngineGone || e.Addr != old.addr || e.Started != old.started {
+		for _, l := range slices.Clone(old.links) {
+			l.retired = true
+			l.closeIfDone()
+		}
+	}
+	old.addr, old.started = e.Addr, e.Started
+	if e.State == policy.EngineGone {
+		delete(ls.engines, e.ID)
+	}
+}
+
+// Send begins an attempt on a connection with room, or on a new one.
+func (ls *Links) Send(a *core.Attempt) {
+	e := ls.engines[a.Engine]
+	if e == nil {
+		ls.core.End(a, core.EndNoEngine, core.Report{})
+		return
+	}
+	l := e.room(a.Request.ID, ls.site.MaxStreams, ls.core.Now())
+	if l == nil {
+		l = ls.dial(e)
+	}
+	s := &stream{attempt: a, link: l}
+	a.Link = s
+	l.streams[a.Request.ID] = s
+	l.used = ls.core.Now()
+	if l.conn != nil {
+		s.want()
+	}
+}
+
+// room finds a link that can take a request of this id.
+func (e *engine) room(id string, most int, now time.Duration) *link {
+	for _, l := range e.links {
+		if l.retired || len(l.streams) >= most || l.streams[id] != nil || now < l.past[id] {
+			continue
+		}
+		return l
+	}
+	return nil
+}
+
+func (ls *Links) dial(e *engine) *link {
+	l := &link{all: ls, engine: e, streams: map[string]*stream{}, past: map[string]time.Duration{}}
+	e.links = append(e.links, l)
+	ls.stats.Add("links.dialed")
+	ls.loop.Dial(e.addr, ls.site.ConnectTimeout, maxBuffer, l, func(c *netio.Conn, err error) {
+		switch {
+		case err == nil:
+			l.up(c)
+		case netio.Refused(err):
+			l.lost(core.EndRefused)
+		case netio.NoDescriptor(err):
+			ls.log.Printf("engine %s: no descriptor for a connection", e.id)
+			l.lost(core.EndNoDescriptor)
+		default:
+			l.lost(core.EndConnectTimeout)
+		}
+	})
+	return l
+}
+
+func (l *link) up(c *netio.Conn) {
+	l.conn = c
+	for _, s := range l.inOrder() {
+		s.want()
+	}
+	l.closeIfDone()
+	l.watchIdle()
+}
+
+// inOrder lists the streams in order of their sends: a map has none.
+func (l *link) inOrder() []*stream {
+	list := make([]*stream, 0, len(l.streams))
+	for _, s := range l.streams {
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b *stream) int { return int(a.attempt.Sent - b.attempt.Sent) })
+	return list
+}
+
+// watchIdle closes the link once nothing was open on it for most of the time
+// after which the engine would.
+func (l *link) watchIdle() {
+	idle := time.Duration(float64(l.all.site.IdleClose) * idlePart)
+	if idle <= 0 {
+		return
+	}
+	l.all.loop.Timers.Add(max(l.used, l.all.core.Now()-idle)+idle, func() {
+		switch {
+		case l.conn == nil:
+		case len(l.streams) == 0 && l.all.core.Now() >= l.used+idle:
+			l.retired = true
+			l.closeIfDone()
+		default:
+			if len(l.streams) > 0 {
+				l.used = l.all.core.Now()
+			}
+			l.watchIdle()
+		}
+	})
+}
+
+func (l *link) closeIfDone() {
+	if l.retired && l.conn != nil && len(l.streams) == 0 {
+		l.end = core.EndIdle
+		l.conn.Close()
+	}
+}
+
+// want writes the request.
+func (s *stream) want() {
+	a := s.attempt
+	r := a.Request
+	stmt, _ := r.Statement.(string)
+	left := (a.Sent + a.Within - s.link.all.core.Now()).Milliseconds()
+	b := append(make([]byte, 0, 160+len(stmt)), "want "...)
+	b = append(append(b, r.ID...), " kind="...)
+	b = append(append(b, r.Class...), ",ms="...)
+	b = strconv.AppendInt(b, max(left, 1), 10)
+	if r.Token != "" {
+		b = append(append(b, ",token="...), r.Token...)
+	}
+	if a.MemoryMB >= 1 {
+		b = strconv.AppendInt(append(b, ",mb="...), int64(a.MemoryMB), 10)
+	}
+	b = strconv.AppendInt(append(b, ",nice="...), int64(a.Priority), 10)
+	b = strconv.AppendInt(append(b, ' '), int64(len(stmt)), 10)
+	b = append(append(append(b, "\r\n"...), stmt...), "\r\n"...)
+	s.written = true
+	s.link.conn.Write(b)
+}
+
+// Drop gives an attempt up.
+func (ls *Links) Drop(a *core.Attempt) {
+	s, ok := a.Link.(*stream)
+	if !ok {
+		return
+	}
+	l := s.link
+	delete(l.streams, a.Request.ID)
+	if s.written && l.conn != nil { // a lost link ends its streams one by one
+		l.past[a.Request.ID] = ls.core.Now() + pastFor
+		word := "never_mind "
+		if s.missing > 0 { // it is done, and only its pages are still wanted
+			word = "shut "
+		}
+		l.conn.Write([]byte(word + a.Request.ID + "\r\n"))
+	}
+	l.closeIfDone()
+}
+
+// Hurry sets the priority of an attempt that is out.
+func (ls *Links) Hurry(a *core.Attempt, priority int) {
+	if s, ok := a.Link.(*stream); ok && s.written && s.missing == 0 && s.link.conn != nil {
+		s.link.conn.Write([]byte("hurry " + a.Request.ID + " " + strconv.Itoa(priority) + "\r\n"))
+	}
+}
+
+// Data reads the answers that are whole.
+func (l *link) Data(c *netio.Conn, in *netio.Buffer) {
+	for l.end == core.EndUnknown {
+		a, n, err := parse(in.Bytes())
+		if err == nil && n > 0 {
+			err = l.answer(a)
+			in.Consume(n)
+		}
+		if err != nil {
+			l.all.log.Printf("engine %s: %v", l.engine.id, err)
+			l.end, l.retired = core.EndGarbage, true
+			c.Close()
+			return
+		}
+		if n == 0 {
+			return
+		}
+	}
+}
+
+// answer takes one message. One for an id that was given up is passed by.
+func (l *link) answer(a answer) error {
+	s := l.streams[a.id]
+	if s == nil {
+		l.all.stats.Add("links.late-answer")
+		return nil
+	}
+	switch a.word {
+	case "TELL":
+		if kind, value, ok := note(a.fields); ok {
+			l.all.core.Note(s.attempt, kind, value)
+		}
+	case "DONE":
+		return l.done(s, a)
+	case "MORE":
+		return l.more(s, a)
+	case "WAIT", "BROKE", "PAST":
+		end := ends[a.word]
+		if s.missing > 0 {
+			end = core.EndPagesLost
+		}
+		s.report.Load = gauges(a.fields)
+		l.finish(s, end)
+	case "FIT":
+	default:
+		return fmt.Errorf("unknown word %.20q in an answer", a.word)
+	}
+	return nil
+}
+
+// done takes page 0 and asks for the others. No row is passed on before all are
+// here: pages lost with their engine are then an attempt's end, and another may
+// serve the client.
+func (l *link) done(s *stream, a answer) error {
+	if s.pages != nil {
+		return errors.New("a second DONE for one request")
+	}
+	pages := 1
+	if text, ok := field(a.fields, "batches"); ok {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 0 || n > maxPages {
+			return fmt.Errorf("%.20q pages in an answer", text)
+		}
+		pages = max(n, 1)
+	}
+	if !wholeRows(a.body) {
+		return errors.New("a page does not end with a whole row")
+	}
+	work, _ := number(a.fields, "cpu")
+	s.report.Work = config.FromMS(max(work, 0))
+	s.report.MemoryMB, _ = number(a.fields, "used")
+	s.report.Load = gauges(a.fields)
+	s.pages = make(Rows, pages)
+	s.pages[0] = append([]byte{}, a.body...)
+	s.missing = pages - 1
+	if s.missing == 0 {
+		l.finish(s, core.EndServed)
+		return nil
+	}
+	var b []byte
+	for n := 1; n < pages; n++ {
+		b = append(append(append(b, "turn "...), a.id...), ' ')
+		b = append(strconv.AppendInt(b, int64(n), 10), "\r\n"...)
+	}
+	l.conn.Write(b)
+	return nil
+}
+
+func (l *link) more(s *stream, a answer) error {
+	text, _ := field(a.fields, "batch")
+	n, err := strconv.Atoi(text)
+	switch {
+	case err != nil || n < 1 || n >= len(s.pages):
+		return fmt.Errorf("a page numbered %.20q", text)
+	case !wholeRows(a.body):
+		return errors.New("a page does not end with a whole row")
+	case s.pages[n] != nil:
+		return nil
+	}
+	s.pages[n] = append([]byte{}, a.body...)
+	if s.missing--; s.missing == 0 {
+		l.conn.Write([]byte("shut " + a.id + "\r\n"))
+		l.finish(s, core.EndServed)
+	}
+	return nil
+}
+
+func wholeRows(page []byte) bool { return len(page) == 0 || page[len(page)-1] == '\n' }
+
+// finish takes the stream off the link and ends its attempt.
+func (l *link) finish(s *stream, end core.End) {
+	delete(l.streams, s.attempt.Request.ID)
+	l.used = l.all.core.Now()
+	if end == core.EndServed {
+		s.report.Result = s.pages
+	}
+	l.all.core.End(s.attempt, end, s.report)
+	l.closeIfDone()
+}
+
+// Closed ends all that was open on the link.
+func (l *link) Closed(_ *netio.Conn, err error) {
+	switch {
+	case l.end != core.EndUnknown:
+	case errors.Is(err, netio.ErrOversize):
+		l.all.log.Printf("engine %s: %v", l.engine.id, err)
+		l.end = core.EndOversize
+	case len(l.streams) == 0:
+		l.end = core.EndIdle
+	default:
+		l.end = core.EndReset
+	}
+	l.lost(l.end)
+}
+
+func (l *link) lost(end core.End) {
+	l.retired, l.conn = true, nil
+	l.all.stats.Add("links.ended." + end.String())
+	l.engine.links = slices.DeleteFunc(l.engine.links, func(o *link) bool { return o == l })
+	for _, s := range l.inOrder() {
+		if l.streams[s.attempt.Request.ID] != s { // given up on word of another's end
+			continue
+		}
+		delete(l.streams, s.attempt.Request.ID)
+		l.all.core.End(s.attempt, end, core.Report{})
+	}
+}
--- /dev/null
+++ b/internal/netio/loop.go
@@ -0,0 +1,277 @@
+// Package netio runs the sockets. One nbio poller reads into the buffer of each
+// connection; everything else happens on the one goroutine that calls Run.
+package netio
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"gannetspur/internal/deadline"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+)
+
+// ErrOversize ends a connection whose peer sent more than its buffer may hold.
+var ErrOversize = errors.New("more unparsed data than the buffer may hold")
+
+// maxWrite bounds what waits for a slow reader; past it the connection is closed.
+const maxWrite = 2 << 20
+
+// acceptPause is the rest after a failed accept. Guards against spinning while
+// the descriptor table is full: the listener stays readable all that time.
+const acceptPause = 20 * time.Millisecond
+
+// Handler is told of one connection, on the loop's goroutine.
+type Handler interface {
+	// Data tells that the buffer has grown. What it leaves there is kept.
+	Data(c *Conn, in *Buffer)
+	// Closed tells that the connection has ended, once; err is nil where the
+	// peer or Close ended it in the usual way.
+	Closed(c *Conn, err error)
+}
+
+// Loop owns the sockets, the timers and the goroutine that all handlers run on.
+type Loop struct {
+	Timers *deadline.Queue
+
+	origin time.Time
+	unix   time.Duration
+	engine *nbio.Engine
+
+	mu    sync.Mutex
+	queue []func()
+	spare []func()
+	wake  chan struct{}
+	open  map[*Conn]struct{}
+	stop  bool
+}
+
+// New starts the poller. maxFiles is the descriptor limit.
+func New(maxFiles int) (*Loop, error) {
+	logging.SetLevel(logging.LevelNone)
+	if maxFiles > 0 {
+		nbio.MaxOpenFiles = maxFiles + 64
+	}
+	now := time.Now()
+	l := &Loop{
+		Timers: deadline.New(), origin: now, unix: time.Duration(now.UnixNano()),
+		wake: make(chan struct{}, 1), open: map[*Conn]struct{}{},
+	}
+	l.engine = nbio.NewEngine(nbio.Config{
+		Name: "ringwood", NPoller: 1, ReadBufferSize: 32 << 10,
+		MaxWriteBufferSize: maxWrite, MaxConnReadTimesPerEventLoop: 64,
+	})
+	l.engine.OnOpen(func(*nbio.Conn) {})
+	l.engine.OnData(func(nc *nbio.Conn, data []byte) {
+		if c, ok := nc.Session().(*Conn); ok {
+			c.received(data)
+		}
+	})
+	l.engine.OnClose(func(nc *nbio.Conn, err error) {
+		if c, ok := nc.Session().(*Conn); ok {
+			l.Post(func() { c.ended(err) })
+		}
+	})
+	if err := l.engine.Start(); err != nil {
+		return nil, fmt.Errorf("start the poller: %w", err)
+	}
+	return l, nil
+}
+
+// Now is the time since the Unix epoch by a clock that never goes back: the
+// system's at the start, and monotonic from there.
+func (l *Loop) Now() time.Duration { return l.unix + time.Since(l.origin) }
+
+// Post has f called on the loop's goroutine. It may be called from anywhere.
+func (l *Loop) Post(f func()) {
+	l.mu.Lock()
+	l.queue = append(l.queue, f)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run turns until Stop: what came in, then what is due.
+func (l *Loop) Run() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for !l.stop {
+		l.mu.Lock()
+		work := l.queue
+		l.queue = l.spare[:0]
+		l.mu.Unlock()
+		for i, f := range work {
+			f()
+			work[i] = nil
+		}
+		l.spare = work[:0]
+		l.Timers.Sweep(l.Now())
+		wait := time.Hour
+		if at, ok := l.Timers.Next(); ok {
+			wait = at - l.Now()
+		}
+		if wait <= 0 {
+			continue
+		}
+		timer.Reset(wait)
+		select {
+		case <-l.wake:
+		case <-timer.C:
+		}
+	}
+	for c := range l.open {
+		_ = c.nc.Close()
+	}
+}
+
+// Stop ends Run after the present turn.
+func (l *Loop) Stop() { l.stop = true }
+
+// Open is the number of open connections.
+func (l *Loop) Open() int { return len(l.open) }
+
+// Listen accepts connections at the address until the returned listener is closed.
+func (l *Loop) Listen(addr string, limit int, accept func(*Conn) Handler) (net.Listener, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			switch {
+			case errors.Is(err, net.ErrClosed):
+				return
+			case err != nil:
+				time.Sleep(acceptPause)
+			default:
+				l.Post(func() { l.adopt(c, limit, accept) })
+			}
+		}
+	}()
+	return ln, nil
+}
+
+// adopt hands a connected socket to the poller.
+func (l *Loop) adopt(std net.Conn, limit int, accept func(*Conn) Handler) (*Conn, error) {
+	nc, err := nbio.NBConn(std) // takes a copy of the descriptor and closes the first
+	if err != nil {
+		_ = std.Close()
+		return nil, fmt.Errorf("adopt the connection: %w", err)
+	}
+	c := &Conn{loop: l, nc: nc, limit: limit}
+	c.handler = accept(c)
+	nc.SetSession(c)
+	l.open[c] = struct{}{}
+	if _, err := l.engine.AddConn(nc); err != nil {
+		delete(l.open, c)
+		c.over = true
+		_ = nc.Close()
+		return nil, fmt.Errorf("poll the connection: %w", err)
+	}
+	return c, nil
+}
+
+// Dial connects within the time-out and calls done on the loop's goroutine. The
+// handler is told of nothing before done has returned. Calling the returned
+// function gives the dial up; done is called all the same.
+func (l *Loop) Dial(addr string, timeout time.Duration, limit int, h Handler, done func(*Conn, error)) (cancel func()) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	go func() {
+		var d net.Dialer
+		std, err := d.DialContext(ctx, "tcp", addr)
+		cancel()
+		l.Post(func() {
+			if err != nil {
+				done(nil, err)
+				return
+			}
+			c, err := l.adopt(std, limit, func(*Conn) Handler { return h })
+			done(c, err)
+		})
+	}()
+	return cancel
+}
+
+// Refused tells whether a dial failed with word from the other side, or for want
+// of descriptors here, rather than in silence.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// NoDescriptor tells whether a dial failed because this process has none left.
+func NoDescriptor(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
+// Conn is one connection. Its methods are for the loop's goroutine.
+type Conn struct {
+	loop    *Loop
+	nc      *nbio.Conn
+	handler Handler
+	limit   int
+	over    bool // Closed was told
+
+	mu      sync.Mutex
+	in      Buffer
+	told    bool // a call of Data is on its way
+	tooMuch bool
+}
+
+// received runs on the poller's goroutine.
+func (c *Conn) received(p []byte) {
+	c.mu.Lock()
+	if c.in.Len()+len(p) > c.limit {
+		c.tooMuch = true
+		c.mu.Unlock()
+		_ = c.nc.CloseWithError(ErrOversize)
+		return
+	}
+	c.in.append(p)
+	tell := !c.told
+	c.told = true
+	c.mu.Unlock()
+	if tell {
+		c.loop.Post(c.data)
+	}
+}
+
+func (c *Conn) data() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.told = false
+	if !c.over {
+		c.handler.Data(c, &c.in)
+	}
+}
+
+// Again has Data called once more, for what an earlier call left in the buffer.
+func (c *Conn) Again() { c.loop.Post(c.data) }
+
+func (c *Conn) ended(err error) {
+	if c.over {
+		return
+	}
+	c.over = true
+	delete(c.loop.open, c)
+	c.handler.Closed(c, err)
+}
+
+// Write sends, or queues what the socket does not take at once.
+func (c *Conn) Write(p []byte) {
+	if !c.over {
+		_, _ = c.nc.Write(p) // a failure closes the connection, and Closed tells
+	}
+}
+
+// Close ends the connection. Closed is told, later.
+func (c *Conn) Close() { _ = c.nc.Close() }
+
+// RemoteAddr names the peer.
+func (c *Conn) RemoteAddr() string { return c.nc.RemoteAddr().String() }
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -3,17 +3,17 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math"
 	"strconv"
 	"time"
 
+	"gannetspur/internal/config"
 	"gannetspur/policy"
 )
 
 type duration = time.Duration
 
 // The wire tells time in fractional milliseconds, exact to the microsecond.
-func fromMS(ms float64) duration { return duration(math.Round(ms*1000)) * time.Microsecond }
+func fromMS(ms float64) duration { return config.FromMS(ms) }
 
 func toMS(d duration) float64 { return float64(d) / float64(time.Millisecond) }
 
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 
+	"gannetspur/internal/config"
 	"gannetspur/policy"
 )
 
@@ -176,22 +177,17 @@
 
 func (h *Host) start(f *fields) {
 	who, seed := f.integer(0, "who"), f.id(1, "prng")
-	var s profile
+	var s config.Site
 	f.get(2, "profile-data", false, &s)
 	if f.err != nil {
 		return
 	}
-	set, err := s.settings()
+	g, err := policy.New(s.Policy, seed)
 	if err != nil {
 		f.fault("profile-data", "%v", err)
 		return
 	}
-	g, err := policy.New(set, seed)
-	if err != nil {
-		f.fault("profile-data", "%v", err)
-		return
-	}
-	h.gateways[who] = &instance{gateway: g, reports: s.Report.Names}
+	h.gateways[who] = &instance{gateway: g, reports: s.Reports}
 }
 
 func (h *Host) pool(f *fields) {
