--- a/cmd/ringwood/main.go
+++ b/cmd/ringwood/main.go
@@ -1,8 +1,13 @@
 // Command ringwood is a front end: it takes requests of clients, has the policy
 // module decide where each runs, and relays the answers.
+//
+// It serves the platform's protocol as its configuration says (-config, or
+// $LB_CONFIG), or, with -postgres, the PostgreSQL wire protocol as a deploy file
+// says. USR1 prints the counters; TERM and INT begin a planned stop.
 package main
 
 import (
+	"context"
 	"errors"
 	"flag"
 	"fmt"
@@ -12,42 +17,90 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"gannetspur/internal/config"
 	"gannetspur/internal/core"
 	"gannetspur/internal/engine/lines"
+	"gannetspur/internal/engine/pg"
+	"gannetspur/internal/front/pgwire"
 	"gannetspur/internal/front/rest"
 	"gannetspur/internal/netio"
 	"gannetspur/internal/roster/bus"
+	"gannetspur/internal/roster/consul"
 	"gannetspur/internal/stats"
 	"gannetspur/policy"
 )
 
-// The spans of a planned stop, from TERM on. Clients go on connecting for up to
-// 0.4 s and calling for 0.2 s more; the kill comes no sooner than 3.7 s.
-const (
-	stopListening = 500 * time.Millisecond
-	stopReading   = 800 * time.Millisecond
-	stopWaiting   = 3400 * time.Millisecond
-	lastWrites    = 50 * time.Millisecond
-	stopPoll      = 20 * time.Millisecond
-)
-
 func main() {
-	path := flag.String("config", os.Getenv("LB_CONFIG"), "the configuration `file` (default: $LB_CONFIG)")
+	path := flag.String("config", os.Getenv("LB_CONFIG"), "the configuration `file`")
+	deploy := flag.String("postgres", "", "the deploy `file` of the PostgreSQL front, which then runs in place of the platform's")
 	flag.Parse()
 	logger := log.New(os.Stderr, "", log.Lmicroseconds)
-	if err := run(*path, logger); err != nil {
+	if err := run(*path, *deploy, logger); err != nil {
 		logger.Print("ringwood: ", err)
 		os.Exit(1)
 	}
 }
 
-func run(path string, logger *log.Logger) error {
-	if path == "" {
-		return errors.New("no configuration: set LB_CONFIG or -config")
+// gateway is one front on a core of its own.
+type gateway struct {
+	loop     *netio.Loop
+	core     *core.Core
+	front    front
+	counters *stats.Counters
+	log      *log.Logger
+}
+
+// front is what a planned stop needs of a front.
+type front interface {
+	Addr() string
+	CloseListener()
+	Drain()
+	Idle() bool
+}
+
+func run(path, deploy string, logger *log.Logger) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g := &gateway{counters: stats.New(), log: logger}
+	var err error
+	switch {
+	case deploy != "":
+		err = g.postgres(ctx, deploy)
+	case path != "":
+		err = g.platform(path)
+	default:
+		err = errors.New("nothing to serve: set LB_CONFIG, -config or -postgres")
+	}
+	if err != nil {
+		return err
+	}
+	if g.front == nil {
+		logger.Print("the front is off: its deploy file names no address to listen at")
+		return nil
+	}
+	logger.Printf("serving at %s", g.front.Addr())
+	go g.signals()
+	g.loop.Run()
+	g.counters.Print(os.Stderr)
+	return nil
+}
+
+// start makes the loop and the core.
+func (g *gateway) start(set policy.Settings, seed uint64, memoryMB, sockets int) (err error) {
+	limitResources(memoryMB)
+	if g.loop, err = netio.New(sockets); err != nil {
+		return err
+	}
+	g.core, err = core.New(set, seed, g.loop, g.loop.Timers, g.counters, g.log)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
 	}
+	return nil
+}
+
+// platform serves the platform's protocol.
+func (g *gateway) platform(path string) error {
 	cfg, err := config.Load(path)
 	if err != nil {
 		return err
@@ -58,78 +111,70 @@
 	if cfg.Listen == "" {
 		return errors.New("configuration: listen: missing")
 	}
-	limitResources(cfg)
-	loop, err := netio.New(cfg.Sockets)
-	if err != nil {
+	if err := g.start(cfg.Site.Policy, cfg.Seed, cfg.MemoryMB, cfg.Sockets); err != nil {
 		return err
 	}
-	counters := stats.New()
-	c, err := core.New(cfg.Site.Policy, cfg.Seed, loop, loop.Timers, counters, logger)
-	if err != nil {
-		return fmt.Errorf("configuration: %w", err)
-	}
-	c.SetLinks(lines.New(loop, c, cfg.Site, counters, logger))
+	g.core.SetLinks(lines.New(g.loop, g.core, cfg.Site, g.counters, g.log))
 	for _, ev := range cfg.Known {
 		mode := policy.ListChanges
 		if ev.Whole {
 			mode = policy.ListFull
 		}
-		c.Roster(mode, ev.Engines)
+		g.core.Roster(mode, ev.Engines)
 	}
 	if cfg.Bus != "" {
-		bus.New(loop, cfg.Bus, cfg.Offset, cfg.Site.Zones, cfg.Site.Kinds, c, counters, logger).Start()
+		bus.New(g.loop, cfg.Bus, cfg.Offset, cfg.Site.Zones, cfg.Site.Kinds, g.core, g.counters, g.log).Start()
 	}
-	front := rest.New(loop, c, counters, logger)
-	if err := front.Listen(cfg.Listen); err != nil {
+	f := rest.New(g.loop, g.core, g.counters)
+	g.front = f
+	return f.Listen(cfg.Listen)
+}
+
+// postgres serves the PostgreSQL wire protocol.
+func (g *gateway) postgres(ctx context.Context, path string) error {
+	p, err := config.LoadPostgres(path)
+	if err != nil || p.Listen == "" {
 		return err
 	}
-	logger.Printf("%s serves at %s", cfg.Name, front.Addr())
-	go signals(loop, front, c, counters)
-	loop.Run()
-	counters.Print(os.Stderr)
-	return nil
+	if err := g.start(p.Site.Policy, uint64(os.Getpid()), p.MemoryMB, p.Sockets); err != nil {
+		return err
+	}
+	g.core.SetLinks(pg.New(g.loop, g.core, pg.Options{
+		User: p.User, Database: p.Database,
+		ConnectTimeout: config.FromMS(p.ConnectWithin), IdleClose: config.FromMS(p.IdleClose),
+	}, g.counters, g.log))
+	follower := consul.New(consul.Options(p.Consul), g.loop.Post, g.core, g.counters, g.log)
+	go follower.Run(ctx)
+	opts := pgwire.Options{DefaultClass: p.DefaultClass, MostClients: p.MostClients}
+	for _, s := range p.Statements {
+		opts.Rules = append(opts.Rules, pgwire.Rule(s))
+	}
+	f := pgwire.New(g.loop, g.core, opts, g.counters)
+	g.front = f
+	return f.Listen(p.Listen)
 }
 
 // limitResources keeps the garbage collector well under the memory limit. More
 // than one P, also on one core: the poller's wait holds one.
-func limitResources(cfg *config.Config) {
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 6 / 10)
+func limitResources(memoryMB int) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryMB) << 20 * 6 / 10)
 	}
 	runtime.GOMAXPROCS(3)
 }
 
-// signals carries out what the process is told: USR1 prints the counters, TERM
-// and INT begin a planned stop.
-func signals(loop *netio.Loop, front *rest.Front, c *core.Core, counters *stats.Counters) {
+// signals carries out what the process is told.
+func (g *gateway) signals() {
 	ch := make(chan os.Signal, 4)
 	signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	stopping := false
 	for s := range ch {
 		switch {
 		case s == syscall.SIGUSR1:
-			loop.Post(func() { counters.Print(os.Stderr) })
+			g.loop.Post(func() { g.counters.Print(os.Stderr) })
 		case !stopping:
 			stopping = true
-			loop.Post(func() { stop(loop, front, c) })
-		}
-	}
-}
-
-// stop serves on for as long as clients may come, then ends once nothing is open.
-func stop(loop *netio.Loop, front *rest.Front, c *core.Core) {
-	at := loop.Now()
-	loop.Timers.Add(at+stopListening, front.CloseListener)
-	loop.Timers.Add(at+stopReading, front.Drain)
-	loop.Timers.Add(at+stopWaiting, c.FailAll)
-	var poll func()
-	poll = func() {
-		now := loop.Now()
-		if now >= at+stopReading && front.Idle() && c.Unanswered() == 0 || now >= at+stopWaiting+lastWrites {
-			loop.Timers.Add(now+lastWrites, loop.Stop)
-			return
+			g.loop.Post(g.stop)
 		}
-		loop.Timers.Add(now+stopPoll, poll)
 	}
-	poll()
 }
--- /dev/null
+++ b/internal/config/postgres.go
@@ -0,0 +1,106 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Postgres is the deploy file of the second front.
+type Postgres struct {
+	Listen        string      // where clients connect; "": the front is off
+	Settings      string      // the settings, as JSON, in a file beside this one
+	MemoryMB      int         `toml:"memory_mb"`
+	Sockets       int         // descriptor limit
+	MostClients   int         `toml:"most_clients"`
+	DefaultClass  string      `toml:"default_class"`
+	Statements    []Statement `toml:"statement"`
+	User          string      // that engines are told
+	Database      string
+	ConnectWithin float64 `toml:"connect_timeout_ms"`
+	IdleClose     float64 `toml:"idle_close_ms"`
+	Consul        Consul
+	Site          Site `toml:"-"`
+}
+
+// Statement gives a class to statements that begin with some words, and names
+// the parameter that holds their key.
+type Statement struct {
+	Starts string
+	Class  string
+	Key    int
+}
+
+// Consul is where the roster of engines is read.
+type Consul struct{ Address, Service, Token, Zone, Kind string }
+
+// LoadPostgres reads the deploy file of the second front, and the settings that
+// it names. Its errors name the field at fault.
+func LoadPostgres(path string) (*Postgres, error) {
+	var p Postgres
+	meta, err := toml.DecodeFile(path, &p)
+	if err != nil {
+		return nil, fmt.Errorf("deploy file %s: %w", path, err)
+	}
+	if odd := meta.Undecoded(); len(odd) > 0 {
+		return nil, fmt.Errorf("deploy file %s: %s: unknown field", path, odd[0])
+	}
+	if p.Listen == "" {
+		return &p, nil
+	}
+	if err := p.check(filepath.Dir(path)); err != nil {
+		return nil, fmt.Errorf("deploy file %s: %w", path, err)
+	}
+	return &p, nil
+}
+
+func (p *Postgres) check(dir string) error {
+	for _, a := range []struct{ name, addr string }{{"listen", p.Listen}, {"consul.address", p.Consul.Address}} {
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return fmt.Errorf("%s: %w", a.name, err)
+		}
+	}
+	if p.Consul.Service == "" {
+		return errors.New("consul.service: missing")
+	}
+	if p.User == "" {
+		return errors.New("user: missing")
+	}
+	if p.Database == "" {
+		p.Database = p.User
+	}
+	file := p.Settings
+	if !filepath.IsAbs(file) {
+		file = filepath.Join(dir, file)
+	}
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if err := json.Unmarshal(raw, &p.Site); err != nil {
+		return fmt.Errorf("settings: %s: %w", p.Settings, fieldError(err))
+	}
+	classes := map[string]bool{}
+	for _, c := range p.Site.Policy.Classes {
+		classes[c.Name] = true
+	}
+	if !classes[p.DefaultClass] {
+		return fmt.Errorf("default_class: %q is no class of the settings", p.DefaultClass)
+	}
+	for i, s := range p.Statements {
+		switch {
+		case s.Starts == "":
+			return fmt.Errorf("statement[%d].starts: missing", i)
+		case !classes[s.Class]:
+			return fmt.Errorf("statement[%d].class: %q is no class of the settings", i, s.Class)
+		case s.Key < 0 || s.Key > 65535:
+			return fmt.Errorf("statement[%d].key: %d is no parameter's number", i, s.Key)
+		}
+	}
+	return nil
+}
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -15,8 +15,14 @@
 	r := a.Request
 	r.out--
 	c.stats.Add("ended." + end.String())
-	if end == EndServed {
+	if rep.Detail != nil {
+		r.detail = rep.Detail
+	}
+	switch end {
+	case EndServed:
 		c.final(r.query, Answer{Verdict: Served, Result: rep.Result})
+	case EndRejected: // another engine would say the same
+		c.final(r.query, Answer{Verdict: Failed})
 	}
 	c.tell(policy.Outcome{
 		Query: r.query, Attempt: a.n, Result: end.Result(), Elapsed: c.clock.Now() - a.Sent,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -58,6 +58,7 @@
 	answered bool
 	grant    float64
 	priority int
+	detail   any // of its latest error
 }
 
 // Attempt is one send of a request to one engine.
--- a/internal/core/end.go
+++ b/internal/core/end.go
@@ -9,6 +9,7 @@
 const (
 	EndUnknown        End = iota
 	EndServed             // the whole answer is here
+	EndRejected           // the engine found the statement itself at fault; it had no effect
 	EndError              // the engine answered with an error
 	EndFull               // the engine turned it away unseen
 	EndPast               // the engine found its time over before it ran
@@ -28,7 +29,7 @@
 )
 
 var endNames = [endCount]string{
-	"unknown", "served", "error", "full", "past", "pages-lost", "timeout", "refused", "connect-timeout",
+	"unknown", "served", "rejected", "error", "full", "past", "pages-lost", "timeout", "refused", "connect-timeout",
 	"no-descriptor", "no-engine", "reset", "garbage", "oversize", "cancelled", "not-sent", "idle",
 }
 
@@ -57,7 +58,7 @@
 		return policy.Lost
 	case EndCancelled:
 		return policy.Cancelled
-	case EndPast, EndNotSent:
+	case EndPast, EndNotSent, EndRejected:
 		return policy.NotSent
 	}
 	return policy.Unknown
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -33,7 +33,7 @@
 		return
 	}
 	a.Late = a.Verdict != Served && c.clock.Now() >= r.Deadline-c.round
-	a.Sent = len(r.tries) > 0
+	a.Sent, a.Detail = len(r.tries) > 0, r.detail
 	c.stats.Add("answered." + a.Verdict.String() + "." + r.Class)
 	if a.Late {
 		c.stats.Add("answered-late." + r.Class)
--- a/internal/engine/lines/links.go
+++ b/internal/engine/lines/links.go
@@ -12,9 +12,9 @@
 
 	"gannetspur/internal/config"
 	"gannetspur/internal/core"
+	"gannetspur/internal/engine"
 	"gannetspur/internal/netio"
 	"gannetspur/internal/stats"
-	"gannetspur/policy"
 )
 
 const (
@@ -38,7 +38,7 @@
 	site    config.Site
 	stats   *stats.Counters
 	log     *log.Logger
-	engines map[string]*engine // by id
+	engines *engine.Pool[*link]
 }
 
 // New returns links that report to the core.
@@ -47,19 +47,13 @@
 	if site.ConnectTimeout <= 0 {
 		site.ConnectTimeout = 250 * time.Millisecond
 	}
-	return &Links{loop: loop, core: c, site: site, stats: counters, log: l, engines: map[string]*engine{}}
-}
-
-type engine struct {
-	id, addr string
-	started  time.Duration
-	links    []*link
+	return &Links{loop: loop, core: c, site: site, stats: counters, log: l, engines: engine.NewPool[*link]()}
 }
 
 // link is one connection, from the start of its dial.
 type link struct {
 	all     *Links
-	engine  *engine
+	engine  *engine.Engine[*link]
 	conn    *netio.Conn // nil until it is up
 	streams map[string]*stream
 	past    map[string]time.Duration // ids given up here, until then
@@ -78,36 +72,17 @@
 	report  core.Report
 }
 
-// Engine takes an entry of the roster. Links to an engine that has moved, has
-// started anew or is gone take no more, and close when nothing is open on them.
-func (ls *Links) Engine(e core.Engine) {
-	old := ls.engines[e.ID]
-	if old == nil {
-		if e.State != policy.EngineGone {
-			ls.engines[e.ID] = &engine{id: e.ID, addr: e.Addr, started: e.Started}
-		}
-		return
-	}
-	if e.State == policy.EngineGone || e.Addr != old.addr || e.Started != old.started {
-		for _, l := range slices.Clone(old.links) {
-			l.retired = true
-			l.closeIfDone()
-		}
-	}
-	old.addr, old.started = e.Addr, e.Started
-	if e.State == policy.EngineGone {
-		delete(ls.engines, e.ID)
-	}
-}
+// Engine takes an entry of the roster.
+func (ls *Links) Engine(e core.Engine) { ls.engines.Engine(e) }
 
 // Send begins an attempt on a connection with room, or on a new one.
 func (ls *Links) Send(a *core.Attempt) {
-	e := ls.engines[a.Engine]
+	e := ls.engines.Get(a.Engine)
 	if e == nil {
 		ls.core.End(a, core.EndNoEngine, core.Report{})
 		return
 	}
-	l := e.room(a.Request.ID, ls.site.MaxStreams, ls.core.Now())
+	l := room(e, a.Request.ID, ls.site.MaxStreams, ls.core.Now())
 	if l == nil {
 		l = ls.dial(e)
 	}
@@ -121,8 +96,8 @@
 }
 
 // room finds a link that can take a request of this id.
-func (e *engine) room(id string, most int, now time.Duration) *link {
-	for _, l := range e.links {
+func room(e *engine.Engine[*link], id string, most int, now time.Duration) *link {
+	for _, l := range e.Links {
 		if l.retired || len(l.streams) >= most || l.streams[id] != nil || now < l.past[id] {
 			continue
 		}
@@ -131,22 +106,20 @@
 	return nil
 }
 
-func (ls *Links) dial(e *engine) *link {
+func (ls *Links) dial(e *engine.Engine[*link]) *link {
 	l := &link{all: ls, engine: e, streams: map[string]*stream{}, past: map[string]time.Duration{}}
-	e.links = append(e.links, l)
+	e.Links = append(e.Links, l)
 	ls.stats.Add("links.dialed")
-	ls.loop.Dial(e.addr, ls.site.ConnectTimeout, maxBuffer, l, func(c *netio.Conn, err error) {
-		switch {
-		case err == nil:
+	ls.loop.Dial(e.Addr, ls.site.ConnectTimeout, maxBuffer, l, func(c *netio.Conn, err error) {
+		if err == nil {
 			l.up(c)
-		case netio.Refused(err):
-			l.lost(core.EndRefused)
-		case netio.NoDescriptor(err):
-			ls.log.Printf("engine %s: no descriptor for a connection", e.id)
-			l.lost(core.EndNoDescriptor)
-		default:
-			l.lost(core.EndConnectTimeout)
+			return
 		}
+		end := engine.DialEnd(err)
+		if end != core.EndRefused {
+			ls.log.Printf("engine %s: %v", e.ID, err)
+		}
+		l.lost(end)
 	})
 	return l
 }
@@ -181,8 +154,7 @@
 		switch {
 		case l.conn == nil:
 		case len(l.streams) == 0 && l.all.core.Now() >= l.used+idle:
-			l.retired = true
-			l.closeIfDone()
+			l.Retire()
 		default:
 			if len(l.streams) > 0 {
 				l.used = l.all.core.Now()
@@ -192,6 +164,12 @@
 	})
 }
 
+// Retire has the link take no more.
+func (l *link) Retire() {
+	l.retired = true
+	l.closeIfDone()
+}
+
 func (l *link) closeIfDone() {
 	if l.retired && l.conn != nil && len(l.streams) == 0 {
 		l.end = core.EndIdle
@@ -257,7 +235,7 @@
 			in.Consume(n)
 		}
 		if err != nil {
-			l.all.log.Printf("engine %s: %v", l.engine.id, err)
+			l.all.log.Printf("engine %s: %v", l.engine.ID, err)
 			l.end, l.retired = core.EndGarbage, true
 			c.Close()
 			return
@@ -373,7 +351,7 @@
 	switch {
 	case l.end != core.EndUnknown:
 	case errors.Is(err, netio.ErrOversize):
-		l.all.log.Printf("engine %s: %v", l.engine.id, err)
+		l.all.log.Printf("engine %s: %v", l.engine.ID, err)
 		l.end = core.EndOversize
 	case len(l.streams) == 0:
 		l.end = core.EndIdle
@@ -386,7 +364,7 @@
 func (l *link) lost(end core.End) {
 	l.retired, l.conn = true, nil
 	l.all.stats.Add("links.ended." + end.String())
-	l.engine.links = slices.DeleteFunc(l.engine.links, func(o *link) bool { return o == l })
+	l.engine.Remove(l)
 	for _, s := range l.inOrder() {
 		if l.streams[s.attempt.Request.ID] != s { // given up on word of another's end
 			continue
--- /dev/null
+++ b/internal/engine/pg/links.go
@@ -0,0 +1,414 @@
+// Package pg carries attempts to engines that speak the PostgreSQL wire protocol:
+// one attempt at a time on a connection, which is used again.
+package pg
+
+import (
+	"errors"
+	"fmt"
+	"log"
+	"time"
+
+	"gannetspur/internal/core"
+	"gannetspur/internal/engine"
+	"gannetspur/internal/netio"
+	"gannetspur/internal/pgproto"
+	"gannetspur/internal/stats"
+)
+
+const (
+	// MaxResult bounds the rows of one result, which is held until it is whole.
+	MaxResult  = 8 << 20
+	maxMessage = MaxResult
+	maxBuffer  = maxMessage + 64<<10
+	cancelTime = time.Second
+)
+
+// Options say how engines are spoken to.
+type Options struct {
+	User, Database string
+	ConnectTimeout time.Duration // for the connection and its startup together
+	IdleClose      time.Duration // 0: idle connections stay open
+}
+
+// Links holds the connections to all engines.
+type Links struct {
+	loop    *netio.Loop
+	core    *core.Core
+	opts    Options
+	stats   *stats.Counters
+	log     *log.Logger
+	engines *engine.Pool[*link]
+}
+
+// New returns links that report to the core.
+func New(loop *netio.Loop, c *core.Core, opts Options, counters *stats.Counters, l *log.Logger) *Links {
+	if opts.ConnectTimeout <= 0 {
+		opts.ConnectTimeout = time.Second
+	}
+	return &Links{loop: loop, core: c, opts: opts, stats: counters, log: l, engines: engine.NewPool[*link]()}
+}
+
+// link is one connection, from the start of its dial.
+type link struct {
+	all     *Links
+	engine  *engine.Engine[*link]
+	conn    *netio.Conn // nil until it is up
+	ready   bool        // its startup is over
+	retired bool
+	used    time.Duration
+	end     core.End // why it is being closed from here
+	key     []byte   // process and secret, as a CancelRequest wants them
+
+	attempt *core.Attempt
+	written bool
+	result  *pgproto.Result
+	whole   bool // CommandComplete or the like has come
+	failure *pgproto.Error
+}
+
+// Engine takes an entry of the roster.
+func (ls *Links) Engine(e core.Engine) { ls.engines.Engine(e) }
+
+// Send begins an attempt on an idle connection, or on a new one.
+func (ls *Links) Send(a *core.Attempt) {
+	e := ls.engines.Get(a.Engine)
+	if e == nil {
+		ls.core.End(a, core.EndNoEngine, core.Report{})
+		return
+	}
+	var l *link
+	for _, o := range e.Links {
+		if !o.retired && o.attempt == nil {
+			l = o
+			break
+		}
+	}
+	if l == nil {
+		l = ls.dial(e)
+	}
+	l.attempt, l.written, l.result, l.whole, l.failure = a, false, &pgproto.Result{}, false, nil
+	a.Link = l
+	if l.ready {
+		l.write()
+	}
+}
+
+func (ls *Links) dial(e *engine.Engine[*link]) *link {
+	l := &link{all: ls, engine: e}
+	e.Links = append(e.Links, l)
+	ls.stats.Add("links.dialed")
+	by := ls.loop.Now() + ls.opts.ConnectTimeout
+	ls.loop.Dial(e.Addr, ls.opts.ConnectTimeout, maxBuffer, l, func(c *netio.Conn, err error) {
+		if err != nil {
+			l.lost(engine.DialEnd(err))
+			return
+		}
+		l.conn = c
+		var body []byte
+		for _, s := range []string{"user", ls.opts.User, "database", ls.opts.Database, "application_name", "ringwood"} {
+			body = append(body, pgproto.Str(s)...)
+		}
+		c.Write(pgproto.AppendStartup(nil, pgproto.Version, append(body, 0)))
+		ls.loop.Timers.Add(by, func() { // one that accepts and then says nothing
+			if !l.ready && l.conn != nil {
+				l.close(core.EndConnectTimeout)
+			}
+		})
+	})
+	return l
+}
+
+// write sends the statement: parsed, bound, described and run in one piece.
+func (l *link) write() {
+	s, ok := l.attempt.Request.Statement.(*pgproto.Statement)
+	if !ok {
+		l.finish(core.EndNotSent, core.Report{})
+		return
+	}
+	l.written = true
+	b := pgproto.Append(nil, 'P', pgproto.Str(""), pgproto.Str(s.Query), s.Types)
+	if s.Describe {
+		b = pgproto.Append(b, 'D', []byte("S\x00"))
+	} else {
+		b = pgproto.Append(b, 'B', []byte("\x00\x00"), s.Bind)
+		b = pgproto.Append(b, 'D', []byte("P\x00"))
+		b = pgproto.Append(b, 'E', []byte("\x00"), pgproto.Int32(0))
+	}
+	l.conn.Write(pgproto.Append(b, 'S'))
+}
+
+// Drop gives an attempt up. Where it was written, the engine is told on a
+// connection of its own, and the link is not used again: the word could arrive
+// late and end whatever ran there next.
+func (ls *Links) Drop(a *core.Attempt) {
+	l, ok := a.Link.(*link)
+	if !ok || l.attempt != a {
+		return
+	}
+	l.attempt = nil
+	if !l.written {
+		return
+	}
+	ls.stats.Add("links.cancelled")
+	l.retired = true
+	l.close(core.EndCancelled)
+	if l.key == nil {
+		return
+	}
+	key := l.key
+	ls.loop.Dial(l.engine.Addr, min(ls.opts.ConnectTimeout, cancelTime), maxBuffer, silent{}, func(c *netio.Conn, err error) {
+		if err == nil {
+			c.Write(pgproto.AppendStartup(nil, pgproto.CancelReq, key))
+			c.Close()
+		}
+	})
+}
+
+type silent struct{}
+
+func (silent) Data(_ *netio.Conn, in *netio.Buffer) { in.Consume(in.Len()) }
+func (silent) Closed(*netio.Conn, error)            {}
+
+// Hurry does nothing: this protocol knows no priority.
+func (ls *Links) Hurry(*core.Attempt, int) {}
+
+// Retire has the link take no more.
+func (l *link) Retire() {
+	l.retired = true
+	if l.attempt == nil && l.conn != nil {
+		l.close(core.EndIdle)
+	}
+}
+
+func (l *link) close(why core.End) {
+	if l.end == core.EndUnknown {
+		l.end = why
+	}
+	l.retired = true
+	if l.conn != nil {
+		l.conn.Close()
+	}
+}
+
+// Data reads the messages that are whole.
+func (l *link) Data(_ *netio.Conn, in *netio.Buffer) {
+	for l.end == core.EndUnknown {
+		kind, body, n, err := pgproto.Next(in.Bytes(), maxMessage)
+		if err == nil && n > 0 {
+			err = l.message(kind, body, in.Bytes()[:n])
+			in.Consume(n)
+		}
+		if err != nil {
+			l.all.log.Printf("engine %s: %v", l.engine.ID, err)
+			l.close(core.EndGarbage)
+			return
+		}
+		if n == 0 {
+			return
+		}
+	}
+}
+
+func (l *link) message(kind byte, body, whole []byte) error {
+	switch kind {
+	case 'N', 'S', 'A': // notices and settings are of the engine's session, which no client owns
+		return nil
+	case 'E':
+		e, err := pgproto.ReadError(body)
+		if err != nil {
+			return err
+		}
+		l.failure = e
+		if !l.ready || e.Severity == "FATAL" {
+			l.fatal()
+		}
+		return nil
+	case 'Z':
+		return l.idle(body)
+	}
+	if !l.ready {
+		return l.startup(kind, body)
+	}
+	if l.attempt == nil {
+		return fmt.Errorf("message %q on an idle connection", kind)
+	}
+	return l.part(kind, body, whole)
+}
+
+func (l *link) startup(kind byte, body []byte) error {
+	switch kind {
+	case 'R':
+		if r := (pgproto.Reader{B: body}); r.Int32() != 0 {
+			return errors.New("it wants a kind of authentication that is not spoken here")
+		}
+	case 'K':
+		l.key = append([]byte{}, body...)
+	default:
+		return fmt.Errorf("message %q during the startup", kind)
+	}
+	return nil
+}
+
+// part takes one message of an answer.
+func (l *link) part(kind byte, body, whole []byte) error {
+	r := l.result
+	switch kind {
+	case '1', '2', '3':
+	case 't':
+		r.Params = append([]byte{}, body...)
+	case 'T':
+		r.Fields = append([]byte{}, body...)
+	case 'n':
+		r.Fields = nil
+	case 'D':
+		if len(r.Rows)+len(whole) > MaxResult {
+			l.failure = &pgproto.Error{Severity: "ERROR", Code: "54000",
+				Message: fmt.Sprintf("the result is larger than %d bytes", MaxResult)}
+			l.stop(core.EndRejected)
+			return nil
+		}
+		r.Rows = append(r.Rows, whole...)
+		r.Count++
+	case 'C':
+		tag := pgproto.Reader{B: body}
+		r.Tag, l.whole = tag.Str(), true
+		if !tag.End() {
+			return fmt.Errorf("%w: CommandComplete", pgproto.Malformed)
+		}
+	case 'I':
+		r.Empty, l.whole = true, true
+	default:
+		return fmt.Errorf("message %q in an answer", kind)
+	}
+	return nil
+}
+
+// stop ends an attempt whose answer is still coming.
+func (l *link) stop(end core.End) {
+	a := l.attempt
+	l.all.Drop(a)
+	l.all.core.End(a, end, core.Report{Detail: l.failure})
+}
+
+// fatal ends the connection on an error that the engine ends it on.
+func (l *link) fatal() {
+	end := errorEnd(l.failure.Code)
+	switch {
+	case !l.written && end != core.EndFull: // no word on the statement: it was not sent
+		end = core.EndRefused
+	case l.written && end != core.EndTimeout: // between a commit and its word anything may be true
+		end = core.EndError
+	}
+	l.close(end)
+}
+
+// idle takes a ReadyForQuery: the startup, or an answer, is over.
+func (l *link) idle(body []byte) error {
+	if len(body) != 1 || body[0] != 'I' {
+		return errors.New("its session is left in a transaction")
+	}
+	if !l.ready {
+		l.ready = true
+		l.used = l.all.core.Now()
+		l.watchIdle()
+		switch {
+		case l.attempt != nil:
+			l.write()
+		case l.retired:
+			l.close(core.EndIdle)
+		}
+		return nil
+	}
+	if l.attempt == nil {
+		return errors.New("word of an answer on an idle connection")
+	}
+	s, _ := l.attempt.Request.Statement.(*pgproto.Statement)
+	switch {
+	case l.failure != nil:
+		l.finish(errorEnd(l.failure.Code), core.Report{Detail: l.failure})
+	case l.whole || s.Describe && l.result.Params != nil:
+		l.finish(core.EndServed, core.Report{Result: l.result})
+	default:
+		return errors.New("an answer without an end")
+	}
+	return nil
+}
+
+// errorEnd sorts an engine's errors. What the engine is short of, or that it is
+// about to stop, is no answer to the statement: another engine may serve it. A
+// fault of the statement's own would be the same everywhere.
+func errorEnd(code string) core.End {
+	switch code[:2] {
+	case "53":
+		return core.EndFull
+	case "57":
+		switch code {
+		case "57P03", "57P01": // starting or stopping; a statement that ran is rolled back
+			return core.EndFull
+		case "57014":
+			return core.EndTimeout
+		}
+		return core.EndError
+	case "08", "40", "58", "XX", "F0":
+		return core.EndError
+	}
+	return core.EndRejected
+}
+
+func (l *link) finish(end core.End, rep core.Report) {
+	a := l.attempt
+	l.attempt, l.result, l.failure = nil, nil, nil
+	l.used = l.all.core.Now()
+	if l.retired {
+		l.close(core.EndIdle)
+	}
+	l.all.core.End(a, end, rep)
+}
+
+func (l *link) watchIdle() {
+	if l.all.opts.IdleClose <= 0 {
+		return
+	}
+	l.all.loop.Timers.Add(max(l.used, l.all.core.Now()-l.all.opts.IdleClose)+l.all.opts.IdleClose, func() {
+		switch {
+		case l.conn == nil:
+		case l.attempt == nil && l.all.core.Now() >= l.used+l.all.opts.IdleClose:
+			l.close(core.EndIdle)
+		default:
+			if l.attempt != nil {
+				l.used = l.all.core.Now()
+			}
+			l.watchIdle()
+		}
+	})
+}
+
+// Closed ends what was open on the link.
+func (l *link) Closed(_ *netio.Conn, err error) {
+	switch {
+	case l.end != core.EndUnknown:
+	case errors.Is(err, netio.ErrOversize):
+		l.end = core.EndOversize
+	case l.attempt == nil:
+		l.end = core.EndIdle
+	case !l.written: // its startup was cut off: nothing of the attempt was sent
+		l.end = core.EndRefused
+	default:
+		l.end = core.EndReset
+	}
+	l.lost(l.end)
+}
+
+func (l *link) lost(end core.End) {
+	l.retired, l.conn, l.ready = true, nil, false
+	l.all.stats.Add("links.ended." + end.String())
+	l.engine.Remove(l)
+	if a := l.attempt; a != nil {
+		l.attempt = nil
+		var rep core.Report
+		if l.failure != nil {
+			rep.Detail = l.failure
+		}
+		l.all.core.End(a, end, rep)
+	}
+}
--- /dev/null
+++ b/internal/front/pgwire/extended.go
@@ -0,0 +1,397 @@
+package pgwire
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"gannetspur/internal/core"
+	"gannetspur/internal/pgproto"
+	"gannetspur/internal/sqltext"
+)
+
+func malformed(what string) *pgproto.Error { return fail("08P01", "malformed %s message", what) }
+
+func (k *conn) parse(body []byte) *pgproto.Error {
+	r := pgproto.Reader{B: body}
+	name, query := r.Str(), r.Str()
+	types := r.B
+	if n := r.Int16(); n < 0 || len(r.Bytes(4*n)) != 4*n || !r.End() {
+		return malformed("Parse")
+	}
+	if name != "" && k.statements[name] != nil {
+		return fail("42P05", "prepared statement %q already exists", name)
+	}
+	if len(k.statements) >= maxNamed {
+		return fail("54000", "more than %d prepared statements", maxNamed)
+	}
+	s, e := k.prepare(query, types)
+	if e != nil {
+		return e
+	}
+	k.statements[name] = s
+	k.out = pgproto.Append(k.out, '1')
+	return nil
+}
+
+func (k *conn) prepare(query string, types []byte) (*statement, *pgproto.Error) {
+	empty, e := check(query)
+	if e != nil {
+		return nil, e
+	}
+	s := &statement{query: query, types: bytes.Clone(types), empty: empty}
+	if !empty {
+		if s.sorted, e = k.front.sort(query); e != nil {
+			return nil, e
+		}
+	}
+	return s, nil
+}
+
+func (k *conn) bind(body []byte) *pgproto.Error {
+	r := pgproto.Reader{B: body}
+	name, from := r.Str(), r.Str()
+	tail := r.B
+	values, ok := bound(&r)
+	if !ok {
+		return malformed("Bind")
+	}
+	s := k.statements[from]
+	switch {
+	case s == nil:
+		return fail("26000", "prepared statement %q does not exist", from)
+	case name != "" && k.portals[name] != nil:
+		return fail("42P03", "portal %q already exists", name)
+	case len(k.portals) >= maxNamed:
+		return fail("54000", "more than %d portals", maxNamed)
+	}
+	if s.known != nil && len(s.known.Params) >= 2 {
+		p := pgproto.Reader{B: s.known.Params}
+		if want := p.Int16(); want != len(values) {
+			return fail("08P01", "bind message supplies %d parameters, but the prepared statement requires %d", len(values), want)
+		}
+	}
+	p := &portal{statement: s, bind: bytes.Clone(tail)}
+	if !s.empty {
+		var e *pgproto.Error
+		if p.token, e = keyOf(s.sorted, values); e != nil {
+			return e
+		}
+	}
+	k.portals[name] = p
+	k.out = pgproto.Append(k.out, '2')
+	return nil
+}
+
+// bound reads a Bind past its names: formats, values and result formats.
+func bound(r *pgproto.Reader) (values [][]byte, ok bool) {
+	formats := r.Int16()
+	for range formats {
+		if f := r.Int16(); f != 0 && f != 1 {
+			return nil, false
+		}
+	}
+	n := r.Int16()
+	if formats < 0 || n < 0 || formats > 1 && formats != n || r.Bad {
+		return nil, false
+	}
+	for range n {
+		var v []byte
+		if size := r.Int32(); size >= 0 {
+			v = r.Bytes(size)
+		} else if size != -1 {
+			return nil, false
+		}
+		if r.Bad {
+			return nil, false
+		}
+		values = append(values, v)
+	}
+	for range r.Int16() {
+		if f := r.Int16(); f != 0 && f != 1 {
+			return nil, false
+		}
+	}
+	return values, r.End()
+}
+
+// target reads the message that names a statement or a portal.
+func (k *conn) target(body []byte, what string) (kind byte, name string, e *pgproto.Error) {
+	r := pgproto.Reader{B: body}
+	kind, name = r.Byte(), r.Str()
+	if !r.End() || kind != 'S' && kind != 'P' {
+		return 0, "", malformed(what)
+	}
+	return kind, name, nil
+}
+
+func (k *conn) describeMessage(body []byte) *pgproto.Error {
+	kind, name, e := k.target(body, "Describe")
+	if e != nil {
+		return e
+	}
+	if kind == 'P' {
+		if k.portals[name] == nil {
+			return fail("34000", "portal %q does not exist", name)
+		}
+		k.describe, k.describing = true, name // an Execute is likely to follow, and brings it
+		return nil
+	}
+	s := k.statements[name]
+	if s == nil {
+		return fail("26000", "prepared statement %q does not exist", name)
+	}
+	k.known(s, func() { k.describeStatement(s) })
+	return nil
+}
+
+func (k *conn) describeStatement(s *statement) {
+	if s.known == nil { // an empty one
+		k.out = pgproto.Append(k.out, 't', s.types)
+		k.out = pgproto.Append(k.out, 'n')
+		return
+	}
+	k.out = pgproto.Append(k.out, 't', s.known.Params)
+	k.rowDescription(s.known.Fields)
+}
+
+func (k *conn) rowDescription(fields []byte) {
+	if fields == nil {
+		k.out = pgproto.Append(k.out, 'n')
+		return
+	}
+	k.out = pgproto.Append(k.out, 'T', fields)
+}
+
+// known has an engine describe a statement, unless one has, and goes on then.
+func (k *conn) known(s *statement, then func()) {
+	if s.known != nil || s.empty {
+		then()
+		return
+	}
+	want := &pgproto.Statement{Query: s.query, Types: s.types, Describe: true}
+	k.ask(s, want, "", func(res *pgproto.Result) {
+		s.known = res
+		then()
+	})
+}
+
+// described settles a portal's description once the next message shows whether
+// an Execute brings it. It tells whether that message must wait and come again.
+func (k *conn) described(kind byte, body []byte) (again bool) {
+	k.describe = false
+	p := k.portals[k.describing]
+	r := pgproto.Reader{B: body}
+	if kind == 'E' && r.Str() == k.describing && p.result == nil && !p.statement.empty {
+		k.describe = true // execute sees to it
+		return false
+	}
+	tell := func() {
+		s := p.statement
+		switch {
+		case p.result != nil:
+			k.rowDescription(p.result.Fields)
+		case s.known == nil || s.known.Fields == nil:
+			k.rowDescription(nil)
+		default:
+			fields, err := pgproto.Formats(s.known.Fields, p.bind)
+			if err != nil {
+				k.failed(malformed("RowDescription"))
+				return
+			}
+			k.rowDescription(fields)
+		}
+	}
+	k.known(p.statement, tell)
+	return k.request != nil
+}
+
+func (k *conn) execute(body []byte) *pgproto.Error {
+	describe := k.describe
+	k.describe = false
+	r := pgproto.Reader{B: body}
+	name, most := r.Str(), r.Int32()
+	if !r.End() {
+		return malformed("Execute")
+	}
+	p := k.portals[name]
+	switch {
+	case p == nil:
+		return fail("34000", "portal %q does not exist", name)
+	case p.statement.empty:
+		k.out = pgproto.Append(k.out, 'I')
+	case p.result != nil:
+		return k.rows(p, most)
+	default:
+		s := p.statement
+		want := &pgproto.Statement{Query: s.query, Types: s.types, Bind: p.bind}
+		k.ask(s, want, p.token, func(res *pgproto.Result) {
+			p.result, p.rest = res, res.Rows
+			if describe {
+				k.rowDescription(res.Fields)
+			}
+			_ = k.rows(p, most)
+		})
+	}
+	return nil
+}
+
+// rows passes on rows of a portal that has run, most of them if that is above 0.
+// A portal runs once: what follows comes from what is held, also when its engine
+// has drained meanwhile.
+func (k *conn) rows(p *portal, most int) *pgproto.Error {
+	res := p.result
+	if p.over && res.Fields == nil {
+		return fail("55000", "the portal has run and cannot be run again")
+	}
+	n, size := 0, 0
+	for size < len(p.rest) && (most <= 0 || n < most) {
+		_, _, one, _ := pgproto.Next(p.rest[size:], len(p.rest))
+		size += one
+		n++
+	}
+	k.out = append(k.out, p.rest[:size]...)
+	p.rest, p.given = p.rest[size:], p.given+n
+	switch {
+	case most > 0 && n == most:
+		k.out = pgproto.Append(k.out, 's')
+	case res.Empty:
+		k.out = pgproto.Append(k.out, 'I')
+		p.over = true
+	default:
+		tag := res.Tag
+		if verb, _, ok := strings.Cut(tag, " "); ok && n != res.Count {
+			tag = verb + " " + strconv.Itoa(n)
+		}
+		k.out = pgproto.Append(k.out, 'C', pgproto.Str(tag))
+		p.over = true
+	}
+	return nil
+}
+
+func (k *conn) closeMessage(body []byte) *pgproto.Error {
+	kind, name, e := k.target(body, "Close")
+	if e != nil {
+		return e
+	}
+	if kind == 'S' {
+		delete(k.statements, name)
+	} else {
+		delete(k.portals, name)
+	}
+	k.out = pgproto.Append(k.out, '3')
+	return nil
+}
+
+// query answers a Query of one statement.
+func (k *conn) query(body []byte) *pgproto.Error {
+	k.simple = true
+	r := pgproto.Reader{B: body}
+	query := r.Str()
+	if !r.End() {
+		return malformed("Query")
+	}
+	if done, e := k.setting(query); done || e != nil {
+		return e
+	}
+	s, e := k.prepare(query, []byte{0, 0})
+	if e != nil {
+		return e
+	}
+	if s.empty {
+		k.out = pgproto.Append(k.out, 'I')
+		k.simple = false
+		k.ready()
+		return nil
+	}
+	if _, e = keyOf(s.sorted, nil); e != nil {
+		return e
+	}
+	want := &pgproto.Statement{Query: query, Types: []byte{0, 0}, Bind: make([]byte, 6)}
+	k.ask(s, want, "", func(res *pgproto.Result) {
+		if res.Fields != nil {
+			k.rowDescription(res.Fields)
+		}
+		_ = k.rows(&portal{statement: s, result: res, rest: res.Rows}, 0)
+		k.simple = false
+		k.ready()
+	})
+	return nil
+}
+
+// setting carries out the one SET that is this gateway's own.
+func (k *conn) setting(query string) (done bool, e *pgproto.Error) {
+	words := strings.Fields(strings.ReplaceAll(strings.TrimRight(sqltext.SkipComments(query), "; \t\r\n"), "=", " = "))
+	if len(words) > 1 && strings.EqualFold(words[1], "SESSION") {
+		words = append(words[:1], words[2:]...)
+	}
+	if len(words) < 4 || !strings.EqualFold(words[0], "SET") || !strings.EqualFold(words[1], "statement_timeout") ||
+		words[2] != "=" && !strings.EqualFold(words[2], "TO") {
+		return false, nil
+	}
+	if e := k.setTimeout(strings.Join(words[3:], " ")); e != nil {
+		return false, e
+	}
+	k.out = pgproto.Append(k.out, 'C', pgproto.Str("SET"))
+	k.simple = false
+	k.ready()
+	return true, nil
+}
+
+// ask puts one request to the core. The answer may come before it returns.
+func (k *conn) ask(s *statement, want *pgproto.Statement, token string, served func(*pgproto.Result)) {
+	f := k.front
+	wait := s.class.Deadline
+	if k.timeout > 0 {
+		wait = k.timeout
+	}
+	r := &core.Request{
+		ID: fmt.Sprintf("pg%d", k.process), Class: s.class.Name, Token: token, Statement: want,
+		Deadline: f.core.Now() + wait, Client: k,
+	}
+	r.Set, _ = sqltext.Group(s.query)
+	k.request = r
+	k.then = func(a core.Answer) {
+		res, ok := a.Result.(*pgproto.Result)
+		if a.Verdict == core.Served && ok {
+			served(res)
+			return
+		}
+		k.failed(answerError(a))
+	}
+	f.core.Take(r)
+}
+
+// Answer takes the core's final answer.
+func (k *conn) Answer(_ *core.Request, a core.Answer) {
+	then := k.then
+	k.request, k.then = nil, nil
+	if k.ended || then == nil {
+		return
+	}
+	then(a)
+	k.resume()
+}
+
+// answerError words a final answer that is no completion. Each kind has a code
+// of its own; an engine's word on the statement passes on unchanged.
+func answerError(a core.Answer) *pgproto.Error {
+	e, _ := a.Detail.(*pgproto.Error)
+	switch {
+	case a.Late:
+		return fail("57014", "canceling statement due to statement timeout")
+	case a.Verdict == core.Refused:
+		e := fail("53000", "the engines are busy; the statement was refused, and trying again is harmless")
+		if a.ComeBack > 0 {
+			e.Hint = fmt.Sprintf("Try again in %d ms.", (a.ComeBack+time.Millisecond-1)/time.Millisecond)
+		}
+		return e
+	case e != nil:
+		return e
+	case a.Sent:
+		return fail("40003", "the statement failed on its way or at its engine; it may have run")
+	}
+	return fail("58000", "the statement could not be sent to any engine")
+}
--- /dev/null
+++ b/internal/front/pgwire/front.go
@@ -0,0 +1,418 @@
+// Package pgwire is the front for clients that speak the PostgreSQL wire protocol
+// with extended queries. Each bound execution is one request to the core, with
+// one final answer: a completion or one ErrorResponse.
+package pgwire
+
+import (
+	"crypto/rand"
+	"crypto/subtle"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"gannetspur/internal/core"
+	"gannetspur/internal/netio"
+	"gannetspur/internal/pgproto"
+	"gannetspur/internal/stats"
+)
+
+const (
+	maxMessage = 1 << 20
+	maxBuffer  = 4 << 20 // what a client may send ahead
+	maxParams  = 65535
+	maxNamed   = 1000 // statements, and portals, of one connection
+)
+
+// Options come from the deploy file.
+type Options struct {
+	DefaultClass string
+	Rules        []Rule
+	MostClients  int // connections at once; 0: no limit of its own
+}
+
+// Front accepts clients.
+type Front struct {
+	loop     *netio.Loop
+	core     *core.Core
+	opts     Options
+	stats    *stats.Counters
+	listener net.Listener
+	conns    map[uint32]*conn // by the process number that each was told
+	last     uint32
+	draining bool
+}
+
+// New returns a front that puts its requests to the core.
+func New(loop *netio.Loop, c *core.Core, opts Options, counters *stats.Counters) *Front {
+	return &Front{loop: loop, core: c, opts: opts, stats: counters, conns: map[uint32]*conn{}}
+}
+
+// Listen accepts at the address.
+func (f *Front) Listen(addr string) error {
+	ln, err := f.loop.Listen(addr, maxBuffer, func(c *netio.Conn) netio.Handler {
+		f.stats.Add("pgwire.connections")
+		f.last++
+		k := &conn{front: f, conn: c, process: f.last, statements: map[string]*statement{}, portals: map[string]*portal{}}
+		f.conns[k.process] = k
+		return k
+	})
+	if err != nil {
+		return fmt.Errorf("listen for PostgreSQL clients: %w", err)
+	}
+	f.listener = ln
+	return nil
+}
+
+// Addr is where clients connect.
+func (f *Front) Addr() string { return f.listener.Addr().String() }
+
+// CloseListener takes no new connections; those that are open go on.
+func (f *Front) CloseListener() { _ = f.listener.Close() }
+
+// Drain closes each connection as soon as nothing is open on it.
+func (f *Front) Drain() {
+	f.draining = true
+	for _, k := range f.conns {
+		if k.request == nil {
+			k.fatal(stopping())
+		}
+	}
+}
+
+// Idle tells whether no client is left.
+func (f *Front) Idle() bool { return len(f.conns) == 0 }
+
+func stopping() *pgproto.Error { return fail("57P01", "the gateway is stopping") }
+
+type statement struct {
+	sorted
+	query string
+	types []byte // as in Parse
+	empty bool
+	known *pgproto.Result // its description, once an engine gave it
+}
+
+type portal struct {
+	statement *statement
+	bind      []byte // past the names, as it came
+	token     string
+	result    *pgproto.Result // whole, once it has run
+	given     int             // rows passed on
+	rest      []byte          // rows not passed on
+	over      bool            // its completion was passed on
+}
+
+// conn is one client connection.
+type conn struct {
+	front   *Front
+	conn    *netio.Conn
+	process uint32
+	secret  [4]byte
+	started bool
+	ended   bool
+	timeout time.Duration // statement_timeout; 0: the class's
+
+	statements map[string]*statement
+	portals    map[string]*portal
+	skip       bool   // after an error, to Sync
+	simple     bool   // the open request came by Query
+	describing string // portal whose description waits for what follows
+	describe   bool   // and whether there is one
+	out        []byte // answers not yet written
+	request    *core.Request
+	then       func(core.Answer)
+}
+
+// Data reads messages until one waits for its answer.
+func (k *conn) Data(_ *netio.Conn, in *netio.Buffer) {
+	for k.request == nil && !k.ended {
+		n, err := 0, error(nil)
+		if k.started {
+			n, err = k.next(in.Bytes())
+		} else {
+			n, err = k.startup(in.Bytes())
+		}
+		if err != nil {
+			k.front.stats.Add("pgwire.malformed")
+			var e *pgproto.Error
+			if !errors.As(err, &e) {
+				e = fail("08P01", "%v", err)
+			}
+			k.fatal(e)
+			return
+		}
+		if n == 0 {
+			break
+		}
+		in.Consume(n)
+	}
+	k.flush()
+}
+
+func (k *conn) flush() {
+	if len(k.out) > 0 && !k.ended {
+		k.conn.Write(k.out)
+	}
+	k.out = k.out[:0]
+	if cap(k.out) > 64<<10 {
+		k.out = nil
+	}
+}
+
+// Closed tells the core that the client has stopped waiting. What it sent ahead
+// and was not taken yet is dropped with the connection.
+func (k *conn) Closed(_ *netio.Conn, _ error) {
+	k.ended = true
+	delete(k.front.conns, k.process)
+	if r := k.request; r != nil {
+		k.request, k.then = nil, nil
+		k.front.core.Gone(r)
+	}
+}
+
+func (k *conn) fatal(e *pgproto.Error) {
+	if k.ended {
+		return
+	}
+	e.Severity = "FATAL"
+	k.out = pgproto.Append(k.out, 'E', e.Body())
+	k.flush()
+	k.ended = true
+	k.conn.Close()
+}
+
+// startup reads a connection's first messages.
+func (k *conn) startup(b []byte) (int, error) {
+	code, body, n, err := pgproto.Startup(b)
+	if err != nil || n == 0 {
+		return n, err
+	}
+	switch {
+	case code == pgproto.SSLReq || code == pgproto.GSSReq:
+		k.conn.Write([]byte{'N'})
+	case code == pgproto.CancelReq:
+		k.front.cancel(body)
+		k.ended = true
+		k.conn.Close()
+	case code>>16 != pgproto.Version>>16:
+		return n, fmt.Errorf("protocol version %d.%d is not supported", code>>16, code&0xffff)
+	default:
+		return n, k.begin(code, body)
+	}
+	return n, nil
+}
+
+func (k *conn) begin(code uint32, body []byte) error {
+	r := pgproto.Reader{B: body}
+	var unknown [][]byte
+	user := ""
+	for {
+		name := r.Str()
+		if name == "" {
+			break
+		}
+		value := r.Str()
+		switch {
+		case strings.HasPrefix(name, "_pq_."):
+			unknown = append(unknown, pgproto.Str(name))
+		case name == "user":
+			user = value
+		case name == "statement_timeout":
+			if e := k.setTimeout(value); e != nil {
+				return e
+			}
+		case name == "options":
+			if e := k.setOptions(value); e != nil {
+				return e
+			}
+		}
+	}
+	if !r.End() {
+		return fmt.Errorf("%w: the startup packet", pgproto.Malformed)
+	}
+	if user == "" {
+		k.fatal(fail("28000", "no user name in the startup packet"))
+		return nil
+	}
+	if f := k.front; f.opts.MostClients > 0 && len(f.conns) > f.opts.MostClients {
+		k.fatal(fail("53300", "too many clients already"))
+		return nil
+	}
+	k.started = true
+	if code > pgproto.Version || len(unknown) > 0 {
+		parts := append([][]byte{pgproto.Int32(0), pgproto.Int32(len(unknown))}, unknown...)
+		k.out = pgproto.Append(k.out, 'v', parts...)
+	}
+	k.out = pgproto.Append(k.out, 'R', pgproto.Int32(0))
+	for _, p := range [][2]string{
+		{"server_version", "16.0 (ringwood)"}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"},
+		{"DateStyle", "ISO, MDY"}, {"TimeZone", "UTC"}, {"integer_datetimes", "on"}, {"standard_conforming_strings", "on"},
+	} {
+		k.out = pgproto.Append(k.out, 'S', pgproto.Str(p[0]), pgproto.Str(p[1]))
+	}
+	_, _ = rand.Read(k.secret[:]) // it never fails
+	k.out = pgproto.Append(k.out, 'K', binary.BigEndian.AppendUint32(nil, k.process), k.secret[:])
+	k.ready()
+	return nil
+}
+
+// setOptions takes the server options of a startup packet, as in
+// "-c statement_timeout=5s". Others are passed by.
+func (k *conn) setOptions(text string) error {
+	words := strings.Fields(text)
+	for i, w := range words {
+		switch {
+		case w == "-c" && i+1 < len(words):
+			w = words[i+1]
+		case strings.HasPrefix(w, "-c"):
+			w = w[2:]
+		case strings.HasPrefix(w, "--"):
+			w = w[2:]
+		default:
+			continue
+		}
+		name, value, _ := strings.Cut(w, "=")
+		if strings.ReplaceAll(name, "-", "_") == "statement_timeout" {
+			return asError(k.setTimeout(value))
+		}
+	}
+	return nil
+}
+
+func asError(e *pgproto.Error) error {
+	if e == nil {
+		return nil
+	}
+	return e
+}
+
+// setTimeout takes a time as PostgreSQL writes it: milliseconds, or with a unit.
+func (k *conn) setTimeout(text string) *pgproto.Error {
+	text = strings.Trim(strings.TrimSpace(text), "'")
+	digits := strings.TrimRight(text, "abcdefghijklmnopqrstuvwxyz ")
+	units := map[string]time.Duration{
+		"": time.Millisecond, "us": time.Microsecond, "ms": time.Millisecond, "s": time.Second,
+		"min": time.Minute, "h": time.Hour, "d": 24 * time.Hour,
+	}
+	unit, ok := units[strings.TrimSpace(text[len(digits):])]
+	n, err := strconv.ParseUint(digits, 10, 31)
+	if strings.EqualFold(text, "default") {
+		ok, err, n = true, nil, 0
+	}
+	if !ok || err != nil {
+		return fail("22023", "invalid value for parameter \"statement_timeout\": %q", text)
+	}
+	k.timeout = time.Duration(n) * unit
+	return nil
+}
+
+// cancel ends what is open on the connection that a CancelRequest names.
+func (f *Front) cancel(body []byte) {
+	if len(body) != 8 {
+		return
+	}
+	k := f.conns[binary.BigEndian.Uint32(body)]
+	if k == nil || k.request == nil || subtle.ConstantTimeCompare(k.secret[:], body[4:]) != 1 {
+		return
+	}
+	f.stats.Add("pgwire.cancels")
+	r := k.request
+	k.request, k.then = nil, nil
+	f.core.Gone(r)
+	k.failed(fail("57014", "canceling statement due to user request"))
+	k.resume()
+}
+
+// resume goes on with what the client sent ahead.
+func (k *conn) resume() {
+	k.flush()
+	if !k.ended {
+		k.conn.Again()
+	}
+}
+
+func (k *conn) ready() {
+	k.out = pgproto.Append(k.out, 'Z', []byte{'I'})
+	if k.front.draining {
+		k.fatal(stopping())
+	}
+}
+
+// failed answers with the one ErrorResponse of a message; what follows is
+// skipped to the next Sync, or, after a Query, nothing is.
+func (k *conn) failed(e *pgproto.Error) {
+	k.front.stats.Add("pgwire.errors." + e.Code)
+	k.out = pgproto.Append(k.out, 'E', e.Body())
+	if k.simple {
+		k.simple = false
+		k.ready()
+		return
+	}
+	k.skip = true
+}
+
+var errKind = errors.New("a message of a kind that no client sends")
+
+// kinds are the messages of a client after its startup.
+var kinds = []byte("PBDECHSQXFdcfp")
+
+// next reads one message.
+func (k *conn) next(b []byte) (int, error) {
+	if len(b) > 0 && !slices.Contains(kinds, b[0]) {
+		return 0, errKind
+	}
+	kind, body, n, err := pgproto.Next(b, maxMessage)
+	if err != nil || n == 0 {
+		return 0, err
+	}
+	if k.describe {
+		if again := k.described(kind, body); again { // this message comes again after the description
+			return 0, nil
+		}
+		if k.skip && kind != 'S' && kind != 'X' {
+			return n, nil
+		}
+	}
+	switch {
+	case kind == 'X':
+		k.ended = true
+		k.conn.Close()
+	case kind == 'S':
+		k.skip = false
+		clear(k.portals) // the end of the transaction that the batch stood for
+		k.ready()
+	case k.skip:
+	default:
+		if e := k.message(kind, body); e != nil {
+			k.failed(e)
+		}
+	}
+	return n, nil
+}
+
+func (k *conn) message(kind byte, body []byte) *pgproto.Error {
+	switch kind {
+	case 'P':
+		return k.parse(body)
+	case 'B':
+		return k.bind(body)
+	case 'D':
+		return k.describeMessage(body)
+	case 'E':
+		return k.execute(body)
+	case 'C':
+		return k.closeMessage(body)
+	case 'Q':
+		return k.query(body)
+	case 'F':
+		return fail("0A000", "function calls are not supported")
+	case 'p':
+		return fail("08P01", "no password was asked for")
+	}
+	return nil // Flush: all is written anyway; copy data after a refused COPY is passed by
+}
--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"fmt"
-	"log"
 	"math"
 	"net"
 	"strconv"
@@ -33,7 +32,6 @@
 	loop  *netio.Loop
 	core  *core.Core
 	stats *stats.Counters
-	log   *log.Logger
 	boot  string // tells paths of this start from those of others
 
 	listener net.Listener
@@ -51,9 +49,9 @@
 }
 
 // New returns a front that puts its requests to the core.
-func New(loop *netio.Loop, c *core.Core, counters *stats.Counters, l *log.Logger) *Front {
+func New(loop *netio.Loop, c *core.Core, counters *stats.Counters) *Front {
 	return &Front{
-		loop: loop, core: c, stats: counters, log: l, boot: strconv.FormatInt(int64(c.Now()), 36),
+		loop: loop, core: c, stats: counters, boot: strconv.FormatInt(int64(c.Now()), 36),
 		conns: map[*conn]struct{}{}, held: map[string]*held{},
 	}
 }
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -27,6 +27,9 @@
 // the descriptor table is full: the listener stays readable all that time.
 const acceptPause = 20 * time.Millisecond
 
+// stopWithin bounds the wait for the poller at the end.
+const stopWithin = 100 * time.Millisecond
+
 // Handler is told of one connection, on the loop's goroutine.
 type Handler interface {
 	// Data tells that the buffer has grown. What it leaves there is kept.
@@ -130,6 +133,9 @@
 	for c := range l.open {
 		_ = c.nc.Close()
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
+	defer cancel()
+	_ = l.engine.Shutdown(ctx) // one that takes longer ends with the process
 }
 
 // Stop ends Run after the present turn.
@@ -167,7 +173,10 @@
 		_ = std.Close()
 		return nil, fmt.Errorf("adopt the connection: %w", err)
 	}
-	c := &Conn{loop: l, nc: nc, limit: limit}
+	c := new(Conn)
+	c.mu.Lock() // the poller goes through the same lock before it reads a field
+	c.loop, c.nc, c.limit = l, nc, limit
+	c.mu.Unlock()
 	c.handler = accept(c)
 	nc.SetSession(c)
 	l.open[c] = struct{}{}
--- /dev/null
+++ b/internal/pgproto/pgproto.go
@@ -0,0 +1,246 @@
+// Package pgproto frames and reads the messages of the PostgreSQL wire protocol,
+// version 3.0, for both of its sides. It holds no state.
+package pgproto
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+)
+
+// Codes in place of a version in the first message of a connection.
+const (
+	Version   = 3 << 16
+	CancelReq = 80877102
+	SSLReq    = 80877103
+	GSSReq    = 80877104
+)
+
+// MaxStartup bounds the first message of a connection.
+const MaxStartup = 10000
+
+// Malformed is a message that can't be read.
+var Malformed = errors.New("malformed message")
+
+// Startup reads a connection's first message: its code and what follows. n is 0
+// while it is not whole.
+func Startup(b []byte) (code uint32, body []byte, n int, err error) {
+	if len(b) < 4 {
+		return 0, nil, 0, nil
+	}
+	length := int(binary.BigEndian.Uint32(b))
+	if length < 8 || length > MaxStartup {
+		return 0, nil, 0, fmt.Errorf("%w: a first message of %d bytes", Malformed, length)
+	}
+	if len(b) < length {
+		return 0, nil, 0, nil
+	}
+	return binary.BigEndian.Uint32(b[4:]), b[8:length], length, nil
+}
+
+// Next reads one message of a kind and a body; n is 0 while it is not whole.
+func Next(b []byte, most int) (kind byte, body []byte, n int, err error) {
+	if len(b) < 5 {
+		return 0, nil, 0, nil
+	}
+	length := int(binary.BigEndian.Uint32(b[1:]))
+	if length < 4 || length > most {
+		return 0, nil, 0, fmt.Errorf("%w: %d bytes", Malformed, length)
+	}
+	if len(b) < length+1 {
+		return 0, nil, 0, nil
+	}
+	return b[0], b[5 : length+1], length + 1, nil
+}
+
+// Append adds one message.
+func Append(b []byte, kind byte, body ...[]byte) []byte {
+	length := 4
+	for _, p := range body {
+		length += len(p)
+	}
+	b = binary.BigEndian.AppendUint32(append(b, kind), uint32(length))
+	for _, p := range body {
+		b = append(b, p...)
+	}
+	return b
+}
+
+// AppendStartup adds a connection's first message.
+func AppendStartup(b []byte, code uint32, body []byte) []byte {
+	b = binary.BigEndian.AppendUint32(b, uint32(8+len(body)))
+	return append(binary.BigEndian.AppendUint32(b, code), body...)
+}
+
+// Str is a string as messages hold it.
+func Str(s string) []byte { return append([]byte(s), 0) }
+
+// Int32 is a number as messages hold it.
+func Int32(n int) []byte { return binary.BigEndian.AppendUint32(nil, uint32(n)) }
+
+// Reader reads the fields of a body in turn. Past the end it gives zeros and
+// sets Bad.
+type Reader struct {
+	B   []byte
+	Bad bool
+}
+
+// Bytes reads n bytes.
+func (r *Reader) Bytes(n int) []byte {
+	if n < 0 || n > len(r.B) {
+		r.Bad, r.B = true, nil
+		return nil
+	}
+	p := r.B[:n]
+	r.B = r.B[n:]
+	return p
+}
+
+// Str reads a string up to its zero.
+func (r *Reader) Str() string {
+	i := bytes.IndexByte(r.B, 0)
+	if i < 0 {
+		r.Bad, r.B = true, nil
+		return ""
+	}
+	s := string(r.B[:i])
+	r.B = r.B[i+1:]
+	return s
+}
+
+// Byte reads one byte.
+func (r *Reader) Byte() byte {
+	if p := r.Bytes(1); p != nil {
+		return p[0]
+	}
+	return 0
+}
+
+// Int16 reads a signed number of two bytes.
+func (r *Reader) Int16() int {
+	if p := r.Bytes(2); p != nil {
+		return int(int16(binary.BigEndian.Uint16(p)))
+	}
+	return 0
+}
+
+// Int32 reads a signed number of four bytes.
+func (r *Reader) Int32() int {
+	if p := r.Bytes(4); p != nil {
+		return int(int32(binary.BigEndian.Uint32(p)))
+	}
+	return 0
+}
+
+// End tells whether all was read and nothing was missing.
+func (r *Reader) End() bool { return !r.Bad && len(r.B) == 0 }
+
+// Error is an ErrorResponse.
+type Error struct {
+	Severity, Code, Message, Hint string
+	// Raw is the body as an engine sent it; it passes on unchanged.
+	Raw []byte
+}
+
+func (e *Error) Error() string { return e.Code + ": " + e.Message }
+
+// Body is the message's body.
+func (e *Error) Body() []byte {
+	if e.Raw != nil {
+		return e.Raw
+	}
+	var b []byte
+	for _, f := range []struct {
+		kind  byte
+		value string
+	}{{'S', e.Severity}, {'V', e.Severity}, {'C', e.Code}, {'M', e.Message}, {'H', e.Hint}} {
+		if f.value != "" {
+			b = append(append(b, f.kind), Str(f.value)...)
+		}
+	}
+	return append(b, 0)
+}
+
+// ReadError reads an ErrorResponse or a NoticeResponse.
+func ReadError(body []byte) (*Error, error) {
+	e := &Error{Raw: append([]byte{}, body...)}
+	r := Reader{B: body}
+	for {
+		kind := r.Byte()
+		if kind == 0 {
+			break
+		}
+		value := r.Str()
+		switch kind {
+		case 'S':
+			e.Severity = value
+		case 'C':
+			e.Code = value
+		case 'M':
+			e.Message = value
+		case 'H':
+			e.Hint = value
+		}
+	}
+	if !r.End() || len(e.Code) != 5 {
+		return nil, fmt.Errorf("%w: an error response", Malformed)
+	}
+	return e, nil
+}
+
+// Statement is one bound execution, or the wish to have a statement described.
+type Statement struct {
+	Query    string
+	Types    []byte // the count and the types of the parameters, as in Parse
+	Bind     []byte // a Bind's body past its two names; formats and values as they came
+	Describe bool   // describe only: nothing runs
+}
+
+// Result is what an engine answered: the bodies of the messages as they came.
+type Result struct {
+	Params []byte // of ParameterDescription, where only a description was wanted
+	Fields []byte // of RowDescription; nil: NoData
+	Rows   []byte // whole DataRow messages in order
+	Count  int    // of rows
+	Tag    string // of CommandComplete
+	Empty  bool   // EmptyQueryResponse in place of CommandComplete
+}
+
+// Formats gives a copy of the body of a RowDescription that has the result
+// formats of a Bind's tail. A statement's own description has none yet.
+func Formats(fields, bind []byte) ([]byte, error) {
+	r := Reader{B: bind}
+	r.Bytes(2 * r.Int16())
+	for range r.Int16() {
+		if n := r.Int32(); n > 0 {
+			r.Bytes(n)
+		}
+		if r.Bad {
+			return nil, Malformed
+		}
+	}
+	formats := make([]int, max(r.Int16(), 0))
+	for i := range formats {
+		if formats[i] = r.Int16(); r.Bad {
+			return nil, Malformed
+		}
+	}
+	out := append([]byte{}, fields...)
+	d := Reader{B: out}
+	columns := d.Int16()
+	for i := range columns {
+		d.Str()
+		d.Bytes(16)
+		p := d.Bytes(2)
+		switch {
+		case d.Bad:
+			return nil, Malformed
+		case len(formats) == 1:
+			binary.BigEndian.PutUint16(p, uint16(formats[0]))
+		case i < len(formats):
+			binary.BigEndian.PutUint16(p, uint16(formats[i]))
+		}
+	}
+	return out, nil
+}
--- a/internal/sqltext/sqltext.go
+++ b/internal/sqltext/sqltext.go
@@ -231,3 +231,21 @@
 	s.rest = s.rest[n:]
 	return ""
 }
+
+// SkipComments is the statement without the space and comments it begins with.
+func SkipComments(stmt string) string {
+	s := scanner{rest: stmt}
+	for {
+		before := s.rest
+		s.rest = strings.TrimLeft(s.rest, " \t\r\n\f\v")
+		switch {
+		case strings.HasPrefix(s.rest, "--"):
+			_, s.rest, _ = strings.Cut(s.rest, "\n")
+		case strings.HasPrefix(s.rest, "/*"):
+			s.skipComment()
+		}
+		if s.rest == before {
+			return s.rest
+		}
+	}
+}
--- /dev/null
+++ b/internal/stories/peers_test.go
@@ -0,0 +1,370 @@
+package stories
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gannetspur/internal/config"
+	"gannetspur/internal/core"
+	"gannetspur/internal/engine/lines"
+	"gannetspur/internal/engine/pg"
+	"gannetspur/internal/front/pgwire"
+	"gannetspur/internal/front/rest"
+	"gannetspur/internal/netio"
+	"gannetspur/internal/pgproto"
+	"gannetspur/internal/stats"
+	"gannetspur/policy"
+)
+
+// patience bounds every wait, so that a story that goes wrong fails and ends.
+const patience = 10 * time.Second
+
+// gateway is a program in the test's own process.
+type gateway struct {
+	t     *testing.T
+	loop  *netio.Loop
+	core  *core.Core
+	stats *stats.Counters
+	site  config.Site
+	log   *log.Logger
+	addr  string
+}
+
+func newGateway(t *testing.T) *gateway {
+	t.Helper()
+	raw, err := os.ReadFile("../../deploy/postgres-settings.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &gateway{t: t, stats: stats.New(), log: log.New(io.Discard, "", 0)}
+	if err := json.Unmarshal(raw, &g.site); err != nil {
+		t.Fatal(err)
+	}
+	if g.loop, err = netio.New(1024); err != nil {
+		t.Fatal(err)
+	}
+	if g.core, err = core.New(g.site.Policy, 1, g.loop, g.loop.Timers, g.stats, g.log); err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+func (g *gateway) run() {
+	done := make(chan struct{})
+	go func() { g.loop.Run(); close(done) }()
+	g.t.Cleanup(func() { g.loop.Post(g.loop.Stop); <-done })
+}
+
+// do runs f on the loop's goroutine and waits for it.
+func (g *gateway) do(f func()) {
+	done := make(chan struct{})
+	g.loop.Post(func() { f(); close(done) })
+	<-done
+}
+
+func (g *gateway) count(name string) (n int64) {
+	g.do(func() { n = g.stats.Sum(name) })
+	return n
+}
+
+func (g *gateway) roster(state policy.EngineState, addrs ...string) {
+	var list []core.Engine
+	for _, a := range addrs {
+		list = append(list, core.Engine{Addr: a, Engine: policy.Engine{ID: "e" + a, Zone: "hall-a", Kind: "std-8", State: state}})
+	}
+	g.do(func() { g.core.Roster(policy.ListChanges, list) })
+}
+
+// platform starts the platform's front with engines at the addresses.
+func platform(t *testing.T, engines ...string) *gateway {
+	t.Helper()
+	g := newGateway(t)
+	g.site.MaxStreams = 32
+	g.core.SetLinks(lines.New(g.loop, g.core, g.site, g.stats, g.log))
+	f := rest.New(g.loop, g.core, g.stats)
+	if err := f.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	g.addr = f.Addr()
+	g.run()
+	g.roster(policy.EngineLive, engines...)
+	return g
+}
+
+// postgres starts the second front with engines at the addresses.
+func postgres(t *testing.T, engines ...string) *gateway {
+	t.Helper()
+	g := newGateway(t)
+	g.core.SetLinks(pg.New(g.loop, g.core, pg.Options{User: "ringwood", Database: "register"}, g.stats, g.log))
+	f := pgwire.New(g.loop, g.core, pgwire.Options{
+		DefaultClass: "lookup", Rules: []pgwire.Rule{{Starts: "insert into", Class: "load", Key: 1}},
+	}, g.stats)
+	if err := f.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	g.addr = f.Addr()
+	g.run()
+	g.roster(policy.EngineLive, engines...)
+	return g
+}
+
+// listen accepts for a scripted peer until the test ends.
+func listen(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.SetDeadline(time.Now().Add(patience))
+			go func() { defer c.Close(); serve(c) }()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetDeadline(time.Now().Add(patience))
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func await[T any](t *testing.T, ch <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-ch:
+	case <-time.After(patience):
+		t.Fatal("waited in vain")
+	}
+	return v
+}
+
+// lineEngine is an engine of the platform: it reports each line, with the
+// statement of a want after it, and answers as the script says.
+func lineEngine(t *testing.T, script func(line string) (answer string)) (addr string, seen chan string) {
+	seen = make(chan string, 100)
+	return listen(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			line = strings.TrimRight(line, "\r\n")
+			if strings.HasPrefix(line, "want ") {
+				var n int
+				_, _ = fmt.Sscan(line[strings.LastIndexByte(line, ' '):], &n)
+				body := make([]byte, n+2)
+				if _, err := io.ReadFull(r, body); err != nil {
+					return
+				}
+				line += " " + string(body[:n])
+			}
+			answer := script(line)
+			seen <- line
+			if answer == "hang up" {
+				return
+			}
+			if _, err := io.WriteString(c, answer); err != nil {
+				return
+			}
+		}
+	}), seen
+}
+
+// pgCall is what a scripted PostgreSQL engine was asked.
+type pgCall struct {
+	query    string
+	bind     string // past the names
+	describe bool
+}
+
+// pgEngine is a PostgreSQL engine: the script answers each batch; nil leaves the
+// batch open until a CancelRequest, which is reported as a call of its own.
+func pgEngine(t *testing.T, script func(pgCall) []byte) (addr string, seen chan pgCall) {
+	seen = make(chan pgCall, 100)
+	return listen(t, func(c net.Conn) {
+		var in []byte
+		more := func() bool {
+			p := make([]byte, 4096)
+			n, err := c.Read(p)
+			in = append(in, p[:n]...)
+			return err == nil
+		}
+		for {
+			code, _, n, _ := pgproto.Startup(in)
+			if n > 0 && code == pgproto.CancelReq {
+				seen <- pgCall{query: "cancel"}
+				return
+			}
+			if in = in[n:]; n > 0 {
+				break
+			}
+			if !more() {
+				return
+			}
+		}
+		out := pgproto.Append(nil, 'R', pgproto.Int32(0))
+		out = pgproto.Append(out, 'K', pgproto.Int32(7), pgproto.Int32(9))
+		_, _ = c.Write(pgproto.Append(out, 'Z', []byte("I")))
+		var call pgCall
+		for {
+			kind, body, n, _ := pgproto.Next(in, 1<<20)
+			if n == 0 {
+				if !more() {
+					return
+				}
+				continue
+			}
+			r := pgproto.Reader{B: body}
+			switch kind {
+			case 'P':
+				r.Str()
+				call = pgCall{query: r.Str(), describe: true}
+			case 'B':
+				call.bind, call.describe = string(body[2:]), false
+			case 'S':
+				answer := script(call)
+				seen <- call
+				if answer != nil {
+					_, _ = c.Write(pgproto.Append(answer, 'Z', []byte("I")))
+				}
+			}
+			in = in[n:]
+		}
+	}), seen
+}
+
+var oneColumn = append([]byte{0, 1}, append([]byte("part\x00"), 0, 0, 0, 0, 0, 0, 0, 0, 0, 25, 255, 255, 255, 255, 255, 255, 0, 0)...)
+
+// pgRows answers a batch with text rows of one column.
+func pgRows(rows ...string) []byte {
+	b := pgproto.Append(pgproto.Append(nil, '1'), '2')
+	b = pgproto.Append(b, 'T', oneColumn)
+	for _, r := range rows {
+		b = pgproto.Append(b, 'D', []byte{0, 1}, pgproto.Int32(len(r)), []byte(r))
+	}
+	return pgproto.Append(b, 'C', pgproto.Str(fmt.Sprintf("SELECT %d", len(rows))))
+}
+
+func pgError(code string) []byte {
+	return pgproto.Append(nil, 'E', (&pgproto.Error{Severity: "ERROR", Code: code, Message: "no"}).Body())
+}
+
+// pgClient is a PostgreSQL client that writes messages as it is told.
+type pgClient struct {
+	t   *testing.T
+	c   net.Conn
+	in  []byte
+	key []byte
+}
+
+func connect(t *testing.T, addr string, params ...string) *pgClient {
+	t.Helper()
+	k := &pgClient{t: t, c: dial(t, addr)}
+	var body []byte
+	for _, p := range append([]string{"user", "desk"}, params...) {
+		body = append(body, pgproto.Str(p)...)
+	}
+	_, _ = k.c.Write(pgproto.AppendStartup(nil, pgproto.Version, append(body, 0)))
+	k.until('Z')
+	return k
+}
+
+func parse(name, query string) []byte {
+	return pgproto.Append(nil, 'P', pgproto.Str(name), pgproto.Str(query), []byte{0, 0})
+}
+
+func bind(portal, name string, values ...string) []byte {
+	b := []byte{0, 0, 0, byte(len(values))}
+	for _, v := range values {
+		b = append(append(b, pgproto.Int32(len(v))...), v...)
+	}
+	return pgproto.Append(nil, 'B', pgproto.Str(portal), pgproto.Str(name), b, []byte{0, 0})
+}
+
+func execute(portal string, most int) []byte {
+	return pgproto.Append(nil, 'E', pgproto.Str(portal), pgproto.Int32(most))
+}
+
+func describe(kind, name string) []byte {
+	return pgproto.Append(nil, 'D', []byte(kind), pgproto.Str(name))
+}
+
+func query(text string) []byte { return pgproto.Append(nil, 'Q', pgproto.Str(text)) }
+
+var (
+	sync  = pgproto.Append(nil, 'S')
+	flush = pgproto.Append(nil, 'H')
+)
+
+func (k *pgClient) send(messages ...[]byte) {
+	k.t.Helper()
+	for _, m := range messages {
+		if _, err := k.c.Write(m); err != nil {
+			k.t.Fatal(err)
+		}
+	}
+}
+
+// until reads up to a message of the kind, or the end, and words what came.
+func (k *pgClient) until(last byte) string {
+	k.t.Helper()
+	var words []string
+	for {
+		kind, body, n, _ := pgproto.Next(k.in, 1<<24)
+		if n == 0 {
+			p := make([]byte, 4096)
+			m, err := k.c.Read(p)
+			if k.in = append(k.in, p[:m]...); err == io.EOF {
+				return strings.Join(append(words, "end"), " ")
+			} else if err != nil {
+				k.t.Fatalf("after %q: %v", words, err)
+			}
+			continue
+		}
+		word := string(kind)
+		switch kind {
+		case 'C':
+			word += "(" + strings.TrimRight(string(body), "\x00") + ")"
+		case 'D':
+			word += "(" + string(body[6:]) + ")"
+		case 'E':
+			e, err := pgproto.ReadError(body)
+			if err != nil {
+				k.t.Fatal(err)
+			}
+			word += "(" + e.Code
+			if e.Hint != "" {
+				word += " hint"
+			}
+			word += ")"
+		case 'K':
+			k.key = append([]byte{}, body...)
+		}
+		words = append(words, word)
+		k.in = k.in[n:]
+		if kind == last {
+			return strings.Join(words, " ")
+		}
+	}
+}
--- /dev/null
+++ b/internal/stories/postgres_test.go
@@ -0,0 +1,204 @@
+package stories
+
+import (
+	"strings"
+	"testing"
+
+	"gannetspur/internal/pgproto"
+	"gannetspur/policy"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func same(t *testing.T, what, got, want string) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", what, diff)
+	}
+}
+
+// One prepared statement is bound many times; each execution has one answer, with
+// the rows, formats and values as they came.
+func TestPrepareOnceBindMany(t *testing.T) {
+	addr, seen := pgEngine(t, func(c pgCall) []byte {
+		if c.describe {
+			return pgproto.Append(pgproto.Append(pgproto.Append(nil, '1'), 't', []byte{0, 1, 0, 0, 0, 25}), 'T', oneColumn)
+		}
+		return pgRows("chain " + c.bind[8:9])
+	})
+	g := postgres(t, addr)
+	k := connect(t, g.addr)
+	const text = "SELECT part FROM stock_4.parts WHERE id = $1"
+	k.send(parse("s", text), describe("S", "s"), sync)
+	same(t, "prepared", k.until('Z'), "1 t T Z")
+	k.send(bind("", "s", "a"), describe("P", ""), execute("", 0), bind("", "s", "b"), execute("", 0), sync)
+	same(t, "batch", k.until('Z'), "2 T D(chain a) C(SELECT 1) 2 D(chain b) C(SELECT 1) Z")
+	k.send(bind("", "s", "c", "too many"), execute("", 0), sync)
+	same(t, "wrong count", k.until('Z'), "E(08P01) Z")
+	if c := await(t, seen); !c.describe || c.query != text {
+		t.Errorf("engine was asked %+v", c)
+	}
+	if n := g.count("taken."); n != 3 {
+		t.Errorf("%d requests taken, want a description and two executions", n)
+	}
+}
+
+// A client leaves in the midst of a batch: what runs is given up, and the rest of
+// the batch is never sent.
+func TestDisconnectMidBatch(t *testing.T) {
+	addr, seen := pgEngine(t, func(pgCall) []byte { return nil })
+	g := postgres(t, addr)
+	k := connect(t, g.addr)
+	k.send(parse("s", "INSERT INTO stock_1.parts VALUES ($1)"), bind("", "s", "k1"), execute("", 0), bind("", "s", "k2"), execute("", 0), sync)
+	if c := await(t, seen); !strings.Contains(c.bind, "k1") {
+		t.Errorf("engine was asked %+v", c)
+	}
+	k.c.Close()
+	same(t, "after the disconnection the engine heard", await(t, seen).query, "cancel")
+	if sent, gone := g.count("sent."), g.count("gone."); sent != 1 || gone != 1 {
+		t.Errorf("%d sent, %d gone, want one of each", sent, gone)
+	}
+}
+
+// An engine drains while a portal is open: the portal's rows go on from what is
+// held, and new work goes elsewhere.
+func TestEngineDrainsWhilePortalIsOpen(t *testing.T) {
+	first, _ := pgEngine(t, func(pgCall) []byte { return pgRows("a", "b", "c") })
+	second, _ := pgEngine(t, func(pgCall) []byte { return pgRows("elsewhere") })
+	g := postgres(t, first)
+	k := connect(t, g.addr)
+	k.send(parse("", "SELECT part FROM stock_1.parts"), bind("p", ""), execute("p", 2), flush)
+	same(t, "first rows", k.until('s'), "1 2 D(a) D(b) s")
+	g.roster(policy.EngineDraining, first)
+	g.roster(policy.EngineLive, second)
+	k.send(execute("p", 2), bind("q", ""), execute("q", 0), sync)
+	same(t, "rest, and new work", k.until('Z'), "D(c) C(SELECT 1) 2 D(elsewhere) C(SELECT 1) Z")
+	k.send(execute("p", 0), sync)
+	same(t, "the portal after Sync", k.until('Z'), "E(34000) Z")
+	if n := g.count("sent."); n != 2 {
+		t.Errorf("%d sent, want 2: a portal runs once", n)
+	}
+}
+
+// Each kind of failure has one ErrorResponse with a code of its own, and what
+// follows in the batch is skipped to Sync.
+func TestFailures(t *testing.T) {
+	addr, _ := pgEngine(t, func(c pgCall) []byte {
+		if strings.Contains(c.query, "missing") {
+			return pgError("42P01")
+		}
+		return nil
+	})
+	run := func(text string, values ...string) [][]byte {
+		return [][]byte{parse("", text), bind("", "", values...), execute("", 0), execute("", 0), sync}
+	}
+	for name, tt := range map[string]struct {
+		engines  []string
+		params   []string
+		messages [][]byte
+		want     string
+		sent     int64
+	}{
+		"refused":           {nil, nil, run("SELECT 1"), "1 2 E(53000 hint) Z", 0},
+		"timed out":         {[]string{addr}, []string{"statement_timeout", "80ms"}, run("SELECT 1"), "1 2 E(57014) Z", 1},
+		"timed out by -c":   {[]string{addr}, []string{"options", "-c statement_timeout=80"}, run("SELECT 1"), "1 2 E(57014) Z", 1},
+		"timed out by SET":  {[]string{addr}, nil, append([][]byte{query("SET statement_timeout = '80ms'")}, run("SELECT 1")...), "C(SET) Z 1 2 E(57014) Z", 1},
+		"engine's error":    {[]string{addr}, nil, run("SELECT * FROM missing"), "1 2 E(42P01) Z", 1},
+		"simple":            {[]string{addr}, nil, [][]byte{query("SELECT * FROM missing")}, "E(42P01) Z", 1},
+		"load, no key":      {[]string{addr}, nil, run("/* class=load */ SELECT f($1)", "k"), "1 E(22023) Z", 0},
+		"load, null key":    {[]string{addr}, nil, run("INSERT INTO stock_1.parts VALUES ($1)", ""), "1 E(22004) Z", 0},
+		"load by Query":     {[]string{addr}, nil, [][]byte{query("insert into stock_1.parts values (1)")}, "E(22023) Z", 0},
+		"unknown class":     {[]string{addr}, nil, run("/* class=x */ SELECT 1"), "E(42704) Z", 0},
+		"transaction":       {[]string{addr}, nil, run("BEGIN"), "E(0A000) Z", 0},
+		"copy":              {[]string{addr}, nil, [][]byte{query("COPY x FROM STDIN")}, "E(0A000) Z", 0},
+		"two statements":    {[]string{addr}, nil, [][]byte{query("SELECT 1; SELECT 2")}, "E(0A000) Z", 0},
+		"empty":             {[]string{addr}, nil, [][]byte{query(" -- nothing\n;")}, "I Z", 0},
+		"malformed Bind":    {[]string{addr}, nil, [][]byte{parse("", "SELECT 1"), pgproto.Append(nil, 'B', []byte("\x00\x00\x00\x07")), sync}, "1 E(08P01) Z", 0},
+		"malformed message": {[]string{addr}, nil, [][]byte{{'E', 0, 0, 0, 1}}, "E(08P01) end", 0},
+		"unknown message":   {[]string{addr}, nil, [][]byte{{'#', 0, 0, 0, 4}}, "E(08P01) end", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := postgres(t, tt.engines...)
+			k := connect(t, g.addr, tt.params...)
+			k.send(tt.messages...)
+			got := k.until('Z')
+			if strings.HasPrefix(got, "C(SET)") {
+				got += " " + k.until('Z')
+			}
+			same(t, "answer", got, tt.want)
+			if n := g.count("sent."); n != tt.sent {
+				t.Errorf("%d sent, want %d", n, tt.sent)
+			}
+		})
+	}
+}
+
+// A load whose engine is lost after it was sent may have run: inside its key's
+// window another engine gets it, with the same key, and the client one answer.
+func TestLoadIsSentAgainWithItsKey(t *testing.T) {
+	hang := make(chan struct{}, 1)
+	hang <- struct{}{}
+	script := func(pgCall) []byte {
+		select {
+		case <-hang:
+			return pgError("XX000")
+		default:
+			return pgproto.Append(pgproto.Append(pgproto.Append(pgproto.Append(nil, '1'), '2'), 'n'), 'C', pgproto.Str("INSERT 0 1"))
+		}
+	}
+	first, seen1 := pgEngine(t, script)
+	second, seen2 := pgEngine(t, script)
+	g := postgres(t, first, second)
+	k := connect(t, g.addr)
+	k.send(parse("", "INSERT INTO stock_1.parts VALUES ($1)"), bind("", "", "key-1"), execute("", 0), execute("", 0), sync)
+	same(t, "answer", k.until('Z'), "1 2 C(INSERT 0 1) E(55000) Z")
+	var binds []string
+	for range 2 {
+		select {
+		case c := <-seen1:
+			binds = append(binds, c.bind)
+		case c := <-seen2:
+			binds = append(binds, c.bind)
+		}
+	}
+	same(t, "second send", binds[1], binds[0])
+	if n := g.count("sent."); n != 2 {
+		t.Errorf("%d sent, want 2", n)
+	}
+}
+
+// A CancelRequest ends what its connection has open, with one answer, and only
+// with the right secret.
+func TestCancelRequest(t *testing.T) {
+	addr, seen := pgEngine(t, func(pgCall) []byte { return nil })
+	g := postgres(t, addr)
+	k := connect(t, g.addr)
+	k.send(parse("", "SELECT 1"), bind("", ""), execute("", 0), sync)
+	await(t, seen)
+	wrong := append(append([]byte{}, k.key[:4]...), 0, 0, 0, 0)
+	for _, key := range [][]byte{wrong, k.key} {
+		c := dial(t, g.addr)
+		_, _ = c.Write(pgproto.AppendStartup(nil, pgproto.CancelReq, key))
+		_, _ = c.Read(make([]byte, 1)) // the front closes it
+	}
+	same(t, "answer", k.until('Z'), "1 2 E(57014) Z")
+	same(t, "engine heard", await(t, seen).query, "cancel")
+	if n := g.count("pgwire.cancels"); n != 1 {
+		t.Errorf("%d cancels, want 1", n)
+	}
+}
+
+// Encryption is declined with one byte, and the startup goes on in the clear.
+func TestEncryptionIsDeclined(t *testing.T) {
+	g := postgres(t)
+	k := &pgClient{t: t, c: dial(t, g.addr)}
+	for _, code := range []uint32{pgproto.SSLReq, pgproto.GSSReq} {
+		k.send(pgproto.AppendStartup(nil, code, nil))
+		b := make([]byte, 1)
+		if _, err := k.c.Read(b); err != nil || b[0] != 'N' {
+			t.Fatalf("got %q, %v", b, err)
+		}
+	}
+	k.send(pgproto.AppendStartup(nil, pgproto.Version+2, append(append(pgproto.Str("user"), pgproto.Str("x")...), 0)))
+	same(t, "startup", k.until('Z'), "v R S S S S S S S K Z")
+}
