--- a/internal/sqltext/sqltext.go
+++ b/internal/sqltext/sqltext.go
@@ -13,32 +13,29 @@
 // may be a column of an alias.
 func Group(stmt string) (group int64, ok bool) {
 	s := scanner{rest: stmt}
-	table, found := false, false
-	var name string
+	table, found := false, false // a table's name stands here; a group was found
+	name, prev := "", other
 	for {
 		kind, word := s.next()
-		switch kind {
-		case end:
+		switch {
+		case kind == end:
 			return group, found
-		case ident:
-			if name == "" && isTableWord(word) {
-				table = true
-				continue
-			}
+		case kind == ident && prev != dot && isTableWord(word):
+			table, kind = true, other
+		case kind == ident: // of a.b.c the last but one is the schema's
 			name = word
-			continue
-		case dot:
-			if n, is := schemaGroup(name); is && (table || !found) {
+		case kind == dot && prev == ident:
+			n, is := schemaGroup(name)
+			if is && table {
+				return n, true
+			}
+			if is && !found {
 				group, found = n, true
-				if table {
-					return group, true
-				}
 			}
+		case kind == other || kind == semicolon:
+			table = false
 		}
-		name = ""
-		if kind != dot {
-			table = table && kind == open
-		}
+		prev = kind
 	}
 }
 
--- /dev/null
+++ b/internal/sqltext/sqltext_test.go
@@ -0,0 +1,62 @@
+package sqltext
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestGroup(t *testing.T) {
+	for stmt, want := range map[string]int64{
+		"SELECT day, count(*), max(note) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day": 17,
+		`select a from "sales_3"."orders"`:                                          3,
+		"SELECT 'x FROM sales_1.t' FROM sales_2.t":                                  2,
+		"/* FROM sales_1.t */ SELECT 1 -- sales_1.t\nFROM sales_2.t":                2,
+		"/* a /* b */ FROM s_1.t */ INSERT INTO sales_5.t SELECT * FROM staging.x":  5,
+		"INSERT INTO sales_6.t SELECT * FROM staging_9.x":                           6,
+		"SELECT * FROM staging_9.x JOIN sales_4.t USING (a)":                        4,
+		"SELECT o_1.day FROM sales_8.orders o_1":                                    8,
+		"UPDATE sales_11.t SET a = $$ FROM s_1.t $$ WHERE b = E'it\\'s FROM s_2.t'": 11,
+		"SELECT * FROM (SELECT a FROM my_sales_12 . t) x":                           12,
+		"SELECT 1 FROM register.sales_13.t":                                         13,
+		"SELECT 1":                                                                  -1, "SELECT a.b FROM c": -1, "SELECT 'open": -1, "SELECT s_x.t FROM s_.t": -1,
+	} {
+		got, ok := Group(stmt)
+		if !ok {
+			got = -1
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%s:\n%s", stmt, diff)
+		}
+	}
+}
+
+func TestFirstWord(t *testing.T) {
+	for stmt, want := range map[string]struct {
+		word string
+		more bool
+	}{
+		"":                         {},
+		" ; -- x":                  {},
+		"/* c */ begin;":           {word: "BEGIN"},
+		"select ';' ; -- ; x":      {word: "SELECT"},
+		"select 1; ; select 2":     {word: "SELECT", more: true},
+		"(select 1)":               {word: "("},
+		"select $1; /* */ commit ": {word: "SELECT", more: true},
+	} {
+		word, more := FirstWord(stmt)
+		if word != want.word || more != want.more {
+			t.Errorf("%q: got %q, %v", stmt, word, more)
+		}
+	}
+}
+
+func FuzzScanner(f *testing.F) {
+	f.Add("SELECT 'a''b', $x$ y $x$ FROM s_1.t -- c\n/* d /* e */")
+	f.Fuzz(func(t *testing.T, stmt string) { // ends, and never reads past the text
+		Group(stmt)
+		FirstWord(stmt)
+		LeadingComment(stmt)
+		SkipComments(stmt)
+	})
+}
--- a/internal/stories/peers_test.go
+++ b/internal/stories/peers_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"strings"
+	gosync "sync"
 	"testing"
 	"time"
 
@@ -162,6 +163,7 @@
 // statement of a want after it, and answers as the script says.
 func lineEngine(t *testing.T, script func(line string) (answer string)) (addr string, seen chan string) {
 	seen = make(chan string, 100)
+	var one gosync.Mutex // scripts keep state, and connections are served side by side
 	return listen(t, func(c net.Conn) {
 		r := bufio.NewReader(c)
 		for {
@@ -179,7 +181,9 @@
 				}
 				line += " " + string(body[:n])
 			}
+			one.Lock()
 			answer := script(line)
+			one.Unlock()
 			seen <- line
 			if answer == "hang up" {
 				return
--- /dev/null
+++ b/internal/stories/platform_test.go
@@ -0,0 +1,288 @@
+package stories
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gannetspur/internal/core"
+	"gannetspur/internal/engine"
+	"gannetspur/policy"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const id = "9b1f03aa5c7e2d41"
+
+// post words a call of the class with a statement.
+func post(class, head string) string {
+	const text = "SELECT day FROM sales_17.orders"
+	return fmt.Sprintf("POST /rpc/%s HTTP/1.1\r\nHost: backend.local\r\nReq-Id: %s\r\nReq-Wait-Ms: 2000\r\n%sContent-Length: %d\r\n\r\n%s",
+		class, id, head, len(text), text)
+}
+
+// httpClient keeps one connection.
+type httpClient struct {
+	t *testing.T
+	c net.Conn
+	r *bufio.Reader
+}
+
+func httpConnect(t *testing.T, addr string) *httpClient {
+	c := dial(t, addr)
+	return &httpClient{t, c, bufio.NewReader(c)}
+}
+
+// call writes text and words the response.
+func (k *httpClient) call(text string) (answer string, head http.Header) {
+	k.t.Helper()
+	if _, err := io.WriteString(k.c, text); err != nil {
+		k.t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(k.r, nil)
+	if err != nil {
+		k.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		k.t.Fatal(err)
+	}
+	return fmt.Sprintf("%d %s", resp.StatusCode, body), resp.Header
+}
+
+// done answers a want with one page.
+func done(line, page string) string {
+	return fmt.Sprintf("%s DONE batches=1,cpu=12.5,used=3,gauges=util:0.5;queue:0;x1:0;x0:0 %d\r\n%s\r\n", strings.Fields(line)[1], len(page), page)
+}
+
+// Rows arrive unchanged and in order; a request passes on with its id, class and key.
+func TestServed(t *testing.T) {
+	addr, seen := lineEngine(t, func(line string) string {
+		return id + " TELL res=p,num=0.5 0\r\n\r\n" + done(line, "a\t\"1\"\t\\x\nb\t2\té\n")
+	})
+	g := platform(t, addr)
+	k := httpConnect(t, g.addr)
+	got, _ := k.call(post("load", "Req-Token: k-1\r\nReq-Kb: 96\r\nReq-Cost: 820.0\r\n"))
+	same(t, "answer", got, `200 {"result":[["a","\"1\"","\\x"],["b","2","é"]]}`)
+	line := await(t, seen)
+	for _, part := range []string{"want " + id + " kind=load,ms=", ",token=k-1,", " 31 SELECT day FROM sales_17.orders"} {
+		if !strings.Contains(line, part) {
+			t.Errorf("engine was asked %q, without %q", line, part)
+		}
+	}
+	if n := g.count("notes"); n != 1 {
+		t.Errorf("%d notes, want 1", n)
+	}
+}
+
+// An engine dies between page 0 and the rest: no row has gone out, so another
+// engine serves the client. A result of several answers is fetched part by part,
+// and a path of no result gets a plain 404.
+func TestPagesAreCollectedBeforeARowIsPassedOn(t *testing.T) {
+	page := strings.Repeat("x\ty\tz\n", 1000)
+	var died bool
+	script := func(line string) string {
+		w := strings.Fields(line)
+		switch {
+		case w[0] == "want":
+			return fmt.Sprintf("%s DONE batches=4 %d\r\n%s\r\n", id, len(page), page)
+		case w[0] == "turn" && !died:
+			died = true
+			return "hang up"
+		case w[0] == "turn":
+			return fmt.Sprintf("%s MORE batch=%s %d\r\n%s\r\n", id, w[2], len(page), page)
+		}
+		return ""
+	}
+	// One lock for both scripts: they share a variable.
+	gate := make(chan struct{}, 1)
+	locked := func(line string) string {
+		gate <- struct{}{}
+		defer func() { <-gate }()
+		return script(line)
+	}
+	one, _ := lineEngine(t, locked)
+	two, _ := lineEngine(t, locked)
+	g := platform(t, one, two)
+	k := httpConnect(t, g.addr)
+	got, _ := k.call(post("report", ""))
+	rows := 0
+	for n := 1; ; n++ {
+		rows += strings.Count(got, `["x","y","z"]`)
+		_, path, more := strings.Cut(got, `"more":"`)
+		if !more {
+			break
+		}
+		path, _, _ = strings.Cut(path, `"`)
+		got, _ = k.call("GET " + path + " HTTP/1.1\r\n\r\n")
+		if n > 9 {
+			t.Fatal("more without end")
+		}
+	}
+	if rows != 4000 {
+		t.Errorf("%d rows, want 4000", rows)
+	}
+	if n := g.count("sent."); n != 2 {
+		t.Errorf("%d sent, want 2", n)
+	}
+	got, _ = k.call("GET /more/other-1/1 HTTP/1.1\r\n\r\n")
+	same(t, "path from before a restart", got, `404 {"fault":"nothing is held under this path"}`)
+}
+
+// A refused connection proves that nothing ran, so even a load goes elsewhere; with
+// no engine left it is refused at once, with word when to come back.
+func TestRefusedConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := ln.Addr().String()
+	ln.Close()
+	g := platform(t, dead)
+	k := httpConnect(t, g.addr)
+	got, head := k.call(post("load", "Req-Token: k\r\n"))
+	same(t, "answer", got, `503 {"fault":"Busy"}`)
+	if head.Get("Srv-Wait-Ms") == "" {
+		t.Error("a refusal without Srv-Wait-Ms")
+	}
+	if n := g.count("ended.refused"); n == 0 {
+		t.Error("no attempt ended as refused")
+	}
+	addr, _ := lineEngine(t, func(line string) string { return done(line, "") })
+	g.roster(policy.EngineLive, addr)
+	got, _ = k.call(post("load", "Req-Token: k\r\n"))
+	same(t, "answer", got, `200 {"result":[]}`)
+}
+
+// A client that closes its connection has its attempt given up, and an answer that
+// comes late on the same connection ends nothing else.
+func TestClientLeavesAndTheAnswerComesLate(t *testing.T) {
+	var line string
+	addr, seen := lineEngine(t, func(l string) string {
+		if strings.HasPrefix(l, "never_mind") {
+			return done(line, "late\n")
+		}
+		if line != "" {
+			return done(l, "fresh\n")
+		}
+		line = l
+		return ""
+	})
+	g := platform(t, addr)
+	k := httpConnect(t, g.addr)
+	_, _ = io.WriteString(k.c, post("lookup", ""))
+	await(t, seen)
+	k.c.Close()
+	same(t, "engine heard", await(t, seen), "never_mind "+id)
+	got, _ := httpConnect(t, g.addr).call(post("lookup", ""))
+	same(t, "the next request of that id", got, `200 {"result":[["fresh"]]}`)
+	if n := g.count("links.dialed"); n != 2 {
+		t.Errorf("%d connections, want 2: an id given up is not used again on its own", n)
+	}
+}
+
+// What an engine says that can't be read ends its connection, and the client has
+// its one answer all the same.
+func TestEngineGarbage(t *testing.T) {
+	for _, text := range []string{
+		"nonsense\r\n", id + " DONE - 99999999\r\n", id + " DONE - 2\r\nabcd", id + " HUH - 0\r\n\r\n",
+		id + " DONE - 3\r\nabc\r\n", id + " DONE batches=x 0\r\n\r\n", strings.Repeat("x", 3000),
+	} {
+		addr, _ := lineEngine(t, func(string) string { return text })
+		g := platform(t, addr)
+		got, _ := httpConnect(t, g.addr).call(post("lookup", ""))
+		if !strings.HasPrefix(got, "503") && !strings.HasPrefix(got, "500") {
+			t.Errorf("%.20q: answer %s", text, got)
+		}
+		if n := g.count("ended.garbage"); n == 0 {
+			t.Errorf("%.20q: no attempt ended as garbage", text)
+		}
+	}
+}
+
+// Bad input gets a status and a plain message, and nothing is sent.
+func TestBadInput(t *testing.T) {
+	addr, _ := lineEngine(t, func(line string) string { return done(line, "") })
+	g := platform(t, addr)
+	for name, tt := range map[string]struct{ text, want string }{
+		"no HTTP":         {"hello\r\n\r\n", "400"},
+		"unknown class":   {post("nope", ""), "404"},
+		"unknown path":    {"GET /x HTTP/1.1\r\n\r\n", "404"},
+		"method":          {"GET /rpc/lookup HTTP/1.1\r\n\r\n", "405"},
+		"bad id":          {strings.Replace(post("lookup", ""), id, "xyz", 1), "400"},
+		"bad wait":        {strings.Replace(post("lookup", ""), "2000", "NaN", 1), "400"},
+		"bad cost":        {post("lookup", "Req-Cost: -1\r\n"), "400"},
+		"load, no key":    {post("load", ""), "400"},
+		"key with comma":  {post("load", "Req-Token: a,b\r\n"), "400"},
+		"field twice":     {post("lookup", "Req-Id: "+id+"\r\n"), "400"},
+		"large body":      {"POST /rpc/lookup HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n", "413"},
+		"large head":      {"GET /" + strings.Repeat("x", 20000), "431"},
+		"chunked":         {"POST /rpc/lookup HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "501"},
+		"version":         {"GET /health HTTP/2.0\r\n\r\n", "505"},
+		"delete unknown":  {"DELETE /more/x/1 HTTP/1.1\r\n\r\n", "404"},
+		"health is fine":  {"GET /health HTTP/1.1\r\n\r\n", "200"},
+		"more, odd paths": {"GET /more/ HTTP/1.1\r\n\r\n", "404"},
+	} {
+		got, _ := httpConnect(t, g.addr).call(tt.text)
+		same(t, name, got[:3], tt.want)
+	}
+	if n := g.count("taken."); n != 0 {
+		t.Errorf("%d requests taken, want none", n)
+	}
+}
+
+// Every end has one meaning to the decisions; only what proves that nothing ran
+// may say so.
+func TestEnds(t *testing.T) {
+	got := map[string]policy.Result{}
+	for e := core.EndUnknown; e <= core.EndIdle; e++ {
+		got[e.String()] = e.Result()
+	}
+	want := map[string]policy.Result{
+		"unknown": policy.Unknown, "served": policy.Served, "rejected": policy.NotSent, "error": policy.Failed,
+		"full": policy.Full, "past": policy.NotSent, "pages-lost": policy.Failed, "timeout": policy.TimedOut,
+		"refused": policy.NoConnection, "connect-timeout": policy.NoConnection, "no-descriptor": policy.NoConnection,
+		"no-engine": policy.NoConnection, "reset": policy.Lost, "garbage": policy.Lost, "oversize": policy.Lost,
+		"cancelled": policy.Cancelled, "not-sent": policy.NotSent, "idle": policy.Unknown,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A new engine at a gone one's address is another engine: links to the old one
+// take nothing more.
+func TestAddressIsUsedAgain(t *testing.T) {
+	var told []string
+	p := engine.NewPool[*fakeLink]()
+	entry := func(id string, state policy.EngineState, started time.Duration) {
+		p.Engine(core.Engine{Addr: "127.0.0.1:1", Engine: policy.Engine{ID: id, State: state, Started: started}})
+	}
+	entry("old", policy.EngineLive, 0)
+	p.Get("old").Links = append(p.Get("old").Links, &fakeLink{"old", &told})
+	entry("new", policy.EngineLive, 0)
+	if p.Get("new") == p.Get("old") || len(p.Get("new").Links) != 0 {
+		t.Error("the new engine has the old one's links")
+	}
+	entry("old", policy.EngineDraining, 0)
+	entry("old", policy.EngineGone, 0)
+	if p.Get("old") != nil {
+		t.Error("the gone engine is still there")
+	}
+	p.Get("new").Links = append(p.Get("new").Links, &fakeLink{"new", &told})
+	entry("new", policy.EngineLive, time.Second)
+	same(t, "retired", strings.Join(told, " "), "old new")
+}
+
+type fakeLink struct {
+	name string
+	told *[]string
+}
+
+func (l *fakeLink) Retire() { *l.told = append(*l.told, l.name) }
