--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -21,7 +21,7 @@
 	switch end {
 	case EndServed:
 		c.final(r.query, Answer{Verdict: Served, Result: rep.Result})
-	case EndRejected: // another engine would say the same
+	case EndRejected, EndTooLarge: // another engine would say the same
 		c.final(r.query, Answer{Verdict: Failed})
 	}
 	c.tell(policy.Outcome{
--- a/internal/core/end.go
+++ b/internal/core/end.go
@@ -10,6 +10,7 @@
 	EndUnknown        End = iota
 	EndServed             // the whole answer is here
 	EndRejected           // the engine found the statement itself at fault; it had no effect
+	EndTooLarge           // it ran, but its answer is larger than can be held here
 	EndError              // the engine answered with an error
 	EndFull               // the engine turned it away unseen
 	EndPast               // the engine found its time over before it ran
@@ -29,7 +30,7 @@
 )
 
 var endNames = [endCount]string{
-	"unknown", "served", "rejected", "error", "full", "past", "pages-lost", "timeout", "refused", "connect-timeout",
+	"unknown", "served", "rejected", "too-large", "error", "full", "past", "pages-lost", "timeout", "refused", "connect-timeout",
 	"no-descriptor", "no-engine", "reset", "garbage", "oversize", "cancelled", "not-sent", "idle",
 }
 
@@ -44,7 +45,7 @@
 // What proves that nothing ran is named; all else may have run.
 func (e End) Result() policy.Result {
 	switch e {
-	case EndServed:
+	case EndServed, EndTooLarge: // the engine did its part
 		return policy.Served
 	case EndError, EndPagesLost:
 		return policy.Failed
--- a/internal/engine/pg/links.go
+++ b/internal/engine/pg/links.go
@@ -17,7 +17,9 @@
 
 const (
 	// MaxResult bounds the rows of one result, which is held until it is whole.
-	MaxResult  = 8 << 20
+	MaxResult = 4 << 20
+	// maxResults bounds the rows of all results that are on their way.
+	maxResults = 48 << 20
 	maxMessage = MaxResult
 	maxBuffer  = maxMessage + 64<<10
 	cancelTime = time.Second
@@ -38,6 +40,7 @@
 	stats   *stats.Counters
 	log     *log.Logger
 	engines *engine.Pool[*link]
+	size    int // of the rows on their way
 }
 
 // New returns links that report to the core.
@@ -145,7 +148,7 @@
 	if !ok || l.attempt != a {
 		return
 	}
-	l.attempt = nil
+	l.clear()
 	if !l.written {
 		return
 	}
@@ -261,13 +264,16 @@
 	case 'n':
 		r.Fields = nil
 	case 'D':
-		if len(r.Rows)+len(whole) > MaxResult {
-			l.failure = &pgproto.Error{Severity: "ERROR", Code: "54000",
-				Message: fmt.Sprintf("the result is larger than %d bytes", MaxResult)}
-			l.stop(core.EndRejected)
+		switch {
+		case len(r.Rows)+len(whole) > MaxResult:
+			l.stop("54000", fmt.Sprintf("the result is larger than %d bytes", MaxResult))
+			return nil
+		case l.all.size+len(whole) > maxResults:
+			l.stop("53200", "the gateway holds too many results")
 			return nil
 		}
 		r.Rows = append(r.Rows, whole...)
+		l.all.size += len(whole)
 		r.Count++
 	case 'C':
 		tag := pgproto.Reader{B: body}
@@ -283,11 +289,19 @@
 	return nil
 }
 
-// stop ends an attempt whose answer is still coming.
-func (l *link) stop(end core.End) {
+// stop ends an attempt whose answer is still coming, and is too large.
+func (l *link) stop(code, text string) {
 	a := l.attempt
 	l.all.Drop(a)
-	l.all.core.End(a, end, core.Report{Detail: l.failure})
+	l.all.core.End(a, core.EndTooLarge, core.Report{Detail: &pgproto.Error{Severity: "ERROR", Code: code, Message: text}})
+}
+
+// clear takes the link's attempt off it.
+func (l *link) clear() {
+	if l.result != nil {
+		l.all.size -= len(l.result.Rows)
+	}
+	l.attempt, l.result, l.failure = nil, nil, nil
 }
 
 // fatal ends the connection on an error that the engine ends it on.
@@ -357,7 +371,7 @@
 
 func (l *link) finish(end core.End, rep core.Report) {
 	a := l.attempt
-	l.attempt, l.result, l.failure = nil, nil, nil
+	l.clear()
 	l.used = l.all.core.Now()
 	if l.retired {
 		l.close(core.EndIdle)
@@ -404,11 +418,11 @@
 	l.all.stats.Add("links.ended." + end.String())
 	l.engine.Remove(l)
 	if a := l.attempt; a != nil {
-		l.attempt = nil
 		var rep core.Report
 		if l.failure != nil {
 			rep.Detail = l.failure
 		}
+		l.clear()
 		l.all.core.End(a, end, rep)
 	}
 }
--- a/internal/front/pgwire/extended.go
+++ b/internal/front/pgwire/extended.go
@@ -80,6 +80,9 @@
 			return e
 		}
 	}
+	if old := k.portals[name]; old != nil { // the unnamed one is replaced
+		k.front.held -= len(old.rest)
+	}
 	k.portals[name] = p
 	k.out = pgproto.Append(k.out, '2')
 	return nil
@@ -223,16 +226,21 @@
 	case p.statement.empty:
 		k.out = pgproto.Append(k.out, 'I')
 	case p.result != nil:
-		return k.rows(p, most)
+		k.front.held -= len(p.rest)
+		e := k.rows(p, most)
+		k.hold(p)
+		return e
 	default:
 		s := p.statement
 		want := &pgproto.Statement{Query: s.query, Types: s.types, Bind: p.bind}
 		k.ask(s, want, p.token, func(res *pgproto.Result) {
 			p.result, p.rest = res, res.Rows
+			res.Rows = nil
 			if describe {
 				k.rowDescription(res.Fields)
 			}
 			_ = k.rows(p, most)
+			k.hold(p)
 		})
 	}
 	return nil
@@ -271,6 +279,18 @@
 	return nil
 }
 
+// hold counts what a portal keeps. The portal that would keep too much keeps
+// nothing, and the batch fails.
+func (k *conn) hold(p *portal) {
+	f := k.front
+	if f.held+len(p.rest) > heldMost {
+		p.rest = nil
+		k.failed(fail("53200", "open portals hold too many rows; fetch them, or ask for all at once"))
+		return
+	}
+	f.held += len(p.rest)
+}
+
 func (k *conn) closeMessage(body []byte) *pgproto.Error {
 	kind, name, e := k.target(body, "Close")
 	if e != nil {
@@ -278,7 +298,8 @@
 	}
 	if kind == 'S' {
 		delete(k.statements, name)
-	} else {
+	} else if p := k.portals[name]; p != nil {
+		k.front.held -= len(p.rest)
 		delete(k.portals, name)
 	}
 	k.out = pgproto.Append(k.out, '3')
--- a/internal/front/pgwire/front.go
+++ b/internal/front/pgwire/front.go
@@ -25,7 +25,14 @@
 	maxMessage = 1 << 20
 	maxBuffer  = 4 << 20 // what a client may send ahead
 	maxParams  = 65535
-	maxNamed   = 1000 // statements, and portals, of one connection
+	// startupMost is how long a connection may take to start.
+	startupMost = 10 * time.Second
+	maxNamed    = 1000 // statements, and portals, of one connection
+	// slowReader is how much may wait to be sent before no more messages are
+	// taken. Guards against a client that asks and does not read.
+	slowReader = 1 << 20
+	// heldMost bounds the rows of all open portals together, in bytes.
+	heldMost = 32 << 20
 )
 
 // Options come from the deploy file.
@@ -44,6 +51,7 @@
 	listener net.Listener
 	conns    map[uint32]*conn // by the process number that each was told
 	last     uint32
+	held     int // bytes of rows in open portals
 	draining bool
 }
 
@@ -59,6 +67,11 @@
 		f.last++
 		k := &conn{front: f, conn: c, process: f.last, statements: map[string]*statement{}, portals: map[string]*portal{}}
 		f.conns[k.process] = k
+		f.loop.Timers.Add(f.loop.Now()+startupMost, func() {
+			if !k.started && !k.ended {
+				c.Close()
+			}
+		})
 		return k
 	})
 	if err != nil {
@@ -131,6 +144,10 @@
 // Data reads messages until one waits for its answer.
 func (k *conn) Data(_ *netio.Conn, in *netio.Buffer) {
 	for k.request == nil && !k.ended {
+		if k.conn.Pending() > slowReader {
+			k.conn.WhenWritten(k.conn.Again)
+			break
+		}
 		n, err := 0, error(nil)
 		if k.started {
 			n, err = k.next(in.Bytes())
@@ -169,6 +186,7 @@
 func (k *conn) Closed(_ *netio.Conn, _ error) {
 	k.ended = true
 	delete(k.front.conns, k.process)
+	k.dropPortals()
 	if r := k.request; r != nil {
 		k.request, k.then = nil, nil
 		k.front.core.Gone(r)
@@ -328,6 +346,13 @@
 	k.resume()
 }
 
+func (k *conn) dropPortals() {
+	for _, p := range k.portals {
+		k.front.held -= len(p.rest)
+	}
+	clear(k.portals)
+}
+
 // resume goes on with what the client sent ahead.
 func (k *conn) resume() {
 	k.flush()
@@ -384,7 +409,7 @@
 		k.conn.Close()
 	case kind == 'S':
 		k.skip = false
-		clear(k.portals) // the end of the transaction that the batch stood for
+		k.dropPortals() // the end of the transaction that the batch stood for
 		k.ready()
 	case k.skip:
 	default:
--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -25,6 +25,9 @@
 	heldMost = 16 << 20 // of results waiting to be fetched, in bytes
 	heldOver = time.Second
 	mostWait = 10 * time.Minute
+	// idleMost is how long a connection may go without a whole call; clients close
+	// theirs sooner. Guards against peers that take descriptors and say nothing.
+	idleMost = 30 * time.Second
 )
 
 // Front accepts clients.
@@ -60,7 +63,7 @@
 func (f *Front) Listen(addr string) error {
 	ln, err := f.loop.Listen(addr, maxCall, func(c *netio.Conn) netio.Handler {
 		f.stats.Add("rest.connections")
-		k := &conn{front: f, conn: c}
+		k := &conn{front: f, conn: c, used: f.loop.Now()}
 		f.conns[k] = struct{}{}
 		return k
 	})
@@ -68,9 +71,21 @@
 		return fmt.Errorf("listen for clients: %w", err)
 	}
 	f.listener = ln
+	f.sweepIdle()
 	return nil
 }
 
+func (f *Front) sweepIdle() {
+	now := f.loop.Now()
+	for k := range f.conns {
+		if k.request == nil && now-k.used > idleMost {
+			f.stats.Add("rest.idle-closed")
+			k.conn.Close()
+		}
+	}
+	f.loop.Timers.Add(now+idleMost/4, f.sweepIdle)
+}
+
 // Addr is where clients connect.
 func (f *Front) Addr() string { return f.listener.Addr().String() }
 
@@ -95,6 +110,7 @@
 	front   *Front
 	conn    *netio.Conn
 	request *core.Request // taken and not answered
+	used    time.Duration // its latest call or answer
 	close   bool          // after the answer
 	ended   bool          // nothing more is read
 }
@@ -111,7 +127,7 @@
 		if n == 0 {
 			return
 		}
-		k.close = c.close
+		k.close, k.used = c.close, k.front.loop.Now()
 		k.call(c)
 		in.Consume(n)
 	}
@@ -211,7 +227,7 @@
 
 // Answer writes the final answer.
 func (k *conn) Answer(r *core.Request, a core.Answer) {
-	k.request = nil
+	k.request, k.used = nil, k.front.loop.Now()
 	switch a.Verdict {
 	case core.Served:
 		rows, _ := a.Result.(lines.Rows)
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,8 +21,11 @@
 // ErrOversize ends a connection whose peer sent more than its buffer may hold.
 var ErrOversize = errors.New("more unparsed data than the buffer may hold")
 
-// maxWrite bounds what waits for a slow reader; past it the connection is closed.
-const maxWrite = 2 << 20
+// MaxWrite bounds what waits for a slow reader; past it the connection is closed.
+const MaxWrite = 8 << 20
+
+// lingerMost is how long a closed connection may take to send what waits.
+const lingerMost = 3 * time.Second
 
 // acceptPause is the rest after a failed accept. Guards against spinning while
 // the descriptor table is full: the listener stays readable all that time.
@@ -68,7 +72,7 @@
 	}
 	l.engine = nbio.NewEngine(nbio.Config{
 		Name: "ringwood", NPoller: 1, ReadBufferSize: 32 << 10,
-		MaxWriteBufferSize: maxWrite, MaxConnReadTimesPerEventLoop: 64,
+		MaxWriteBufferSize: MaxWrite, MaxConnReadTimesPerEventLoop: 64,
 	})
 	l.engine.OnOpen(func(*nbio.Conn) {})
 	l.engine.OnData(func(nc *nbio.Conn, data []byte) {
@@ -76,6 +80,11 @@
 			c.received(data)
 		}
 	})
+	l.engine.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
+		if c, ok := nc.Session().(*Conn); ok && c.pending.Add(-int64(n)) == 0 && c.waiting.Load() {
+			l.Post(c.written)
+		}
+	})
 	l.engine.OnClose(func(nc *nbio.Conn, err error) {
 		if c, ok := nc.Session().(*Conn); ok {
 			l.Post(func() { c.ended(err) })
@@ -226,6 +235,10 @@
 	handler Handler
 	limit   int
 	over    bool // Closed was told
+	closing bool
+	then    func()       // called once all is written
+	pending atomic.Int64 // bytes not yet written
+	waiting atomic.Bool  // the loop wants to know when there are none
 
 	mu      sync.Mutex
 	in      Buffer
@@ -274,13 +287,52 @@
 
 // Write sends, or queues what the socket does not take at once.
 func (c *Conn) Write(p []byte) {
-	if !c.over {
-		_, _ = c.nc.Write(p) // a failure closes the connection, and Closed tells
+	if c.over || c.closing || len(p) == 0 {
+		return
+	}
+	c.pending.Add(int64(len(p)))
+	_, _ = c.nc.Write(p) // a failure closes the connection, and Closed tells
+}
+
+// Pending is the number of bytes that wait to be sent.
+func (c *Conn) Pending() int { return int(c.pending.Load()) }
+
+// WhenWritten has f called on a later turn, once nothing waits to be sent.
+func (c *Conn) WhenWritten(f func()) {
+	c.then = f
+	c.waiting.Store(true)
+	if c.pending.Load() == 0 {
+		c.loop.Post(c.written)
+	}
+}
+
+func (c *Conn) written() {
+	if c.pending.Load() > 0 || !c.waiting.Swap(false) {
+		return
+	}
+	if c.closing {
+		_ = c.nc.Close()
+	}
+	if f := c.then; f != nil {
+		c.then = nil
+		f()
 	}
 }
 
-// Close ends the connection. Closed is told, later.
-func (c *Conn) Close() { _ = c.nc.Close() }
+// Close ends the connection once what was written has been sent. Closed is told,
+// later. nbio's own close would drop what waits.
+func (c *Conn) Close() {
+	if c.closing || c.over {
+		return
+	}
+	c.closing = true
+	if c.pending.Load() == 0 {
+		_ = c.nc.Close()
+		return
+	}
+	c.WhenWritten(nil)
+	c.loop.Timers.Add(c.loop.Now()+lingerMost, func() { _ = c.nc.Close() })
+}
 
 // RemoteAddr names the peer.
 func (c *Conn) RemoteAddr() string { return c.nc.RemoteAddr().String() }
--- a/internal/stories/platform_test.go
+++ b/internal/stories/platform_test.go
@@ -245,7 +245,7 @@
 		got[e.String()] = e.Result()
 	}
 	want := map[string]policy.Result{
-		"unknown": policy.Unknown, "served": policy.Served, "rejected": policy.NotSent, "error": policy.Failed,
+		"unknown": policy.Unknown, "served": policy.Served, "rejected": policy.NotSent, "too-large": policy.Served, "error": policy.Failed,
 		"full": policy.Full, "past": policy.NotSent, "pages-lost": policy.Failed, "timeout": policy.TimedOut,
 		"refused": policy.NoConnection, "connect-timeout": policy.NoConnection, "no-descriptor": policy.NoConnection,
 		"no-engine": policy.NoConnection, "reset": policy.Lost, "garbage": policy.Lost, "oversize": policy.Lost,
--- a/internal/stories/postgres_test.go
+++ b/internal/stories/postgres_test.go
@@ -1,6 +1,8 @@
 package stories
 
 import (
+	"net"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -167,6 +169,31 @@
 	}
 }
 
+// Rows of some megabytes reach a client that reads slowly whole, also when the
+// gateway closes the connection behind them; more than may be held is an error.
+func TestLargeResults(t *testing.T) {
+	row := strings.Repeat("x", 1300<<10)
+	rows := []string{row, row, row}
+	addr, _ := pgEngine(t, func(c pgCall) []byte {
+		if strings.Contains(c.query, "more") {
+			return pgRows(append(rows, rows...)...)
+		}
+		return pgRows(rows...)
+	})
+	g := postgres(t, addr)
+	k := connect(t, g.addr)
+	_ = k.c.(*net.TCPConn).SetReadBuffer(64 << 10) // else the kernel might take all at once
+	k.send(query("SELECT more"))
+	same(t, "too much", k.until('Z'), "E(54000) Z")
+	terminate := pgproto.Append(nil, 'X')
+	k.send(query("SELECT x"), terminate)
+	for g.count("answered.served") == 0 { // by then all of it waits to be sent
+		runtime.Gosched()
+	}
+	got := k.until(0)
+	same(t, "rows", strings.ReplaceAll(got, row, "x"), "T D(x) D(x) D(x) C(SELECT 3) Z end")
+}
+
 // A CancelRequest ends what its connection has open, with one answer, and only
 // with the right secret.
 func TestCancelRequest(t *testing.T) {
