Let accepted connections wait for a descriptor instead of closing them

Seen in a probe with the built program, 24 descriptors and 40 clients: no spinning (0.01 s of CPU in 2 s) and those connected were served, but some of the others had their connection closed without an answer. At fault: netio adopt closed a connection whose copy of the descriptor (which nbio takes) could not be had.

A first change that retried on the loop was worse: the accept goroutine then took all descriptors for connections that none could be copied for, and the first client timed out. The copy is now made before the next accept, and waits while none is free.

The new story does the same in a child process.

--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -31,6 +31,9 @@
 // the descriptor table is full: the listener stays readable all that time.
 const acceptPause = 20 * time.Millisecond
 
+// acceptTries bounds how often an accepted connection tries for a descriptor.
+const acceptTries = 250
+
 // stopWithin bounds the wait for the poller at the end.
 const stopWithin = 100 * time.Millisecond
 
@@ -161,27 +164,43 @@
 	}
 	go func() {
 		for {
-			c, err := ln.Accept()
+			std, err := ln.Accept()
 			switch {
 			case errors.Is(err, net.ErrClosed):
 				return
 			case err != nil:
 				time.Sleep(acceptPause)
 			default:
-				l.Post(func() { l.adopt(c, limit, accept) })
+				if nc := convert(std); nc != nil {
+					l.Post(func() { _, _ = l.adopt(nc, limit, accept) })
+				}
 			}
 		}
 	}()
 	return ln, nil
 }
 
-// adopt hands a connected socket to the poller.
-func (l *Loop) adopt(std net.Conn, limit int, accept func(*Conn) Handler) (*Conn, error) {
-	nc, err := nbio.NBConn(std) // takes a copy of the descriptor and closes the first
-	if err != nil {
-		_ = std.Close()
-		return nil, fmt.Errorf("adopt the connection: %w", err)
+// convert makes an accepted connection nbio's, for which it takes a second
+// descriptor for a moment. Where the first was the last, it waits for another
+// before the next is accepted: closing it would turn a client away, and accepting
+// more would leave none for any.
+func convert(std net.Conn) *nbio.Conn {
+	for range acceptTries {
+		nc, err := nbio.NBConn(std)
+		if err == nil {
+			return nc
+		}
+		if !NoDescriptor(err) {
+			break
+		}
+		time.Sleep(acceptPause)
 	}
+	_ = std.Close()
+	return nil
+}
+
+// adopt hands a connected socket to the poller.
+func (l *Loop) adopt(nc *nbio.Conn, limit int, accept func(*Conn) Handler) (*Conn, error) {
 	c := new(Conn)
 	c.mu.Lock() // the poller goes through the same lock before it reads a field
 	c.loop, c.nc, c.limit = l, nc, limit
@@ -190,9 +209,8 @@
 	nc.SetSession(c)
 	l.open[c] = struct{}{}
 	if _, err := l.engine.AddConn(nc); err != nil {
-		delete(l.open, c)
-		c.over = true
 		_ = nc.Close()
+		l.Post(func() { c.ended(err) })
 		return nil, fmt.Errorf("poll the connection: %w", err)
 	}
 	return c, nil
@@ -207,13 +225,18 @@
 		var d net.Dialer
 		std, err := d.DialContext(ctx, "tcp", addr)
 		cancel()
+		var nc *nbio.Conn
+		if err == nil {
+			if nc, err = nbio.NBConn(std); err != nil {
+				_ = std.Close()
+			}
+		}
 		l.Post(func() {
 			if err != nil {
 				done(nil, err)
 				return
 			}
-			c, err := l.adopt(std, limit, func(*Conn) Handler { return h })
-			done(c, err)
+			done(l.adopt(nc, limit, func(*Conn) Handler { return h }))
 		})
 	}()
 	return cancel
--- /dev/null
+++ b/internal/stories/descriptors_test.go
@@ -0,0 +1,61 @@
+package stories
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+const childEnv = "RINGWOOD_STORY_CHILD"
+
+// A full descriptor table neither ends the program nor stops those who are
+// connected; who waits is served once others leave, and nobody is turned away.
+func TestFullDescriptorTable(t *testing.T) {
+	if os.Getenv(childEnv) != "" {
+		limit := syscall.Rlimit{Cur: 40, Max: 40}
+		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+			t.Fatal(err)
+		}
+		fmt.Println("serving at", platform(t).addr)
+		_, _ = io.Copy(io.Discard, os.Stdin) // until the parent lets go
+		return
+	}
+	cmd := exec.Command(os.Args[0], "-test.run=^TestFullDescriptorTable$")
+	cmd.Env = append(os.Environ(), childEnv+"=1")
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { in.Close(); _ = cmd.Wait() }()
+	line, err := bufio.NewReader(out).ReadString('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := strings.TrimSpace(strings.TrimPrefix(line, "serving at "))
+	const health = "GET /health HTTP/1.1\r\n\r\n"
+	var clients []*httpClient
+	for range 60 {
+		clients = append(clients, httpConnect(t, addr))
+	}
+	got, _ := clients[0].call(health)
+	same(t, "first client", got, "200 {}")
+	for _, k := range clients[:50] {
+		k.c.Close()
+	}
+	for _, k := range clients[50:] {
+		got, _ := k.call(health)
+		same(t, "client that waited", got, "200 {}")
+	}
+}
