Write no repeat of a load once its key's window is about to close

Seen in review: the module decides on a repeat inside the window, but a link that has to connect first may write it up to a second later (engine/pg, dial and write; engine/lines up to connect-timeout-ms). At fault: nothing asked again at the write. core.lastRepeat now sets the latest instant, 50 ms before the window's end, and both kinds of link ask Attempt.TooLate before they write. A load in doubt that the module refuses is told to a PostgreSQL client as failed (40003 or the engine's word), not as one that is harmless to try again.

New stories: a load whose second engine comes up after the window is not written; a planned stop serves who comes after TERM, answers what no engine does and ends before the kill; bad configurations name their field (limits.sockets was named wrongly).

--- /dev/null
+++ b/cmd/ringwood/stop_test.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gannetspur/internal/stats"
+)
+
+const call = "POST /rpc/lookup HTTP/1.1\r\nReq-Id: 9b1f03aa5c7e2d4%d\r\nReq-Wait-Ms: 6000\r\nContent-Length: 8\r\n\r\nSELECT 1"
+
+// client makes one call on a connection of its own and reports the status.
+func client(t *testing.T, addr string, n int) <-chan string {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	fmt.Fprintf(c, call, n)
+	answer := make(chan string, 1)
+	go func() {
+		defer c.Close()
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			answer <- err.Error()
+			return
+		}
+		answer <- resp.Status
+	}()
+	return answer
+}
+
+// A planned stop: who comes right after TERM is still served, what is open goes on,
+// what no engine answers gets its final answer before the kill, and then it ends.
+func TestPlannedStop(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	wants := make(chan string, 10)
+	go func() { // an engine that answers all but the call numbered 1
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				for in := bufio.NewScanner(c); in.Scan(); {
+					w := strings.Fields(in.Text())
+					if len(w) != 4 || w[0] != "want" {
+						continue
+					}
+					if !strings.HasSuffix(w[1], "1") {
+						fmt.Fprintf(c, "%s DONE batches=1 0\r\n\r\n", w[1])
+					}
+					wants <- w[1]
+				}
+			}()
+		}
+	}()
+	raw, err := os.ReadFile("../../examples/toy/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.NewReplacer("127.0.0.1:9101", ln.Addr().String(), "127.0.0.1:9090", "127.0.0.1:0").Replace(string(raw))
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	g := &gateway{counters: stats.New(), log: log.New(io.Discard, "", 0)}
+	if err := g.platform(path); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() { g.loop.Run(); close(ended) }()
+	open := client(t, g.front.Addr(), 1)
+	<-wants
+	began := time.Now()
+	g.loop.Post(g.stop)
+	if got := <-client(t, g.front.Addr(), 2); got != "200 OK" {
+		t.Errorf("a client right after TERM got %s", got)
+	}
+	if got := <-open; !strings.HasPrefix(got, "50") {
+		t.Errorf("what no engine answers got %s", got)
+	}
+	<-ended
+	if took := time.Since(began); took > 3700*time.Millisecond {
+		t.Errorf("the stop took %v: the kill comes first", took)
+	}
+	if _, err := net.Dial("tcp", g.front.Addr()); err == nil {
+		t.Error("still listening")
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,24 +35,25 @@
 }
 
 type file struct {
-	Name, Listen, Seed string
-	Limits             struct {
-		MemoryMB int `json:"memory_mb"`
-		Sockets  int
-	}
-	Bus   string
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Seed   string `json:"seed"`
+	Limits struct {
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  float64 `json:"sockets"`
+	} `json:"limits"`
+	Bus   string `json:"bus"`
 	Known struct {
-		Offset uint64
+		Offset uint64 `json:"offset"`
 		Batch  []struct {
-			Offset   uint64
+			Offset   uint64 `json:"offset"`
 			Topology struct {
-				Rev     uint64
-				All     bool
-				Targets []target
-			}
-		}
-	}
-	Settings *Site
+				All     bool     `json:"all"`
+				Targets []target `json:"targets"`
+			} `json:"topology"`
+		} `json:"batch"`
+	} `json:"known"`
+	Settings *Site `json:"settings"`
 }
 
 type target struct {
@@ -100,7 +101,7 @@
 		}
 	}
 	c := &Config{
-		Name: f.Name, Listen: f.Listen, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
+		Name: f.Name, Listen: f.Listen, MemoryMB: int(f.Limits.MemoryMB), Sockets: int(f.Limits.Sockets),
 		Bus: f.Bus, Offset: f.Known.Offset, Site: *f.Settings,
 	}
 	if f.Seed != "" {
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,89 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gannetspur/policy"
+)
+
+// A configuration that can't be used is refused with the name of the field.
+func TestFaultsNameTheField(t *testing.T) {
+	raw, err := os.ReadFile("../../examples/toy/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := string(raw)
+	for _, tt := range []struct{ old, new, field string }{
+		{`"listen": "127.0.0.1:9090"`, `"listen": "nowhere"`, "listen"},
+		{`"listen": "127.0.0.1:9090"`, `"listen": 5`, "listen"},
+		{`"seed": "8c`, `"seed": "zz`, "seed"},
+		{`"sockets": 1024`, `"sockets": "many"`, "limits.sockets"},
+		{`"in_service"`, `"odd"`, "known.batch[0].topology.targets[0].state"},
+		{`"127.0.0.1:9101"`, `"x"`, "known.batch[0].topology.targets[0].endpoint"},
+		{`"s-00000001"`, `""`, "known.batch[0].topology.targets[0].uid"},
+		{`"settings"`, `"sittings"`, "settings"},
+		{`"balancers": 1`, `"balancers": 0`, "settings.balancers"},
+		{`"read_like"`, `"odd"`, "classes[0].effect"},
+		{``, ``, ""},
+		{`"when-short": "queue"`, `"when-short": "odd"`, "extra.when-short"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, tt.old, tt.new, 1)))
+		if tt.field == "" {
+			if err != nil {
+				t.Errorf("a good one: %v", err)
+			}
+			continue
+		}
+		if err == nil || !strings.Contains(err.Error(), tt.field) {
+			t.Errorf("%s: got %v, want the name %s", tt.new, err, tt.field)
+		}
+	}
+	c, err := Parse(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if e := c.Known[0].Engines[0]; e.ID != "s-00000001" || e.State != policy.EngineLive || e.Fresh || c.Offset != 1 {
+		t.Errorf("read %+v", c)
+	}
+}
+
+// So is a deploy file of the second front; without an address it is off.
+func TestPostgresFaultsNameTheField(t *testing.T) {
+	raw, err := os.ReadFile("../../deploy/postgres.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings, err := os.ReadFile("../../deploy/postgres-settings.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "postgres-settings.json"), settings, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range []struct{ old, new, field string }{
+		{``, ``, ""},
+		{`listen = "127.0.0.1:5433"`, `listen = ""`, ""},
+		{`listen = "127.0.0.1:5433"`, `listen = "x"`, "listen"},
+		{`address = "127.0.0.1:8500"`, ``, "consul.address"},
+		{`service = "stock-engine"`, ``, "consul.service"},
+		{`user = `, `usr = `, "usr"},
+		{`user = "ringwood"`, ``, "user"},
+		{`default_class = "lookup"`, `default_class = "odd"`, "default_class"},
+		{`class = "load"`, `class = "odd"`, "statement[0].class"},
+		{`key = 1`, `key = -1`, "statement[0].key"},
+		{`postgres-settings.json`, `none.json`, "settings"},
+	} {
+		path := filepath.Join(dir, "postgres.toml")
+		if err := os.WriteFile(path, []byte(strings.Replace(string(raw), tt.old, tt.new, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := LoadPostgres(path)
+		if (err == nil) != (tt.field == "") || err != nil && !strings.Contains(err.Error(), tt.field) {
+			t.Errorf("%s: got %v, want the name %q", tt.new, err, tt.field)
+		}
+	}
+}
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -14,6 +14,10 @@
 	a.Link = nil
 	r := a.Request
 	r.out--
+	switch end.Result() {
+	case policy.Full, policy.NoConnection, policy.NotSent:
+		a.neverRan = true
+	}
 	c.stats.Add("ended." + end.String())
 	if rep.Detail != nil {
 		r.detail = rep.Detail
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -71,11 +71,17 @@
 	Priority int
 	Link     any // the links' own
 
-	n     int
-	ended bool
-	timer *deadline.Entry
+	n        int
+	ended    bool
+	neverRan bool          // its end proves it
+	notAfter time.Duration // it may not be written later; 0: no such limit
+	timer    *deadline.Entry
 }
 
+// TooLate tells that the attempt may no longer be written: an earlier one may have
+// run, and its key's window is about to close. Links ask before they write.
+func (a *Attempt) TooLate(now time.Duration) bool { return a.notAfter > 0 && now >= a.notAfter }
+
 // Ended tells whether the attempt is over.
 func (a *Attempt) Ended() bool { return a.ended }
 
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -1,6 +1,11 @@
 package core
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"gannetspur/policy"
+)
 
 // Verdict is the kind of a final answer.
 type Verdict uint8
@@ -22,6 +27,7 @@
 	ComeBack time.Duration // with Refused: not before this long from now; 0: unsaid
 	Late     bool          // the request's time was over
 	Sent     bool          // it went to an engine at least once
+	Doubt    bool          // it may have run, and its class is not safe to repeat
 	Result   any           // with Served
 	Detail   any           // of the latest engine error, if there was one
 }
@@ -33,6 +39,7 @@
 		return
 	}
 	a.Late = a.Verdict != Served && c.clock.Now() >= r.Deadline-c.round
+	a.Doubt = c.doubt(r)
 	a.Sent, a.Detail = len(r.tries) > 0, r.detail
 	c.stats.Add("answered." + a.Verdict.String() + "." + r.Class)
 	if a.Late {
@@ -43,6 +50,11 @@
 	c.forget(r)
 }
 
+func (c *Core) doubt(r *Request) bool {
+	return c.classes[r.Class].Effect != policy.Safe &&
+		slices.ContainsFunc(r.tries, func(a *Attempt) bool { return !a.neverRan })
+}
+
 // FailAll gives every open request its final answer. For the very end of a stop,
 // when those who wait would else be left with none.
 func (c *Core) FailAll() {
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -6,12 +6,17 @@
 	"gannetspur/policy"
 )
 
+// windowMargin is how long before the end of a key's window the last repeat is
+// written, so that it arrives within it.
+const windowMargin = 50 * time.Millisecond
+
 // send begins an attempt. Every attempt ends once, in End, however its link fares.
 func (c *Core) send(r *Request, s policy.Send) {
 	a := &Attempt{
 		Request: r, Engine: s.Engine, Within: s.Within, Sent: c.clock.Now(),
 		MemoryMB: r.grant, Priority: r.priority, n: len(r.tries),
 	}
+	a.notAfter = c.lastRepeat(r)
 	r.tries = append(r.tries, a)
 	r.out++
 	c.stats.Add("sent." + r.Class)
@@ -29,6 +34,22 @@
 	c.links.Send(a)
 }
 
+// lastRepeat is when a keyed request may be written again at the latest; 0 where
+// nothing of it may have run. The module holds the window too, but not the time
+// that a connection takes to come up: a repeat must not wait it out.
+func (c *Core) lastRepeat(r *Request) time.Duration {
+	class := c.classes[r.Class]
+	if class.Effect != policy.Keyed {
+		return 0
+	}
+	for _, a := range r.tries {
+		if !a.neverRan {
+			return max(a.Sent+class.Window-windowMargin, 1)
+		}
+	}
+	return 0
+}
+
 // grant sets what the next sends get, and the priority of those that are out.
 func (c *Core) grant(r *Request, g policy.Grant) {
 	r.grant = g.MemoryMB
--- a/internal/engine/lines/links.go
+++ b/internal/engine/lines/links.go
@@ -127,7 +127,9 @@
 func (l *link) up(c *netio.Conn) {
 	l.conn = c
 	for _, s := range l.inOrder() {
-		s.want()
+		if l.streams[s.attempt.Request.ID] == s { // not given up on word of another's end
+			s.want()
+		}
 	}
 	l.closeIfDone()
 	l.watchIdle()
@@ -181,6 +183,10 @@
 func (s *stream) want() {
 	a := s.attempt
 	r := a.Request
+	if a.TooLate(s.link.all.core.Now()) {
+		s.link.finish(s, core.EndNotSent)
+		return
+	}
 	stmt, _ := r.Statement.(string)
 	left := (a.Sent + a.Within - s.link.all.core.Now()).Milliseconds()
 	b := append(make([]byte, 0, 160+len(stmt)), "want "...)
--- a/internal/engine/pg/links.go
+++ b/internal/engine/pg/links.go
@@ -124,7 +124,7 @@
 // write sends the statement: parsed, bound, described and run in one piece.
 func (l *link) write() {
 	s, ok := l.attempt.Request.Statement.(*pgproto.Statement)
-	if !ok {
+	if !ok || l.attempt.TooLate(l.all.core.Now()) {
 		l.finish(core.EndNotSent, core.Report{})
 		return
 	}
--- a/internal/front/pgwire/extended.go
+++ b/internal/front/pgwire/extended.go
@@ -403,7 +403,7 @@
 	switch {
 	case a.Late:
 		return fail("57014", "canceling statement due to statement timeout")
-	case a.Verdict == core.Refused:
+	case a.Verdict == core.Refused && !a.Doubt:
 		e := fail("53000", "the engines are busy; the statement was refused, and trying again is harmless")
 		if a.ComeBack > 0 {
 			e.Hint = fmt.Sprintf("Try again in %d ms.", (a.ComeBack+time.Millisecond-1)/time.Millisecond)
--- a/internal/stories/peers_test.go
+++ b/internal/stories/peers_test.go
@@ -39,7 +39,8 @@
 	addr  string
 }
 
-func newGateway(t *testing.T) *gateway {
+// newGateway reads the settings of the deploy folder; change may change them.
+func newGateway(t *testing.T, change func(*policy.Settings)) *gateway {
 	t.Helper()
 	raw, err := os.ReadFile("../../deploy/postgres-settings.json")
 	if err != nil {
@@ -49,6 +50,9 @@
 	if err := json.Unmarshal(raw, &g.site); err != nil {
 		t.Fatal(err)
 	}
+	if change != nil {
+		change(&g.site.Policy)
+	}
 	if g.loop, err = netio.New(1024); err != nil {
 		t.Fatal(err)
 	}
@@ -87,7 +91,7 @@
 // platform starts the platform's front with engines at the addresses.
 func platform(t *testing.T, engines ...string) *gateway {
 	t.Helper()
-	g := newGateway(t)
+	g := newGateway(t, nil)
 	g.site.MaxStreams = 32
 	g.core.SetLinks(lines.New(g.loop, g.core, g.site, g.stats, g.log))
 	f := rest.New(g.loop, g.core, g.stats)
@@ -103,7 +107,12 @@
 // postgres starts the second front with engines at the addresses.
 func postgres(t *testing.T, engines ...string) *gateway {
 	t.Helper()
-	g := newGateway(t)
+	return newGateway(t, nil).postgres(engines...)
+}
+
+func (g *gateway) postgres(engines ...string) *gateway {
+	t := g.t
+	t.Helper()
 	g.core.SetLinks(pg.New(g.loop, g.core, pg.Options{User: "ringwood", Database: "register"}, g.stats, g.log))
 	f := pgwire.New(g.loop, g.core, pgwire.Options{
 		DefaultClass: "lookup", Rules: []pgwire.Rule{{Starts: "insert into", Class: "load", Key: 1}},
@@ -205,6 +214,11 @@
 // pgEngine is a PostgreSQL engine: the script answers each batch; nil leaves the
 // batch open until a CancelRequest, which is reported as a call of its own.
 func pgEngine(t *testing.T, script func(pgCall) []byte) (addr string, seen chan pgCall) {
+	return slowPgEngine(t, 0, script)
+}
+
+// slowPgEngine is one whose startup takes a while.
+func slowPgEngine(t *testing.T, startup time.Duration, script func(pgCall) []byte) (addr string, seen chan pgCall) {
 	seen = make(chan pgCall, 100)
 	return listen(t, func(c net.Conn) {
 		var in []byte
@@ -227,6 +241,7 @@
 				return
 			}
 		}
+		time.Sleep(startup)
 		out := pgproto.Append(nil, 'R', pgproto.Int32(0))
 		out = pgproto.Append(out, 'K', pgproto.Int32(7), pgproto.Int32(9))
 		_, _ = c.Write(pgproto.Append(out, 'Z', []byte("I")))
--- a/internal/stories/postgres_test.go
+++ b/internal/stories/postgres_test.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"gannetspur/internal/pgproto"
 	"gannetspur/policy"
@@ -169,6 +170,32 @@
 	}
 }
 
+// A load may have run at an engine that broke, and the connection to the next one
+// comes up only after its key's window: it is not sent a second time.
+func TestLoadIsNotSentAfterItsWindow(t *testing.T) {
+	asked, release := make(chan bool), make(chan bool)
+	first, _ := pgEngine(t, func(pgCall) []byte {
+		asked <- true
+		<-release
+		return pgError("XX000")
+	})
+	second, seen := slowPgEngine(t, 400*time.Millisecond, func(pgCall) []byte { return pgRows() })
+	g := newGateway(t, func(s *policy.Settings) { s.Classes[2].Window = 300 * time.Millisecond }).postgres(first)
+	k := connect(t, g.addr)
+	k.send(parse("", "INSERT INTO stock_1.parts VALUES ($1)"), bind("", "", "key"), execute("", 0), sync)
+	await(t, asked)
+	g.roster(policy.EngineDraining, first)
+	g.roster(policy.EngineLive, second)
+	close(release)
+	same(t, "answer", k.until('Z'), "1 2 E(XX000) Z")
+	if n := g.count("ended.not-sent"); n != 1 {
+		t.Errorf("%d attempts ended as not sent, want 1", n)
+	}
+	if n := len(seen); n != 0 {
+		t.Errorf("the second engine was asked %d times", n)
+	}
+}
+
 // Rows of some megabytes reach a client that reads slowly whole, also when the
 // gateway closes the connection behind them; more than may be held is an error.
 func TestLargeResults(t *testing.T) {
