Read parameter counts without a sign; stories for a silent bus and a given-up result

Seen in review: counts in Bind and Parse were read as signed, so more than 32,767 parameters were refused as malformed where the protocol permits 65,535, and a negative count of result formats passed as none. At fault: Reader.Int16 where a count is meant.

--- a/internal/front/pgwire/extended.go
+++ b/internal/front/pgwire/extended.go
@@ -18,7 +18,7 @@
 	r := pgproto.Reader{B: body}
 	name, query := r.Str(), r.Str()
 	types := r.B
-	if n := r.Int16(); n < 0 || len(r.Bytes(4*n)) != 4*n || !r.End() {
+	if r.Bytes(4 * r.Count()); !r.End() {
 		return malformed("Parse")
 	}
 	if name != "" && k.statements[name] != nil {
@@ -69,7 +69,7 @@
 	}
 	if s.known != nil && len(s.known.Params) >= 2 {
 		p := pgproto.Reader{B: s.known.Params}
-		if want := p.Int16(); want != len(values) {
+		if want := p.Count(); want != len(values) {
 			return fail("08P01", "bind message supplies %d parameters, but the prepared statement requires %d", len(values), want)
 		}
 	}
@@ -90,14 +90,14 @@
 
 // bound reads a Bind past its names: formats, values and result formats.
 func bound(r *pgproto.Reader) (values [][]byte, ok bool) {
-	formats := r.Int16()
+	formats := r.Count()
 	for range formats {
 		if f := r.Int16(); f != 0 && f != 1 {
 			return nil, false
 		}
 	}
-	n := r.Int16()
-	if formats < 0 || n < 0 || formats > 1 && formats != n || r.Bad {
+	n := r.Count()
+	if formats > 1 && formats != n || r.Bad {
 		return nil, false
 	}
 	for range n {
@@ -112,7 +112,7 @@
 		}
 		values = append(values, v)
 	}
-	for range r.Int16() {
+	for range r.Count() {
 		if f := r.Int16(); f != 0 && f != 1 {
 			return nil, false
 		}
--- a/internal/pgproto/pgproto.go
+++ b/internal/pgproto/pgproto.go
@@ -125,6 +125,9 @@
 	return 0
 }
 
+// Count reads a number of things, in two bytes without a sign.
+func (r *Reader) Count() int { return r.Int16() & 0xffff }
+
 // Int32 reads a signed number of four bytes.
 func (r *Reader) Int32() int {
 	if p := r.Bytes(4); p != nil {
@@ -211,8 +214,8 @@
 // formats of a Bind's tail. A statement's own description has none yet.
 func Formats(fields, bind []byte) ([]byte, error) {
 	r := Reader{B: bind}
-	r.Bytes(2 * r.Int16())
-	for range r.Int16() {
+	r.Bytes(2 * r.Count())
+	for range r.Count() {
 		if n := r.Int32(); n > 0 {
 			r.Bytes(n)
 		}
@@ -220,7 +223,7 @@
 			return nil, Malformed
 		}
 	}
-	formats := make([]int, max(r.Int16(), 0))
+	formats := make([]int, r.Count())
 	for i := range formats {
 		if formats[i] = r.Int16(); r.Bad {
 			return nil, Malformed
@@ -228,7 +231,7 @@
 	}
 	out := append([]byte{}, fields...)
 	d := Reader{B: out}
-	columns := d.Int16()
+	columns := d.Count()
 	for i := range columns {
 		d.Str()
 		d.Bytes(16)
--- a/internal/roster/bus/bus.go
+++ b/internal/roster/bus/bus.go
@@ -45,6 +45,7 @@
 
 	conn    *netio.Conn
 	silence *deadline.Entry
+	quiet   time.Duration // the most between two frames
 	pause   time.Duration
 	stopped bool
 }
@@ -54,7 +55,7 @@
 func New(loop *netio.Loop, addr string, last uint64, zones, kinds []string, r Roster, counters *stats.Counters, l *log.Logger) *Follower {
 	return &Follower{
 		loop: loop, addr: addr, last: last, zones: zones, kinds: kinds,
-		roster: r, stats: counters, log: l, pause: firstPause,
+		roster: r, stats: counters, log: l, quiet: maxSilence, pause: firstPause,
 	}
 }
 
@@ -88,7 +89,7 @@
 // word: its connection would stay open for ever.
 func (f *Follower) listen() {
 	f.silence.Stop()
-	f.silence = f.loop.Timers.Add(f.loop.Now()+maxSilence, func() {
+	f.silence = f.loop.Timers.Add(f.loop.Now()+f.quiet, func() {
 		if f.conn != nil {
 			f.drop(errors.New("no frame for too long"))
 		}
--- a/internal/roster/bus/bus_test.go
+++ b/internal/roster/bus/bus_test.go
@@ -99,6 +99,33 @@
 	}
 }
 
+// A bus that vanishes without a word is given up, and connected to anew.
+func TestSilentBus(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	loop, err := netio.New(1024)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := New(loop, ln.Addr().String(), 0, nil, nil, make(recorder, 1), stats.New(), log.New(io.Discard, "", 0))
+	f.quiet = 50 * time.Millisecond
+	loop.Post(f.Start)
+	done := make(chan struct{})
+	go func() { loop.Run(); close(done) }()
+	defer func() { loop.Post(func() { f.Stop(); loop.Stop() }); <-done }()
+	_ = ln.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Second))
+	for range 2 { // both stay open
+		c, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+}
+
 // Frames from a broken bus are refused, never read past their end.
 func FuzzParse(f *testing.F) {
 	f.Add(frame(4, 2, record(7, 70, 0, 0)...))
--- a/internal/stories/platform_test.go
+++ b/internal/stories/platform_test.go
@@ -131,6 +131,13 @@
 	if n := g.count("sent."); n != 2 {
 		t.Errorf("%d sent, want 2", n)
 	}
+	got, _ = k.call(post("report", "")) // one that the client gives up
+	_, path, _ := strings.Cut(got, `"more":"`)
+	path, _, _ = strings.Cut(path, `"`)
+	got, _ = httpConnect(t, g.addr).call("DELETE " + path + " HTTP/1.1\r\n\r\n")
+	same(t, "given up", got, "200 {}")
+	got, _ = k.call("GET " + path + " HTTP/1.1\r\n\r\n")
+	same(t, "path that was given up", got[:3], "404")
 	got, _ = k.call("GET /more/other-1/1 HTTP/1.1\r\n\r\n")
 	same(t, "path from before a restart", got, `404 {"fault":"nothing is held under this path"}`)
 }
