Hold a client that sends ahead back in its socket instead of cutting it off

At fault: netio read whatever came and closed a connection whose buffer was full (received, ErrOversize), as nbio's level-triggered poller can't leave data unread.

Sockets are now read edge-triggered by netio itself (nbio's OnRead). A full buffer pauses reading until the loop has taken something; behind an open request 32 KB are read ahead. End "oversize" has no use left and is gone.

--- a/internal/core/end.go
+++ b/internal/core/end.go
@@ -22,7 +22,6 @@
 	EndNoEngine           // the roster has no address for the engine
 	EndReset              // the connection broke
 	EndGarbage            // what came on the connection can't be read
-	EndOversize           // more came than the buffer may hold
 	EndCancelled          // given up from this side
 	EndNotSent            // ended before any of it was written
 	EndIdle               // a connection that nothing was open on
@@ -31,7 +30,7 @@
 
 var endNames = [endCount]string{
 	"unknown", "served", "rejected", "too-large", "error", "full", "past", "pages-lost", "timeout", "refused", "connect-timeout",
-	"no-descriptor", "no-engine", "reset", "garbage", "oversize", "cancelled", "not-sent", "idle",
+	"no-descriptor", "no-engine", "reset", "garbage", "cancelled", "not-sent", "idle",
 }
 
 func (e End) String() string {
@@ -55,7 +54,7 @@
 		return policy.TimedOut
 	case EndRefused, EndConnectTimeout, EndNoDescriptor, EndNoEngine:
 		return policy.NoConnection
-	case EndReset, EndGarbage, EndOversize:
+	case EndReset, EndGarbage:
 		return policy.Lost
 	case EndCancelled:
 		return policy.Cancelled
--- a/internal/engine/lines/links.go
+++ b/internal/engine/lines/links.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	maxBuffer = 4 << 20 // of one connection: the pages of all its streams at once
+	maxBuffer = 256 << 10 // of one connection; the rest waits in the socket
 	maxPages  = 64
 	// pastFor is how long an id that was given up on a connection is not used
 	// there again: a late answer to the first would be taken for one to the second.
@@ -353,12 +353,9 @@
 }
 
 // Closed ends all that was open on the link.
-func (l *link) Closed(_ *netio.Conn, err error) {
+func (l *link) Closed(*netio.Conn, error) {
 	switch {
 	case l.end != core.EndUnknown:
-	case errors.Is(err, netio.ErrOversize):
-		l.all.log.Printf("engine %s: %v", l.engine.ID, err)
-		l.end = core.EndOversize
 	case len(l.streams) == 0:
 		l.end = core.EndIdle
 	default:
--- a/internal/engine/pg/links.go
+++ b/internal/engine/pg/links.go
@@ -398,11 +398,9 @@
 }
 
 // Closed ends what was open on the link.
-func (l *link) Closed(_ *netio.Conn, err error) {
+func (l *link) Closed(*netio.Conn, error) {
 	switch {
 	case l.end != core.EndUnknown:
-	case errors.Is(err, netio.ErrOversize):
-		l.end = core.EndOversize
 	case l.attempt == nil:
 		l.end = core.EndIdle
 	case !l.written: // its startup was cut off: nothing of the attempt was sent
--- a/internal/front/pgwire/front.go
+++ b/internal/front/pgwire/front.go
@@ -23,7 +23,7 @@
 
 const (
 	maxMessage = 1 << 20
-	maxBuffer  = 4 << 20 // what a client may send ahead
+	maxBuffer  = maxMessage + 64<<10
 	maxParams  = 65535
 	// startupMost is how long a connection may take to start.
 	startupMost = 10 * time.Second
@@ -168,6 +168,7 @@
 		}
 		in.Consume(n)
 	}
+	k.conn.Hold(k.request != nil)
 	k.flush()
 }
 
@@ -356,6 +357,7 @@
 // resume goes on with what the client sent ahead.
 func (k *conn) resume() {
 	k.flush()
+	k.conn.Hold(false)
 	if !k.ended {
 		k.conn.Again()
 	}
--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -131,6 +131,7 @@
 		k.call(c)
 		in.Consume(n)
 	}
+	k.conn.Hold(k.request != nil)
 }
 
 // Closed tells the core that the client has stopped waiting.
@@ -237,6 +238,7 @@
 	default:
 		k.write(500, 0, []byte(`{"fault":"Failed"}`))
 	}
+	k.conn.Hold(false)
 	if !k.ended {
 		k.conn.Again() // a further call may be in the buffer
 	}
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -18,12 +18,13 @@
 	"github.com/lesismal/nbio/logging"
 )
 
-// ErrOversize ends a connection whose peer sent more than its buffer may hold.
-var ErrOversize = errors.New("more unparsed data than the buffer may hold")
-
 // MaxWrite bounds what waits for a slow reader; past it the connection is closed.
 const MaxWrite = 8 << 20
 
+// readSize is how much one read takes. A connection that is held goes on being
+// read up to this size.
+const readSize = 32 << 10
+
 // lingerMost is how long a closed connection may take to send what waits.
 const lingerMost = 3 * time.Second
 
@@ -53,6 +54,7 @@
 	origin time.Time
 	unix   time.Duration
 	engine *nbio.Engine
+	buf    []byte // for reads from the loop
 
 	mu    sync.Mutex
 	queue []func()
@@ -71,16 +73,18 @@
 	now := time.Now()
 	l := &Loop{
 		Timers: deadline.New(), origin: now, unix: time.Duration(now.UnixNano()),
-		wake: make(chan struct{}, 1), open: map[*Conn]struct{}{},
+		wake: make(chan struct{}, 1), open: map[*Conn]struct{}{}, buf: make([]byte, readSize),
 	}
 	l.engine = nbio.NewEngine(nbio.Config{
-		Name: "ringwood", NPoller: 1, ReadBufferSize: 32 << 10,
-		MaxWriteBufferSize: MaxWrite, MaxConnReadTimesPerEventLoop: 64,
+		Name: "ringwood", NPoller: 1, ReadBufferSize: readSize,
+		MaxWriteBufferSize: MaxWrite, EpollMod: nbio.EPOLLET,
 	})
 	l.engine.OnOpen(func(*nbio.Conn) {})
-	l.engine.OnData(func(nc *nbio.Conn, data []byte) {
+	// Edge-triggered, so that what is not read for want of room raises no further event.
+	buf := make([]byte, readSize)
+	l.engine.OnRead(func(nc *nbio.Conn) {
 		if c, ok := nc.Session().(*Conn); ok {
-			c.received(data)
+			c.read(buf)
 		}
 	})
 	l.engine.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
@@ -263,37 +267,72 @@
 	pending atomic.Int64 // bytes not yet written
 	waiting atomic.Bool  // the loop wants to know when there are none
 
-	mu      sync.Mutex
-	in      Buffer
-	told    bool // a call of Data is on its way
-	tooMuch bool
+	mu     sync.Mutex
+	in     Buffer
+	told   bool // a call of Data is on its way
+	paused bool // there may be more to read, and no room
+	held   atomic.Bool
 }
 
-// received runs on the poller's goroutine.
-func (c *Conn) received(p []byte) {
+// read takes what the socket has until the buffer is full. It runs on the poller's
+// goroutine on word of new data, and on the loop's when there is room again.
+func (c *Conn) read(buf []byte) {
 	c.mu.Lock()
-	if c.in.Len()+len(p) > c.limit {
-		c.tooMuch = true
-		c.mu.Unlock()
-		_ = c.nc.CloseWithError(ErrOversize)
-		return
+	defer c.mu.Unlock()
+	got := false
+	for {
+		if c.in.Len() >= c.room() {
+			c.paused = true
+			break
+		}
+		n, err := c.nc.Read(buf)
+		if n > 0 {
+			c.in.append(buf[:n])
+			got = true
+			continue
+		}
+		if errors.Is(err, syscall.EINTR) {
+			continue
+		}
+		if err != nil && !errors.Is(err, syscall.EAGAIN) {
+			_ = c.nc.CloseWithError(err)
+		}
+		break // at the end of the stream the poller closes
 	}
-	c.in.append(p)
-	tell := !c.told
-	c.told = true
-	c.mu.Unlock()
-	if tell {
+	if got && !c.told {
+		c.told = true
 		c.loop.Post(c.data)
 	}
 }
 
+// room is how much the buffer may hold before reading pauses; the peer's own
+// writes then wait. It has to be enough for the largest message, which may be
+// passed by one read.
+func (c *Conn) room() int {
+	if c.held.Load() {
+		return min(readSize, c.limit)
+	}
+	return c.limit
+}
+
+// Hold keeps what is read ahead small while the handler takes nothing, as a client's
+// open request is awaited. Again must be called after it is lifted.
+func (c *Conn) Hold(on bool) { c.held.Store(on) }
+
 func (c *Conn) data() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.told = false
 	if !c.over {
 		c.handler.Data(c, &c.in)
 	}
+	resume := c.paused && c.in.Len() < c.room()
+	if resume {
+		c.paused = false
+	}
+	c.mu.Unlock()
+	if resume {
+		c.read(c.loop.buf)
+	}
 }
 
 // Again has Data called once more, for what an earlier call left in the buffer.
--- a/internal/stories/postgres_test.go
+++ b/internal/stories/postgres_test.go
@@ -221,6 +221,43 @@
 	same(t, "rows", strings.ReplaceAll(got, row, "x"), "T D(x) D(x) D(x) C(SELECT 3) Z end")
 }
 
+// A client sends far more ahead than a buffer holds: it waits in the sockets, and
+// every execution has its answer.
+func TestClientSendsAhead(t *testing.T) {
+	release := make(chan struct{})
+	addr, seen := pgEngine(t, func(pgCall) []byte { <-release; return pgRows() })
+	go func() {
+		for range seen { // it holds only so many
+		}
+	}()
+	g := postgres(t, addr)
+	k := connect(t, g.addr)
+	k.send(parse("s", "SELECT $1"))
+	const n = 300
+	sent := make(chan error, 1)
+	go func() {
+		for range n {
+			if _, err := k.c.Write(append(bind("", "s", strings.Repeat("v", 32<<10)), execute("", 0)...)); err != nil {
+				sent <- err
+				return
+			}
+		}
+		_, err := k.c.Write(sync)
+		sent <- err
+	}()
+	for g.count("sent.") == 0 {
+		runtime.Gosched()
+	}
+	close(release)
+	got := k.until('Z')
+	if err := await(t, sent); err != nil {
+		t.Fatal(err)
+	}
+	if answers := strings.Count(got, "C(SELECT 0)"); answers != n {
+		t.Errorf("%d completions, want %d", answers, n)
+	}
+}
+
 // A CancelRequest ends what its connection has open, with one answer, and only
 // with the right secret.
 func TestCancelRequest(t *testing.T) {
