--- a/internal/stories/peers_test.go
+++ b/internal/stories/peers_test.go
@@ -65,7 +65,25 @@
 func (g *gateway) run() {
 	done := make(chan struct{})
 	go func() { g.loop.Run(); close(done) }()
-	g.t.Cleanup(func() { g.loop.Post(g.loop.Stop); <-done })
+	g.t.Cleanup(func() {
+		g.loop.Post(g.loop.Stop)
+		<-done
+		g.balance()
+	})
+}
+
+// balance checks, at the end of every story, that each request taken had one final
+// answer or a client that left, and each attempt sent had one end.
+func (g *gateway) balance() {
+	if g.core.Unanswered() > 0 { // cut off by the end of the test
+		return
+	}
+	if taken, over := g.stats.Sum("taken."), g.stats.Sum("answered.")+g.stats.Sum("gone."); taken != over {
+		g.t.Errorf("%d requests taken, %d answered or gone", taken, over)
+	}
+	if sent, ended := g.stats.Sum("sent."), g.stats.Sum("ended."); sent != ended {
+		g.t.Errorf("%d attempts sent, %d ended", sent, ended)
+	}
 }
 
 // do runs f on the loop's goroutine and waits for it.
