Keep statements prepared on engine connections

Seen: the PostgreSQL links sent a Parse with every execution, so a statement that a client prepares once was planned again for each Bind. Up to 32 short statements now keep a name on each connection. At an engine that has dropped one (26000), or where its plan no longer holds (0A000), the attempt ends as not sent and is prepared anew: such an error comes before anything runs.

Checked: the story of one Prepare and many Binds now sees one Parse at the engine; a new one has the engine forget the statement.

--- a/internal/engine/pg/links.go
+++ b/internal/engine/pg/links.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log"
+	"strconv"
 	"time"
 
 	"gannetspur/internal/core"
@@ -21,6 +22,8 @@
 	// maxResults bounds the rows of all results that are on their way.
 	maxResults = 48 << 20
 	maxMessage = MaxResult
+	maxNamed   = 32      // statements that stay prepared on one connection
+	maxKept    = 4 << 10 // and the length of each: their texts are kept
 	maxBuffer  = maxMessage + 64<<10
 	cancelTime = time.Second
 )
@@ -59,11 +62,15 @@
 	ready   bool        // its startup is over
 	retired bool
 	used    time.Duration
-	end     core.End // why it is being closed from here
-	key     []byte   // process and secret, as a CancelRequest wants them
+	end     core.End          // why it is being closed from here
+	key     []byte            // process and secret, as a CancelRequest wants them
+	named   map[string]string // statements that stay prepared here: their names by text and types
+	last    int               // number of the last name given
 
 	attempt *core.Attempt
 	written bool
+	using   string // text and types of the attempt's statement, where it has a name
+	parsing string // the name that this attempt's Parse gives
 	result  *pgproto.Result
 	whole   bool // CommandComplete or the like has come
 	failure *pgproto.Error
@@ -97,7 +104,7 @@
 }
 
 func (ls *Links) dial(e *engine.Engine[*link]) *link {
-	l := &link{all: ls, engine: e}
+	l := &link{all: ls, engine: e, named: map[string]string{}}
 	e.Links = append(e.Links, l)
 	ls.stats.Add("links.dialed")
 	by := ls.loop.Now() + ls.opts.ConnectTimeout
@@ -121,7 +128,8 @@
 	return l
 }
 
-// write sends the statement: parsed, bound, described and run in one piece.
+// write sends the statement in one piece: parsed where this connection has not
+// prepared it yet, bound, described and run.
 func (l *link) write() {
 	s, ok := l.attempt.Request.Statement.(*pgproto.Statement)
 	if !ok || l.attempt.TooLate(l.all.core.Now()) {
@@ -129,17 +137,45 @@
 		return
 	}
 	l.written = true
-	b := pgproto.Append(nil, 'P', pgproto.Str(""), pgproto.Str(s.Query), s.Types)
+	name, b := l.prepare(s)
 	if s.Describe {
-		b = pgproto.Append(b, 'D', []byte("S\x00"))
+		b = pgproto.Append(b, 'D', []byte("S"), name)
 	} else {
-		b = pgproto.Append(b, 'B', []byte("\x00\x00"), s.Bind)
+		b = pgproto.Append(b, 'B', []byte{0}, name, s.Bind)
 		b = pgproto.Append(b, 'D', []byte("P\x00"))
 		b = pgproto.Append(b, 'E', []byte("\x00"), pgproto.Int32(0))
 	}
 	l.conn.Write(pgproto.Append(b, 'S'))
 }
 
+// prepare names the statement, and has it parsed if it has no name here yet. A long
+// one, and one past maxNamed, goes without.
+func (l *link) prepare(s *pgproto.Statement) (name, out []byte) {
+	key := s.Query + "\x00" + string(s.Types)
+	l.using, l.parsing = key, ""
+	if known, ok := l.named[key]; ok {
+		return pgproto.Str(known), nil
+	}
+	if len(l.named) < maxNamed && len(key) <= maxKept {
+		l.last++
+		l.parsing = "s" + strconv.Itoa(l.last)
+	}
+	name = pgproto.Str(l.parsing)
+	return name, pgproto.Append(nil, 'P', name, pgproto.Str(s.Query), s.Types)
+}
+
+// stale tells that an error concerns a name from an earlier attempt: the engine has
+// dropped it, or what it stands for has changed. Nothing has run, and without the
+// name the statement may well do.
+func (l *link) stale(code string) bool {
+	_, reused := l.named[l.using]
+	if !reused || l.parsing != "" || code != "26000" && code != "0A000" {
+		return false
+	}
+	delete(l.named, l.using)
+	return true
+}
+
 // Drop gives an attempt up. Where it was written, the engine is told on a
 // connection of its own, and the link is not used again: the word could arrive
 // late and end whatever ran there next.
@@ -256,7 +292,11 @@
 func (l *link) part(kind byte, body, whole []byte) error {
 	r := l.result
 	switch kind {
-	case '1', '2', '3':
+	case '1':
+		if l.parsing != "" {
+			l.named[l.using] = l.parsing
+		}
+	case '2', '3':
 	case 't':
 		r.Params = append([]byte{}, body...)
 	case 'T':
@@ -338,6 +378,8 @@
 	}
 	s, _ := l.attempt.Request.Statement.(*pgproto.Statement)
 	switch {
+	case l.failure != nil && l.stale(l.failure.Code):
+		l.finish(core.EndNotSent, core.Report{})
 	case l.failure != nil:
 		l.finish(errorEnd(l.failure.Code), core.Report{Detail: l.failure})
 	case l.whole || s.Describe && l.result.Params != nil:
--- a/internal/stories/peers_test.go
+++ b/internal/stories/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -227,8 +228,11 @@
 	query    string
 	bind     string // past the names
 	describe bool
+	parsed   bool // and not prepared before
 }
 
+var parseComplete = pgproto.Append(nil, '1')
+
 // pgEngine is a PostgreSQL engine: the script answers each batch; nil leaves the
 // batch open until a CancelRequest, which is reported as a call of its own.
 func pgEngine(t *testing.T, script func(pgCall) []byte) (addr string, seen chan pgCall) {
@@ -264,6 +268,7 @@
 		out = pgproto.Append(out, 'K', pgproto.Int32(7), pgproto.Int32(9))
 		_, _ = c.Write(pgproto.Append(out, 'Z', []byte("I")))
 		var call pgCall
+		named := map[string]string{}
 		for {
 			kind, body, n, _ := pgproto.Next(in, 1<<20)
 			if n == 0 {
@@ -275,13 +280,24 @@
 			r := pgproto.Reader{B: body}
 			switch kind {
 			case 'P':
-				r.Str()
-				call = pgCall{query: r.Str(), describe: true}
+				name := r.Str()
+				named[name] = r.Str()
+				call.parsed = true
+			case 'D':
+				if r.Byte() == 'S' {
+					call.query, call.describe = named[r.Str()], true
+				}
 			case 'B':
-				call.bind, call.describe = string(body[2:]), false
+				r.Str()
+				call.query = named[r.Str()]
+				call.bind = string(r.B)
 			case 'S':
 				answer := script(call)
 				seen <- call
+				if !call.parsed { // no ParseComplete then
+					answer = bytes.TrimPrefix(answer, parseComplete)
+				}
+				call = pgCall{}
 				if answer != nil {
 					_, _ = c.Write(pgproto.Append(answer, 'Z', []byte("I")))
 				}
--- a/internal/stories/postgres_test.go
+++ b/internal/stories/postgres_test.go
@@ -38,14 +38,39 @@
 	same(t, "batch", k.until('Z'), "2 T D(chain a) C(SELECT 1) 2 D(chain b) C(SELECT 1) Z")
 	k.send(bind("", "s", "c", "too many"), execute("", 0), sync)
 	same(t, "wrong count", k.until('Z'), "E(08P01) Z")
-	if c := await(t, seen); !c.describe || c.query != text {
-		t.Errorf("engine was asked %+v", c)
+	for i, want := range []pgCall{{describe: true, parsed: true}, {}, {}} {
+		c := await(t, seen)
+		if c.query != text || c.describe != want.describe || c.parsed != want.parsed {
+			t.Errorf("call %d to the engine: %+v", i, c)
+		}
 	}
 	if n := g.count("taken."); n != 3 {
 		t.Errorf("%d requests taken, want a description and two executions", n)
 	}
 }
 
+// An engine has dropped a prepared statement: it is prepared anew, and the client
+// notices nothing. An error on a statement that was just prepared is the client's.
+func TestEngineForgetsPreparedStatement(t *testing.T) {
+	forget := false
+	addr, _ := pgEngine(t, func(c pgCall) []byte {
+		if forget && !c.parsed {
+			return pgError("26000")
+		}
+		forget = true
+		if strings.Contains(c.query, "odd") {
+			return pgError("0A000")
+		}
+		return pgRows("a")
+	})
+	g := postgres(t, addr)
+	k := connect(t, g.addr)
+	k.send(parse("s", "SELECT 1"), bind("", "s"), execute("", 0), bind("", "s"), execute("", 0), sync)
+	same(t, "batch", k.until('Z'), "1 2 D(a) C(SELECT 1) 2 D(a) C(SELECT 1) Z")
+	k.send(parse("", "SELECT odd"), bind("", ""), execute("", 0), sync)
+	same(t, "engine's own error", k.until('Z'), "1 2 E(0A000) Z")
+}
+
 // A client leaves in the midst of a batch: what runs is given up, and the rest of
 // the batch is never sent.
 func TestDisconnectMidBatch(t *testing.T) {
