Let clients fetch what they have begun to while a planned stop goes on

Seen in review: once the stop closes connections (front/rest write and Drain), an answer that named a further part closed its connection too, and with the listener gone the part could not be had; and a result fetched whole kept the stop waiting to its end, as Idle counted it until the request's deadline.

A connection whose latest answer named a further part now stays; results that come later go whole; Idle counts what has not been fetched.

--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -49,6 +49,7 @@
 type held struct {
 	pages []lines.Rows
 	size  int
+	whole bool // the last part was given at least once
 }
 
 // New returns a front that puts its requests to the core.
@@ -96,14 +97,21 @@
 func (f *Front) Drain() {
 	f.draining = true
 	for k := range f.conns {
-		if k.request == nil {
+		if k.request == nil && !k.further {
 			k.conn.Close()
 		}
 	}
 }
 
 // Idle tells whether all clients have had all of their answers.
-func (f *Front) Idle() bool { return len(f.held) == 0 && len(f.conns) == 0 }
+func (f *Front) Idle() bool {
+	for _, h := range f.held {
+		if !h.whole {
+			return false
+		}
+	}
+	return len(f.conns) == 0
+}
 
 // conn is one client connection.
 type conn struct {
@@ -111,6 +119,7 @@
 	conn    *netio.Conn
 	request *core.Request // taken and not answered
 	used    time.Duration // its latest call or answer
+	further bool          // its latest answer named a further part
 	close   bool          // after the answer
 	ended   bool          // nothing more is read
 }
@@ -127,7 +136,7 @@
 		if n == 0 {
 			return
 		}
-		k.close, k.used = c.close, k.front.loop.Now()
+		k.close, k.further, k.used = c.close, false, k.front.loop.Now()
 		k.call(c)
 		in.Consume(n)
 	}
@@ -253,7 +262,7 @@
 	for _, p := range rows {
 		size += len(p)
 	}
-	if len(parts) < 2 || f.heldSize+size > heldMost {
+	if len(parts) < 2 || f.heldSize+size > heldMost || f.draining {
 		k.write(200, 0, encode(rows, ""))
 		return
 	}
@@ -262,6 +271,7 @@
 	f.held[path] = &held{pages: parts, size: size}
 	f.heldSize += size
 	f.loop.Timers.Add(r.Deadline+heldOver, func() { f.release(path) })
+	k.further = true
 	k.write(200, 0, encode(parts[0], path+"/1"))
 }
 
@@ -280,8 +290,8 @@
 // pathOf is a path without its page.
 func pathOf(path string) string { return path[:strings.LastIndexByte(path, '/')] }
 
-// more answers with a further part. It stays until the last part is asked for:
-// a call whose connection broke is made again.
+// more answers with a further part. All stay until the request's deadline: a call
+// whose connection broke is made again.
 func (k *conn) more(path string) *fault {
 	f, at := k.front, pathOf(path)
 	h := f.held[at]
@@ -293,10 +303,9 @@
 	if n+1 < len(h.pages) {
 		next = fmt.Sprintf("%s/%d", at, n+1)
 	}
+	h.whole = h.whole || next == ""
+	k.further = next != ""
 	k.write(200, 0, encode(h.pages[n], next))
-	if next == "" && f.draining {
-		f.release(at)
-	}
 	return nil
 }
 
@@ -326,7 +335,7 @@
 	if k.ended {
 		return
 	}
-	k.close = k.close || k.front.draining
+	k.close = k.close || k.front.draining && !k.further
 	b := make([]byte, 0, 160+len(body))
 	b = strconv.AppendInt(append(b, "HTTP/1.1 "...), int64(status), 10)
 	b = append(append(append(b, ' '), reasons[status]...), "\r\nContent-Type: application/json\r\nContent-Length: "...)
--- a/internal/stories/peers_test.go
+++ b/internal/stories/peers_test.go
@@ -38,6 +38,7 @@
 	site  config.Site
 	log   *log.Logger
 	addr  string
+	rest  *rest.Front
 }
 
 // newGateway reads the settings of the deploy folder; change may change them.
@@ -117,7 +118,7 @@
 	if err := f.Listen("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
-	g.addr = f.Addr()
+	g.addr, g.rest = f.Addr(), f
 	g.run()
 	g.roster(policy.EngineLive, engines...)
 	return g
--- a/internal/stories/platform_test.go
+++ b/internal/stories/platform_test.go
@@ -91,7 +91,7 @@
 		w := strings.Fields(line)
 		switch {
 		case w[0] == "want":
-			return fmt.Sprintf("%s DONE batches=4 %d\r\n%s\r\n", id, len(page), page)
+			return fmt.Sprintf("%s DONE batches=8 %d\r\n%s\r\n", id, len(page), page)
 		case w[0] == "turn" && !died:
 			died = true
 			return "hang up"
@@ -112,21 +112,8 @@
 	g := platform(t, one, two)
 	k := httpConnect(t, g.addr)
 	got, _ := k.call(post("report", ""))
-	rows := 0
-	for n := 1; ; n++ {
-		rows += strings.Count(got, `["x","y","z"]`)
-		_, path, more := strings.Cut(got, `"more":"`)
-		if !more {
-			break
-		}
-		path, _, _ = strings.Cut(path, `"`)
-		got, _ = k.call("GET " + path + " HTTP/1.1\r\n\r\n")
-		if n > 9 {
-			t.Fatal("more without end")
-		}
-	}
-	if rows != 4000 {
-		t.Errorf("%d rows, want 4000", rows)
+	if rows := k.fetch(got); rows != 8000 {
+		t.Errorf("%d rows, want 8000", rows)
 	}
 	if n := g.count("sent."); n != 2 {
 		t.Errorf("%d sent, want 2", n)
@@ -140,6 +127,31 @@
 	same(t, "path that was given up", got[:3], "404")
 	got, _ = k.call("GET /more/other-1/1 HTTP/1.1\r\n\r\n")
 	same(t, "path from before a restart", got, `404 {"fault":"nothing is held under this path"}`)
+	// A planned stop lets a client fetch what it has begun to, then ends its connection.
+	got, _ = k.call(post("report", ""))
+	g.do(g.rest.Drain)
+	if rows := k.fetch(got); rows != 8000 {
+		t.Errorf("%d rows after the stop began, want 8000", rows)
+	}
+	if _, err := k.r.ReadByte(); err != io.EOF {
+		t.Errorf("the connection goes on: %v", err)
+	}
+}
+
+// fetch follows an answer's parts and counts its rows.
+func (k *httpClient) fetch(answer string) (rows int) {
+	k.t.Helper()
+	for range 9 {
+		rows += strings.Count(answer, `["x","y","z"]`)
+		_, path, more := strings.Cut(answer, `"more":"`)
+		if !more {
+			return rows
+		}
+		path, _, _ = strings.Cut(path, `"`)
+		answer, _ = k.call("GET " + path + " HTTP/1.1\r\n\r\n")
+	}
+	k.t.Fatal("more without end")
+	return 0
 }
 
 // A refused connection proves that nothing ran, so even a load goes elsewhere; with
