Bound what the buffers of all connections hold together

Checked: the new story has two clients stop in long messages; the second is ended, the first is served, and so is a third after that.

--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -21,6 +21,12 @@
 // MaxWrite bounds what waits for a slow reader; past it the connection is closed.
 const MaxWrite = 8 << 20
 
+// DefaultBudget is the Budget of a new loop.
+const DefaultBudget = 48 << 20
+
+// errBudget ends a connection that would take more than is left for all buffers.
+var errBudget = errors.New("the buffers of all connections are full")
+
 // readSize is how much one read takes. A connection that is held goes on being
 // read up to this size.
 const readSize = 32 << 10
@@ -50,11 +56,15 @@
 // Loop owns the sockets, the timers and the goroutine that all handlers run on.
 type Loop struct {
 	Timers *deadline.Queue
+	// Budget bounds what the buffers of all connections hold together, in bytes. Past
+	// it the next connection to take more than one read ends. Set it before Run.
+	Budget int64
 
 	origin time.Time
 	unix   time.Duration
 	engine *nbio.Engine
 	buf    []byte // for reads from the loop
+	filled atomic.Int64
 
 	mu    sync.Mutex
 	queue []func()
@@ -72,7 +82,7 @@
 	}
 	now := time.Now()
 	l := &Loop{
-		Timers: deadline.New(), origin: now, unix: time.Duration(now.UnixNano()),
+		Timers: deadline.New(), Budget: DefaultBudget, origin: now, unix: time.Duration(now.UnixNano()),
 		wake: make(chan struct{}, 1), open: map[*Conn]struct{}{}, buf: make([]byte, readSize),
 	}
 	l.engine = nbio.NewEngine(nbio.Config{
@@ -157,6 +167,9 @@
 // Stop ends Run after the present turn.
 func (l *Loop) Stop() { l.stop = true }
 
+// Buffered is what the buffers of all connections hold. It may be called from anywhere.
+func (l *Loop) Buffered() int64 { return l.filled.Load() }
+
 // Open is the number of open connections.
 func (l *Loop) Open() int { return len(l.open) }
 
@@ -289,6 +302,11 @@
 		if n > 0 {
 			c.in.append(buf[:n])
 			got = true
+			// Guards against many peers that each stop in the middle of a long message.
+			if c.loop.filled.Add(int64(n)) > c.loop.Budget && c.in.Len() > readSize {
+				_ = c.nc.CloseWithError(errBudget)
+				break
+			}
 			continue
 		}
 		if errors.Is(err, syscall.EINTR) {
@@ -323,7 +341,9 @@
 	c.mu.Lock()
 	c.told = false
 	if !c.over {
+		before := c.in.Len()
 		c.handler.Data(c, &c.in)
+		c.loop.filled.Add(int64(c.in.Len() - before))
 	}
 	resume := c.paused && c.in.Len() < c.room()
 	if resume {
@@ -344,6 +364,10 @@
 	}
 	c.over = true
 	delete(c.loop.open, c)
+	c.mu.Lock()
+	c.loop.filled.Add(-int64(c.in.Len()))
+	c.in = Buffer{}
+	c.mu.Unlock()
 	c.handler.Closed(c, err)
 }
 
--- a/internal/stories/postgres_test.go
+++ b/internal/stories/postgres_test.go
@@ -283,6 +283,31 @@
 	}
 }
 
+// Clients that stop in the middle of long messages can't fill the memory: past the
+// budget of all buffers the one that takes more is ended, and the others go on.
+func TestBufferBudget(t *testing.T) {
+	addr, _ := pgEngine(t, func(pgCall) []byte { return pgRows("a") })
+	g := newGateway(t, nil)
+	g.loop.Budget = 400 << 10
+	g.postgres(addr)
+	long := query("SELECT '" + strings.Repeat("x", 300<<10) + "'")
+	first := connect(t, g.addr)
+	first.send(long[:250<<10])
+	for g.loop.Buffered() < 250<<10 {
+		runtime.Gosched()
+	}
+	second := connect(t, g.addr)
+	_, _ = second.c.Write(long[:250<<10])
+	if _, err := second.c.Read(make([]byte, 1)); err == nil {
+		t.Error("the second client goes on")
+	}
+	first.send(long[250<<10:])
+	same(t, "first client", first.until('Z'), "T D(a) C(SELECT 1) Z")
+	third := connect(t, g.addr)
+	third.send(long)
+	same(t, "a client after that", third.until('Z'), "T D(a) C(SELECT 1) Z")
+}
+
 // A CancelRequest ends what its connection has open, with one answer, and only
 // with the right secret.
 func TestCancelRequest(t *testing.T) {
