Read the configuration again on SIGHUP and go over to its event bus

Now the signals are listened for before anything else. bus.Follower.Move leaves the old bus at once and asks the new one from the last event taken; a file that can't be used is logged and changes nothing. The PostgreSQL front takes its rules, limits and Consul options anew.

--- a/cmd/ringwood/main.go
+++ b/cmd/ringwood/main.go
@@ -3,7 +3,8 @@
 //
 // It serves the platform's protocol as its configuration says (-config, or
 // $LB_CONFIG), or, with -postgres, the PostgreSQL wire protocol as a deploy file
-// says. USR1 prints the counters; TERM and INT begin a planned stop.
+// says. HUP has the file read again, USR1 prints the counters; TERM and INT begin a
+// planned stop.
 package main
 
 import (
@@ -49,6 +50,7 @@
 	front    front
 	counters *stats.Counters
 	log      *log.Logger
+	reload   func() error // reads the file again; for the loop's goroutine
 }
 
 // front is what a planned stop needs of a front.
@@ -60,6 +62,9 @@
 }
 
 func run(path, deploy string, logger *log.Logger) error {
+	// First of all: a signal that comes before it is listened for ends the process.
+	told := make(chan os.Signal, 16)
+	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g := &gateway{counters: stats.New(), log: logger}
@@ -80,7 +85,7 @@
 		return nil
 	}
 	logger.Printf("serving at %s", g.front.Addr())
-	go g.signals()
+	go g.signals(told)
 	g.loop.Run()
 	g.counters.Print(os.Stderr)
 	return nil
@@ -123,7 +128,19 @@
 		g.core.Roster(mode, ev.Engines)
 	}
 	if cfg.Bus != "" {
-		bus.New(g.loop, cfg.Bus, cfg.Offset, cfg.Site.Zones, cfg.Site.Kinds, g.core, g.counters, g.log).Start()
+		follower := bus.New(g.loop, cfg.Bus, cfg.Offset, cfg.Site.Zones, cfg.Site.Kinds, g.core, g.counters, g.log)
+		follower.Start()
+		g.reload = func() error {
+			next, err := config.Load(path)
+			if err == nil && next.Bus == "" {
+				err = errors.New("configuration: bus: missing")
+			}
+			if err != nil {
+				return err
+			}
+			follower.Move(next.Bus)
+			return nil
+		}
 	}
 	f := rest.New(g.loop, g.core, g.counters)
 	g.front = f
@@ -143,15 +160,39 @@
 		User: p.User, Database: p.Database,
 		ConnectTimeout: config.FromMS(p.ConnectWithin), IdleClose: config.FromMS(p.IdleClose),
 	}, g.counters, g.log))
-	follower := consul.New(consul.Options(p.Consul), g.loop.Post, g.core, g.counters, g.log)
-	go follower.Run(ctx)
+	follower := consul.New(g.loop.Post, g.core, g.counters, g.log)
+	follower.Follow(ctx, consul.Options(p.Consul))
+	f := pgwire.New(g.loop, g.core, frontOptions(p), g.counters)
+	g.front = f
+	g.reload = func() error {
+		next, err := config.LoadPostgres(path)
+		if err == nil && next.Listen == "" {
+			err = errors.New("deploy file: listen: missing")
+		}
+		if err != nil {
+			return err
+		}
+		for class := range next.Classes() {
+			if _, ok := g.core.Class(class); !ok { // settings hold from the start on
+				return fmt.Errorf("deploy file: class %q is not among the settings that this program started with", class)
+			}
+		}
+		f.SetOptions(frontOptions(next))
+		if next.Consul != p.Consul {
+			follower.Follow(ctx, consul.Options(next.Consul))
+		}
+		p = next
+		return nil
+	}
+	return f.Listen(p.Listen)
+}
+
+func frontOptions(p *config.Postgres) pgwire.Options {
 	opts := pgwire.Options{DefaultClass: p.DefaultClass, MostClients: p.MostClients}
 	for _, s := range p.Statements {
 		opts.Rules = append(opts.Rules, pgwire.Rule(s))
 	}
-	f := pgwire.New(g.loop, g.core, opts, g.counters)
-	g.front = f
-	return f.Listen(p.Listen)
+	return opts
 }
 
 // limitResources keeps the garbage collector well under the memory limit. More
@@ -164,17 +205,33 @@
 }
 
 // signals carries out what the process is told.
-func (g *gateway) signals() {
-	ch := make(chan os.Signal, 4)
-	signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+func (g *gateway) signals(told <-chan os.Signal) {
 	stopping := false
-	for s := range ch {
+	for s := range told {
 		switch {
 		case s == syscall.SIGUSR1:
 			g.loop.Post(func() { g.counters.Print(os.Stderr) })
+		case s == syscall.SIGHUP:
+			g.loop.Post(g.readAgain)
 		case !stopping:
 			stopping = true
 			g.loop.Post(g.stop)
 		}
 	}
 }
+
+// readAgain takes what may change while the program runs from its file. A file that
+// can't be used changes nothing.
+func (g *gateway) readAgain() {
+	if g.reload == nil {
+		g.log.Print("told to read the configuration again: it names nothing that may change")
+		return
+	}
+	if err := g.reload(); err != nil {
+		g.counters.Add("reload.failed")
+		g.log.Printf("the new file can't be used, the old one holds: %v", err)
+		return
+	}
+	g.counters.Add("reload.done")
+	g.log.Print("read the configuration again")
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -96,7 +96,7 @@
 		if a.addr == "" { // the second front needs neither
 			continue
 		}
-		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+		if err := checkAddr(a.addr); err != nil {
 			return nil, fmt.Errorf("%s: %w", a.name, err)
 		}
 	}
@@ -132,6 +132,18 @@
 	return c, nil
 }
 
+// checkAddr tells what is wrong with an address of the form host:port.
+func checkAddr(addr string) error {
+	_, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return err
+	}
+	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
+		return fmt.Errorf("%q: the port is no number up to 65535", addr)
+	}
+	return nil
+}
+
 func (t *target) engine() (core.Engine, error) {
 	state, ok := states[t.State]
 	if !ok {
@@ -140,7 +152,7 @@
 	if t.UID == "" {
 		return core.Engine{}, errors.New("uid: missing")
 	}
-	if _, _, err := net.SplitHostPort(t.Endpoint); err != nil {
+	if err := checkAddr(t.Endpoint); err != nil {
 		return core.Engine{}, fmt.Errorf("endpoint: %w", err)
 	}
 	e := core.Engine{Addr: t.Endpoint, Engine: policy.Engine{
--- a/internal/config/postgres.go
+++ b/internal/config/postgres.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
+	"iter"
 	"os"
 	"path/filepath"
 
@@ -59,9 +59,23 @@
 	return &p, nil
 }
 
+// Classes lists the classes that statements are given.
+func (p *Postgres) Classes() iter.Seq[string] {
+	return func(yield func(string) bool) {
+		if !yield(p.DefaultClass) {
+			return
+		}
+		for _, s := range p.Statements {
+			if !yield(s.Class) {
+				return
+			}
+		}
+	}
+}
+
 func (p *Postgres) check(dir string) error {
 	for _, a := range []struct{ name, addr string }{{"listen", p.Listen}, {"consul.address", p.Consul.Address}} {
-		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+		if err := checkAddr(a.addr); err != nil {
 			return fmt.Errorf("%s: %w", a.name, err)
 		}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -139,6 +139,14 @@
 	return class, ok
 }
 
+// LongestDeadline is the longest time that a client of any class waits.
+func (c *Core) LongestDeadline() (most time.Duration) {
+	for _, class := range c.classes {
+		most = max(most, class.Deadline)
+	}
+	return most
+}
+
 // Now is module time.
 func (c *Core) Now() time.Duration { return c.clock.Now() }
 
--- a/internal/front/pgwire/front.go
+++ b/internal/front/pgwire/front.go
@@ -81,6 +81,10 @@
 	return nil
 }
 
+// SetOptions changes the options, for statements prepared and clients that connect
+// from now on.
+func (f *Front) SetOptions(opts Options) { f.opts = opts }
+
 // Addr is where clients connect.
 func (f *Front) Addr() string { return f.listener.Addr().String() }
 
--- a/internal/roster/bus/bus.go
+++ b/internal/roster/bus/bus.go
@@ -21,7 +21,7 @@
 	recordLen  = 27
 	maxFrame   = 1 << 20
 	headerLen  = 4
-	maxSilence = 3 * time.Second // an empty frame comes each second
+	maxSilence = 2500 * time.Millisecond // an empty frame comes each second
 	dialWithin = time.Second
 	firstPause = 50 * time.Millisecond
 	mostPause  = time.Second
@@ -44,6 +44,9 @@
 	log    *log.Logger
 
 	conn    *netio.Conn
+	dialing func() // gives the latest dial up
+	tries   int    // dials begun
+	retry   *deadline.Entry
 	silence *deadline.Entry
 	quiet   time.Duration // the most between two frames
 	pause   time.Duration
@@ -61,13 +64,17 @@
 
 // Start connects, and again whenever the connection ends or falls silent.
 func (f *Follower) Start() {
-	f.loop.Dial(f.addr, dialWithin, maxFrame+headerLen, f, func(c *netio.Conn, err error) {
-		if err != nil {
-			f.again(fmt.Errorf("connect: %w", err))
+	f.tries++
+	try := f.tries
+	f.dialing = f.loop.Dial(f.addr, dialWithin, maxFrame+headerLen, f, func(c *netio.Conn, err error) {
+		switch {
+		case f.stopped || try != f.tries: // another dial is under way, or none is wanted
+			if err == nil {
+				c.Close()
+			}
 			return
-		}
-		if f.stopped {
-			c.Close()
+		case err != nil:
+			f.again(fmt.Errorf("connect: %w", err))
 			return
 		}
 		f.conn = c
@@ -76,12 +83,34 @@
 	})
 }
 
+// Move goes over to the bus at another address, which goes on after the last event
+// taken. Where the address is the same, it connects anew only if it isn't connected.
+func (f *Follower) Move(addr string) {
+	if f.stopped || addr == f.addr && f.conn != nil {
+		return
+	}
+	f.log.Printf("event bus: going over from %s to %s after event %d", f.addr, addr, f.last)
+	f.leave()
+	f.addr, f.pause = addr, firstPause
+	f.Start()
+}
+
 // Stop ends the following.
 func (f *Follower) Stop() {
 	f.stopped = true
+	f.leave()
+}
+
+// leave lets go of the present bus: its connection, its dial and the next try.
+func (f *Follower) leave() {
 	f.silence.Stop()
-	if f.conn != nil {
-		f.conn.Close()
+	f.retry.Stop()
+	if f.dialing != nil {
+		f.dialing()
+	}
+	if c := f.conn; c != nil {
+		f.conn = nil
+		c.Close()
 	}
 }
 
@@ -110,7 +139,7 @@
 	}
 	f.stats.Add("bus.reconnects")
 	f.log.Printf("event bus %s: %v; trying again in %v", f.addr, err, f.pause)
-	f.loop.Timers.Add(f.loop.Now()+f.pause, f.Start)
+	f.retry = f.loop.Timers.Add(f.loop.Now()+f.pause, f.Start)
 	f.pause = min(2*f.pause, mostPause)
 }
 
--- a/internal/roster/consul/consul.go
+++ b/internal/roster/consul/consul.go
@@ -49,62 +49,64 @@
 // Follower follows one service: the catalogue tells what is registered and where,
 // the health API whether it may be sent to.
 type Follower struct {
-	opts   Options
 	post   func(func()) // to the goroutine that owns the roster
 	roster Roster
 	stats  *stats.Counters
 	log    *log.Logger
 	client *http.Client
 
-	// These belong to the roster's goroutine. The first two are nil until told.
+	// These belong to the roster's goroutine. The lists are nil until told.
+	opts       Options
+	leave      context.CancelFunc // ends the present following
 	registered []registration
 	health     map[string]policy.EngineState
 	known      map[string]core.Engine // what was told last, by id
 }
 
 // New returns a follower whose news are told by way of post.
-func New(opts Options, post func(func()), r Roster, counters *stats.Counters, l *log.Logger) *Follower {
+func New(post func(func()), r Roster, counters *stats.Counters, l *log.Logger) *Follower {
 	return &Follower{
-		opts: opts, post: post, roster: r, stats: counters, log: l,
+		leave: func() {}, post: post, roster: r, stats: counters, log: l,
 		client: &http.Client{Transport: &http.Transport{Proxy: nil}}, known: map[string]core.Engine{},
 	}
 }
 
-// Run follows until the context ends. It blocks, in a goroutine of its own.
-func (f *Follower) Run(ctx context.Context) {
-	defer f.client.CloseIdleConnections()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		watch(ctx, f, "/v1/catalog/service/", func(list []registration) {
-			f.registered = append([]registration{}, list...)
-			f.merge()
-		})
-	}()
-	watch(ctx, f, "/v1/health/service/", func(list []entry) {
+// Follow goes over to the service that the options name, and follows it until the
+// context ends or Follow is called anew. What was told before holds until the new
+// lists are here: an engine that they lack is gone then. It is for the roster's
+// goroutine and does not block.
+func (f *Follower) Follow(ctx context.Context, opts Options) {
+	f.leave()
+	ctx, f.leave = context.WithCancel(ctx)
+	f.client.CloseIdleConnections()
+	f.opts, f.registered, f.health = opts, nil, nil
+	go watch(ctx, f, opts, "/v1/catalog/service/", func(list []registration) {
+		f.registered = append([]registration{}, list...)
+		f.merge()
+	})
+	go watch(ctx, f, opts, "/v1/health/service/", func(list []entry) {
 		f.health = map[string]policy.EngineState{}
 		for _, e := range list {
 			f.health[e.Node.Node+"/"+e.Service.ID] = e.state()
 		}
 		f.merge()
 	})
-	<-done
 }
 
 // watch makes blocking queries on one path and has the news taken on the roster's
 // goroutine.
-func watch[T any](ctx context.Context, f *Follower, path string, take func([]T)) {
+func watch[T any](ctx context.Context, f *Follower, opts Options, path string, take func([]T)) {
 	index, pause := uint64(0), firstPause
 	for ctx.Err() == nil {
 		began := time.Now()
 		var list []T
-		next, err := f.ask(ctx, path, index, &list)
+		next, err := f.ask(ctx, opts, path, index, &list)
 		if err != nil {
 			if ctx.Err() != nil {
 				return
 			}
 			f.post(func() { f.stats.Add("consul.errors") })
-			f.log.Printf("consul %s%s: %v; trying again in %v", f.opts.Address, path, err, pause)
+			f.log.Printf("consul %s%s: %v; trying again in %v", opts.Address, path, err, pause)
 			sleep(ctx, pause)
 			pause = min(2*pause, mostPause)
 			index = 0 // what changed meanwhile comes at once
@@ -112,7 +114,11 @@
 		}
 		pause = firstPause
 		if next != index {
-			f.post(func() { take(list) })
+			f.post(func() {
+				if ctx.Err() == nil { // else it has been left for another meanwhile
+					take(list)
+				}
+			})
 		}
 		if next < index { // the servers were restored or replaced: counting starts anew
 			index = 0
@@ -152,17 +158,17 @@
 }
 
 // ask makes one blocking query and reads the answer into list.
-func (f *Follower) ask(ctx context.Context, path string, index uint64, list any) (next uint64, err error) {
+func (f *Follower) ask(ctx context.Context, opts Options, path string, index uint64, list any) (next uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, waitFor+waitExtra)
 	defer cancel()
-	u := url.URL{Scheme: "http", Host: f.opts.Address, Path: path + f.opts.Service,
+	u := url.URL{Scheme: "http", Host: opts.Address, Path: path + opts.Service,
 		RawQuery: url.Values{"index": {strconv.FormatUint(index, 10)}, "wait": {waitFor.String()}}.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
 		return 0, err
 	}
-	if f.opts.Token != "" {
-		req.Header.Set("X-Consul-Token", f.opts.Token)
+	if opts.Token != "" {
+		req.Header.Set("X-Consul-Token", opts.Token)
 	}
 	resp, err := f.client.Do(req)
 	if err != nil {
--- a/internal/roster/consul/consul_test.go
+++ b/internal/roster/consul/consul_test.go
@@ -97,12 +97,11 @@
 	var one sync.Mutex
 	post := func(f func()) { one.Lock(); defer one.Unlock(); f() }
 	counters := stats.New()
-	f := New(Options{Address: strings.TrimPrefix(srv.URL, "http://"), Service: "stock", Token: "tok", Zone: "hall-a"},
-		post, news, counters, log.New(io.Discard, "", 0))
+	f := New(post, news, counters, log.New(io.Discard, "", 0))
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { f.Run(ctx); close(done) }()
-	defer func() { cancel(); <-done }()
+	defer cancel()
+	opts := Options{Address: strings.TrimPrefix(srv.URL, "http://"), Service: "stock", Token: "tok", Zone: "hall-a"}
+	post(func() { f.Follow(ctx, opts) })
 	for _, step := range []struct {
 		change func()
 		want   string
