Bound client connections, and refuse calls that no engine could use

Lines at fault: rest.go kept every connection 30 s, with or without a call, and took any number clamped; netio accepted up to the last descriptor; End.Result took a missing descriptor of ours for a failed engine. pgwire waited 10 s for a startup.

Now: a first call, and any begun, has 2 s; a bad call ends its connection, which stays open unread for 0.25 s so that the answer is not overtaken by a reset; past three quarters of the descriptors the silent ones and then the longest idle make room. Results up to 64 KB go in one answer, so nothing of them waits here to be fetched. Buffers and held results follow the configured memory.

Ruled out: the engines' own limit; links to engines stayed at 10 to 30 in all.

--- a/cmd/ringwood/main.go
+++ b/cmd/ringwood/main.go
@@ -97,6 +97,7 @@
 	if g.loop, err = netio.New(sockets); err != nil {
 		return err
 	}
+	g.loop.Budget = int64(part(memoryMB, 6))
 	g.core, err = core.New(set, seed, g.loop, g.loop.Timers, g.counters, g.log)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
@@ -142,7 +143,9 @@
 			return nil
 		}
 	}
-	f := rest.New(g.loop, g.core, g.counters)
+	f := rest.New(g.loop, g.core, rest.Options{
+		MostClients: mostClients(cfg.Sockets), MostHeld: part(cfg.MemoryMB, 8),
+	}, g.counters)
 	g.front = f
 	return f.Listen(cfg.Listen)
 }
@@ -188,13 +191,39 @@
 }
 
 func frontOptions(p *config.Postgres) pgwire.Options {
-	opts := pgwire.Options{DefaultClass: p.DefaultClass, MostClients: p.MostClients}
+	opts := pgwire.Options{DefaultClass: p.DefaultClass, MostClients: mostClients(p.Sockets)}
+	if p.MostClients > 0 {
+		opts.MostClients = min(opts.MostClients, p.MostClients)
+	}
 	for _, s := range p.Statements {
 		opts.Rules = append(opts.Rules, pgwire.Rule(s))
 	}
 	return opts
 }
 
+// usualMB and usualSockets hold where the configuration names no limits.
+const (
+	usualMB      = 192
+	usualSockets = 1024
+)
+
+// part is the n-th part of the memory, in bytes.
+func part(memoryMB, n int) int {
+	if memoryMB <= 0 {
+		memoryMB = usualMB
+	}
+	return memoryMB << 20 / n
+}
+
+// mostClients leaves a quarter of the descriptors to engines, the roster and the
+// program itself, and some for clients that are being closed.
+func mostClients(sockets int) int {
+	if sockets <= 0 {
+		sockets = usualSockets
+	}
+	return max(sockets*3/4-32, 8)
+}
+
 // limitResources keeps the garbage collector well under the memory limit. More
 // than one P, also on one core: the poller's wait holds one.
 func limitResources(memoryMB int) {
--- a/internal/core/end.go
+++ b/internal/core/end.go
@@ -52,13 +52,13 @@
 		return policy.Full
 	case EndTimeout:
 		return policy.TimedOut
-	case EndRefused, EndConnectTimeout, EndNoDescriptor, EndNoEngine:
+	case EndRefused, EndConnectTimeout, EndNoEngine:
 		return policy.NoConnection
 	case EndReset, EndGarbage:
 		return policy.Lost
 	case EndCancelled:
 		return policy.Cancelled
-	case EndPast, EndNotSent, EndRejected:
+	case EndPast, EndNotSent, EndRejected, EndNoDescriptor: // the last is no fault of the engine's
 		return policy.NotSent
 	}
 	return policy.Unknown
--- a/internal/front/pgwire/front.go
+++ b/internal/front/pgwire/front.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"gannetspur/internal/core"
+	"gannetspur/internal/deadline"
 	"gannetspur/internal/netio"
 	"gannetspur/internal/pgproto"
 	"gannetspur/internal/stats"
@@ -25,9 +26,13 @@
 	maxMessage = 1 << 20
 	maxBuffer  = maxMessage + 64<<10
 	maxParams  = 65535
-	// startupMost is how long a connection may take to start.
-	startupMost = 10 * time.Second
-	maxNamed    = 1000 // statements, and portals, of one connection
+	// startupMost is how long a connection may take to start, and stallMost how long
+	// it may send nothing in the middle of a message.
+	startupMost = 2 * time.Second
+	stallMost   = 2 * time.Second
+	// spareClients is how many may connect past the limit, to cancel or to be told.
+	spareClients = 16
+	maxNamed     = 1000 // statements, and portals, of one connection
 	// slowReader is how much may wait to be sent before no more messages are
 	// taken. Guards against a client that asks and does not read.
 	slowReader = 1 << 20
@@ -62,7 +67,11 @@
 
 // Listen accepts at the address.
 func (f *Front) Listen(addr string) error {
-	ln, err := f.loop.Listen(addr, maxBuffer, func(c *netio.Conn) netio.Handler {
+	most := f.opts.MostClients
+	if most > 0 {
+		most += spareClients
+	}
+	ln, err := f.loop.Listen(addr, maxBuffer, most, func(c *netio.Conn) netio.Handler {
 		f.stats.Add("pgwire.connections")
 		f.last++
 		k := &conn{front: f, conn: c, process: f.last, statements: map[string]*statement{}, portals: map[string]*portal{}}
@@ -136,11 +145,12 @@
 
 	statements map[string]*statement
 	portals    map[string]*portal
-	skip       bool   // after an error, to Sync
-	simple     bool   // the open request came by Query
-	describing string // portal whose description waits for what follows
-	describe   bool   // and whether there is one
-	out        []byte // answers not yet written
+	skip       bool            // after an error, to Sync
+	simple     bool            // the open request came by Query
+	describing string          // portal whose description waits for what follows
+	describe   bool            // and whether there is one
+	out        []byte          // answers not yet written
+	stall      *deadline.Entry // ends a connection in the middle of a message
 	request    *core.Request
 	then       func(core.Answer)
 }
@@ -172,6 +182,13 @@
 		}
 		in.Consume(n)
 	}
+	k.stall.Stop()
+	if k.request == nil && !k.ended && in.Len() > 0 && k.conn.Pending() <= slowReader {
+		k.stall = k.front.loop.Timers.Add(k.front.loop.Now()+stallMost, func() {
+			k.front.stats.Add("pgwire.stalled")
+			k.fatal(fail("08P01", "a message stopped in the middle"))
+		})
+	}
 	k.conn.Hold(k.request != nil)
 	k.flush()
 }
@@ -190,6 +207,7 @@
 // and was not taken yet is dropped with the connection.
 func (k *conn) Closed(_ *netio.Conn, _ error) {
 	k.ended = true
+	k.stall.Stop()
 	delete(k.front.conns, k.process)
 	k.dropPortals()
 	if r := k.request; r != nil {
--- a/internal/front/rest/parse.go
+++ b/internal/front/rest/parse.go
@@ -46,6 +46,11 @@
 		}
 		return c, 0, nil
 	}
+	// Guards against heads that others would read otherwise: a line that ends in a
+	// lone CR or LF could hide a field.
+	if bytes.ContainsAny(bytes.ReplaceAll(b[:end], []byte("\r\n"), nil), "\r\n\x00") {
+		return c, 0, bad("a line of the head has a stray CR, LF or NUL")
+	}
 	lines := strings.Split(string(b[:end]), "\r\n")
 	words := strings.Split(lines[0], " ")
 	if len(words) != 3 || words[0] == "" || !strings.HasPrefix(words[1], "/") {
@@ -69,7 +74,8 @@
 		}
 		c.head[name] = strings.Trim(value, " \t")
 	}
-	if c.head["transfer-encoding"] != "" {
+	// Also an empty one: beside a Content-Length its body might hide another request.
+	if _, ok := c.head["transfer-encoding"]; ok {
 		return c, 0, &fault{501, "transfer encodings are not taken; send Content-Length"}
 	}
 	c.close = c.close || strings.EqualFold(c.head["connection"], "close")
@@ -83,6 +89,9 @@
 	if length > maxBody {
 		return c, 0, &fault{413, "the body of the request is too large"}
 	}
+	if length == 0 && c.method == "POST" {
+		return c, 0, &fault{411, "a POST without a statement"}
+	}
 	start := end + 4
 	n = start + int(length)
 	if len(b) < n {
@@ -91,3 +100,14 @@
 	c.body = b[start:n]
 	return c, n, nil
 }
+
+// begins tells whether what follows a call can be the start of another. Where it
+// can't, the call's length was wrong, and so is its statement.
+func begins(b []byte) bool {
+	for _, method := range []string{"GET /", "POST /", "DELETE /"} {
+		if n := min(len(b), len(method)); string(b[:n]) == method[:n] {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -5,14 +5,15 @@
 import (
 	"bytes"
 	"fmt"
-	"math"
 	"net"
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"gannetspur/internal/config"
 	"gannetspur/internal/core"
+	"gannetspur/internal/deadline"
 	"gannetspur/internal/engine/lines"
 	"gannetspur/internal/netio"
 	"gannetspur/internal/sqltext"
@@ -21,24 +22,43 @@
 )
 
 const (
-	pagePart = 16 << 10 // rows of about this size go into one answer
-	heldMost = 16 << 20 // of results waiting to be fetched, in bytes
+	pagePart = 64 << 10 // rows of about this size go into one answer
 	heldOver = time.Second
 	mostWait = 10 * time.Minute
-	// idleMost is how long a connection may go without a whole call; clients close
-	// theirs sooner. Guards against peers that take descriptors and say nothing.
+	mostWork = 24 * time.Hour // that an estimate may tell
+	mostMB   = 1e9
+	// idleMost is how long a connection is kept after its last call; clients close
+	// theirs sooner.
 	idleMost = 30 * time.Second
+	// idleLeast is how long one is idle before it may be closed for want of room: the
+	// client's next call could cross the close.
+	idleLeast = 100 * time.Millisecond
+	// slowReader is how much may wait to be sent before no more calls are taken.
+	// Guards against a client that asks and does not read.
+	slowReader = 256 << 10
+	// spareClients is how many may be accepted past the limit while others are being
+	// closed for them.
+	spareClients = 16
 )
 
+// Options bound what clients may take.
+type Options struct {
+	MostClients int           // connections at once; past that the longest idle ones are closed
+	MostHeld    int           // bytes of results that wait to be fetched
+	CallWithin  time.Duration // a connection's first call, and any that has begun, must be whole
+}
+
 // Front accepts clients.
 type Front struct {
 	loop  *netio.Loop
 	core  *core.Core
+	opts  Options
 	stats *stats.Counters
 	boot  string // tells paths of this start from those of others
 
 	listener net.Listener
 	conns    map[*conn]struct{}
+	ids      map[string]struct{} // of open requests
 	held     map[string]*held
 	heldSize int
 	seq      uint64
@@ -53,19 +73,32 @@
 }
 
 // New returns a front that puts its requests to the core.
-func New(loop *netio.Loop, c *core.Core, counters *stats.Counters) *Front {
+func New(loop *netio.Loop, c *core.Core, opts Options, counters *stats.Counters) *Front {
+	if opts.MostClients <= 0 {
+		opts.MostClients = 512
+	}
+	if opts.MostHeld <= 0 {
+		opts.MostHeld = 16 << 20
+	}
+	if opts.CallWithin <= 0 {
+		opts.CallWithin = 2 * time.Second
+	}
 	return &Front{
-		loop: loop, core: c, stats: counters, boot: strconv.FormatInt(int64(c.Now()), 36),
-		conns: map[*conn]struct{}{}, held: map[string]*held{},
+		loop: loop, core: c, opts: opts, stats: counters, boot: strconv.FormatInt(int64(c.Now()), 36),
+		conns: map[*conn]struct{}{}, ids: map[string]struct{}{}, held: map[string]*held{},
 	}
 }
 
 // Listen accepts at the address.
 func (f *Front) Listen(addr string) error {
-	ln, err := f.loop.Listen(addr, maxCall, func(c *netio.Conn) netio.Handler {
+	ln, err := f.loop.Listen(addr, maxCall, f.opts.MostClients+spareClients, func(c *netio.Conn) netio.Handler {
 		f.stats.Add("rest.connections")
+		if len(f.conns) >= f.opts.MostClients {
+			f.makeRoom()
+		}
 		k := &conn{front: f, conn: c, used: f.loop.Now()}
 		f.conns[k] = struct{}{}
+		k.await()
 		return k
 	})
 	if err != nil {
@@ -87,6 +120,31 @@
 	f.loop.Timers.Add(now+idleMost/4, f.sweepIdle)
 }
 
+// makeRoom closes the connection that is missed least: the oldest that has not made
+// a good call yet, else the longest idle. Guards against clients that connect by the
+// hundred, or ask once and stay: the others would find no descriptor left.
+func (f *Front) makeRoom() {
+	var least *conn
+	open := 0
+	for k := range f.conns {
+		if k.ended { // it only waits for its client to read the last answer
+			k.conn.Abort()
+			continue
+		}
+		if open++; k.request != nil || k.good && (k.further || f.loop.Now()-k.used < idleLeast) {
+			continue
+		}
+		if least == nil || least.good && !k.good || least.good == k.good && k.used < least.used {
+			least = k
+		}
+	}
+	if least != nil && open >= f.opts.MostClients {
+		f.stats.Add("rest.closed-for-room")
+		least.ended = true
+		least.conn.Close()
+	}
+}
+
 // Addr is where clients connect.
 func (f *Front) Addr() string { return f.listener.Addr().String() }
 
@@ -117,38 +175,80 @@
 type conn struct {
 	front   *Front
 	conn    *netio.Conn
-	request *core.Request // taken and not answered
-	used    time.Duration // its latest call or answer
-	further bool          // its latest answer named a further part
-	close   bool          // after the answer
-	ended   bool          // nothing more is read
+	request *core.Request   // taken and not answered
+	used    time.Duration   // its latest call or answer
+	good    bool            // it has made a good call
+	due     *deadline.Entry // by when its call must be whole
+	further bool            // its latest answer named a further part
+	close   bool            // after the answer
+	ended   bool            // nothing more is read
 }
 
 // Data reads calls until one waits for its answer.
 func (k *conn) Data(_ *netio.Conn, in *netio.Buffer) {
 	for k.request == nil && !k.ended {
+		if k.conn.Pending() > slowReader {
+			k.conn.WhenWritten(k.conn.Again)
+			return
+		}
 		c, n, bad := parse(in.Bytes())
+		if bad == nil && n > 0 && n < in.Len() && !begins(in.Bytes()[n:]) {
+			bad = wrongLength()
+		}
 		if bad != nil {
-			k.close = true
 			k.refuse(bad)
 			return
 		}
 		if n == 0 {
-			return
+			break
 		}
+		k.due.Stop()
+		k.due = nil
 		k.close, k.further, k.used = c.close, false, k.front.loop.Now()
 		k.call(c)
 		in.Consume(n)
 	}
+	switch {
+	case k.ended:
+	case k.request != nil && in.Len() > 0 && !begins(in.Bytes()):
+		k.leave()
+		k.refuse(wrongLength())
+	case k.request == nil && k.due == nil && (in.Len() > 0 || !k.good):
+		k.await()
+	}
 	k.conn.Hold(k.request != nil)
 }
 
+// await has the connection closed unless a call is whole in time. Guards against
+// clients that connect and say nothing, or stop in the middle of a call.
+func (k *conn) await() {
+	k.due = k.front.loop.Timers.Add(k.front.loop.Now()+k.front.opts.CallWithin, func() {
+		if k.ended {
+			return
+		}
+		k.front.stats.Add("rest.too-slow")
+		if k.conn.Unread() == 0 {
+			k.ended = true
+			k.conn.Close()
+		} else {
+			k.refuse(&fault{408, "the call was not whole in time"})
+		}
+	})
+}
+
 // Closed tells the core that the client has stopped waiting.
 func (k *conn) Closed(_ *netio.Conn, _ error) {
 	k.ended = true
+	k.due.Stop()
 	delete(k.front.conns, k)
+	k.leave()
+}
+
+// leave gives an open request up.
+func (k *conn) leave() {
 	if r := k.request; r != nil {
 		k.request = nil
+		delete(k.front.ids, r.ID)
 		k.front.core.Gone(r)
 	}
 }
@@ -158,19 +258,21 @@
 	var bad *fault
 	switch {
 	case c.method == "GET" && c.path == "/health":
+		k.good = true
 		k.write(200, 0, []byte(`{}`))
 	case isClass && c.method == "POST":
 		bad = k.take(class[strings.LastIndexByte(class, '/')+1:], c)
 	case isClass:
 		bad = &fault{405, "statements come by POST"}
 	case strings.HasPrefix(c.path, "/more/") && c.method == "GET":
-		bad = k.more(c.path)
+		k.good = true
+		k.more(c.path)
 	case strings.HasPrefix(c.path, "/more/") && c.method == "DELETE":
-		if !k.front.release(pathOf(c.path)) {
-			bad = gone()
-			break
+		if k.good = true; k.front.release(pathOf(c.path)) {
+			k.write(200, 0, []byte(`{}`))
+		} else {
+			k.gone()
 		}
-		k.write(200, 0, []byte(`{}`))
 	default:
 		bad = &fault{404, "no such path"}
 	}
@@ -179,7 +281,10 @@
 	}
 }
 
-func gone() *fault { return &fault{404, "nothing is held under this path"} }
+// gone answers a call for a path that nothing is held under, as after a restart.
+func (k *conn) gone() { k.write(404, 0, encodeFault("nothing is held under this path")) }
+
+func wrongLength() *fault { return bad("what follows the call is no other: Content-Length is wrong") }
 
 // take puts a statement to the core, or tells what is wrong with the call.
 func (k *conn) take(name string, c call) *fault {
@@ -192,25 +297,35 @@
 	if len(id) != 16 || strings.Trim(id, "0123456789abcdefABCDEF") != "" {
 		return bad("Req-Id: not 16 hex digits")
 	}
+	if _, open := f.ids[id]; open { // two under one id could not be told apart at an engine
+		return &fault{409, "Req-Id: a request of this id is open"}
+	}
 	wait, err := strconv.ParseFloat(c.head["req-wait-ms"], 64)
-	if err != nil || !(wait > 0) || math.IsInf(wait, 0) {
-		return bad("Req-Wait-Ms: not a number of milliseconds")
+	if err != nil || !(wait > 0) || wait > ms(mostWait) {
+		return bad("Req-Wait-Ms: not a number of milliseconds up to %.0f", ms(mostWait))
+	}
+	if retry, ok := c.head["req-retry"]; ok && strings.Trim(retry, "0123456789") != "" {
+		return bad("Req-Retry: not a number")
+	}
+	if !utf8.Valid(c.body) || bytes.IndexByte(c.body, 0) >= 0 {
+		return bad("the statement is no text in UTF-8")
 	}
 	r := &core.Request{
 		ID: id, Class: name, Statement: string(c.body), Repeat: c.head["req-retry"] == "1", Client: k,
-		Deadline: f.core.Now() + min(config.FromMS(min(wait, 1e9)), mostWait),
+		Deadline: f.core.Now() + config.FromMS(wait),
 	}
 	var cost float64
 	for _, v := range []struct {
 		name string
 		to   *float64
-	}{{"Req-Cost", &cost}, {"Req-Kb", &r.MemoryMB}} {
-		text := c.head[strings.ToLower(v.name)]
-		if text == "" {
+		most float64
+	}{{"Req-Cost", &cost, ms(mostWork)}, {"Req-Kb", &r.MemoryMB, mostMB}} {
+		text, ok := c.head[strings.ToLower(v.name)]
+		if !ok {
 			continue
 		}
-		if *v.to, err = strconv.ParseFloat(text, 64); err != nil || !(*v.to >= 0) || *v.to > 1e9 {
-			return bad("%s: not a number from 0", v.name)
+		if *v.to, err = strconv.ParseFloat(text, 64); err != nil || !(*v.to > 0) || *v.to > v.most {
+			return bad("%s: not a number above 0, up to %.0f", v.name, v.most)
 		}
 	}
 	r.Work = config.FromMS(cost)
@@ -221,11 +336,14 @@
 		}
 	}
 	r.Set, _ = sqltext.Group(string(c.body))
-	k.request = r
+	k.request, k.good = r, true
+	f.ids[id] = struct{}{}
 	f.core.Take(r)
 	return nil
 }
 
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 func isToken(s string) bool {
 	for _, c := range []byte(s) {
 		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-' || c == '_') {
@@ -238,6 +356,7 @@
 // Answer writes the final answer.
 func (k *conn) Answer(r *core.Request, a core.Answer) {
 	k.request, k.used = nil, k.front.loop.Now()
+	delete(k.front.ids, r.ID)
 	switch a.Verdict {
 	case core.Served:
 		rows, _ := a.Result.(lines.Rows)
@@ -262,7 +381,7 @@
 	for _, p := range rows {
 		size += len(p)
 	}
-	if len(parts) < 2 || f.heldSize+size > heldMost || f.draining {
+	if len(parts) < 2 || f.heldSize+size > f.opts.MostHeld || f.draining {
 		k.write(200, 0, encode(rows, ""))
 		return
 	}
@@ -292,12 +411,13 @@
 
 // more answers with a further part. All stay until the request's deadline: a call
 // whose connection broke is made again.
-func (k *conn) more(path string) *fault {
+func (k *conn) more(path string) {
 	f, at := k.front, pathOf(path)
 	h := f.held[at]
 	n, err := strconv.Atoi(path[len(at)+1:])
 	if h == nil || err != nil || n < 1 || n >= len(h.pages) {
-		return gone()
+		k.gone()
+		return
 	}
 	next := ""
 	if n+1 < len(h.pages) {
@@ -306,7 +426,6 @@
 	h.whole = h.whole || next == ""
 	k.further = next != ""
 	k.write(200, 0, encode(h.pages[n], next))
-	return nil
 }
 
 func (f *Front) release(path string) bool {
@@ -319,13 +438,18 @@
 	return true
 }
 
+// refuse answers a bad call and ends the connection: what follows a call that can't
+// be read can't be trusted, and who sends bad calls without pause has to connect
+// for each.
 func (k *conn) refuse(bad *fault) {
 	k.front.stats.Add("rest.bad-calls")
+	k.close = true
 	k.write(bad.status, 0, encodeFault(bad.text))
 }
 
 var reasons = map[int]string{
-	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large",
+	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+	409: "Conflict", 411: "Length Required", 413: "Content Too Large",
 	431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
 	503: "Service Unavailable", 505: "HTTP Version Not Supported",
 }
@@ -351,7 +475,11 @@
 	k.conn.Write(b)
 	if k.close {
 		k.ended = true
-		k.conn.Close()
+		if status >= 400 && status < 500 {
+			k.conn.Finish()
+		} else {
+			k.conn.Close()
+		}
 	}
 }
 
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -34,6 +34,11 @@
 // lingerMost is how long a closed connection may take to send what waits.
 const lingerMost = 3 * time.Second
 
+// lingerBad is how long a connection stays open, unread, behind its last answer.
+// Guards against a close that overtakes the answer: closing over bytes that were
+// not read resets the connection, and the peer may then never see it.
+const lingerBad = 250 * time.Millisecond
+
 // acceptPause is the rest after a failed accept. Guards against spinning while
 // the descriptor table is full: the listener stays readable all that time.
 const acceptPause = 20 * time.Millisecond
@@ -174,23 +179,38 @@
 func (l *Loop) Open() int { return len(l.open) }
 
 // Listen accepts connections at the address until the returned listener is closed.
-func (l *Loop) Listen(addr string, limit int, accept func(*Conn) Handler) (net.Listener, error) {
+// While most of them are open (0: no such limit) the next ones wait unaccepted.
+// Guards against clients that leave no descriptor for the engines.
+func (l *Loop) Listen(addr string, limit, most int, accept func(*Conn) Handler) (net.Listener, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
+	room := make(chan struct{}, most)
+	done := func() {
+		if most > 0 {
+			<-room
+		}
+	}
 	go func() {
 		for {
+			if most > 0 {
+				room <- struct{}{}
+			}
 			std, err := ln.Accept()
 			switch {
 			case errors.Is(err, net.ErrClosed):
 				return
 			case err != nil:
+				done()
 				time.Sleep(acceptPause)
 			default:
-				if nc := convert(std); nc != nil {
-					l.Post(func() { _, _ = l.adopt(nc, limit, accept) })
+				nc := convert(std)
+				if nc == nil {
+					done()
+					continue
 				}
+				l.Post(func() { _, _ = l.adopt(nc, limit, accept, done) })
 			}
 		}
 	}()
@@ -216,11 +236,12 @@
 	return nil
 }
 
-// adopt hands a connected socket to the poller.
-func (l *Loop) adopt(nc *nbio.Conn, limit int, accept func(*Conn) Handler) (*Conn, error) {
+// adopt hands a connected socket to the poller. The function done is called once
+// the connection has ended.
+func (l *Loop) adopt(nc *nbio.Conn, limit int, accept func(*Conn) Handler, done func()) (*Conn, error) {
 	c := new(Conn)
 	c.mu.Lock() // the poller goes through the same lock before it reads a field
-	c.loop, c.nc, c.limit = l, nc, limit
+	c.loop, c.nc, c.limit, c.done = l, nc, limit, done
 	c.mu.Unlock()
 	c.handler = accept(c)
 	nc.SetSession(c)
@@ -253,7 +274,7 @@
 				done(nil, err)
 				return
 			}
-			done(l.adopt(nc, limit, func(*Conn) Handler { return h }))
+			done(l.adopt(nc, limit, func(*Conn) Handler { return h }, func() {}))
 		})
 	}()
 	return cancel
@@ -276,6 +297,8 @@
 	limit   int
 	over    bool // Closed was told
 	closing bool
+	done    func()       // called once it has ended
+	shut    atomic.Bool  // nothing more is read
 	then    func()       // called once all is written
 	pending atomic.Int64 // bytes not yet written
 	waiting atomic.Bool  // the loop wants to know when there are none
@@ -293,7 +316,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	got := false
-	for {
+	for !c.shut.Load() {
 		if c.in.Len() >= c.room() {
 			c.paused = true
 			break
@@ -304,6 +327,9 @@
 			got = true
 			// Guards against many peers that each stop in the middle of a long message.
 			if c.loop.filled.Add(int64(n)) > c.loop.Budget && c.in.Len() > readSize {
+				c.shut.Store(true)
+				c.loop.filled.Add(-int64(c.in.Len())) // at once: others need the room
+				c.in = Buffer{}
 				_ = c.nc.CloseWithError(errBudget)
 				break
 			}
@@ -368,6 +394,7 @@
 	c.loop.filled.Add(-int64(c.in.Len()))
 	c.in = Buffer{}
 	c.mu.Unlock()
+	c.done()
 	c.handler.Closed(c, err)
 }
 
@@ -396,7 +423,7 @@
 	if c.pending.Load() > 0 || !c.waiting.Swap(false) {
 		return
 	}
-	if c.closing {
+	if c.closing && !c.shut.Load() {
 		_ = c.nc.Close()
 	}
 	if f := c.then; f != nil {
@@ -420,5 +447,26 @@
 	c.loop.Timers.Add(c.loop.Now()+lingerMost, func() { _ = c.nc.Close() })
 }
 
+// Finish ends the connection a moment after what was written has been sent, and
+// reads nothing more: its peer has time to read the last of it.
+func (c *Conn) Finish() {
+	if c.closing || c.over {
+		return
+	}
+	c.closing = true
+	c.shut.Store(true)
+	c.loop.Timers.Add(c.loop.Now()+lingerBad, func() { _ = c.nc.Close() })
+}
+
+// Abort ends the connection at once.
+func (c *Conn) Abort() { _ = c.nc.Close() }
+
+// Unread is the number of bytes received that the handler has left.
+func (c *Conn) Unread() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.in.Len()
+}
+
 // RemoteAddr names the peer.
 func (c *Conn) RemoteAddr() string { return c.nc.RemoteAddr().String() }
