Let a spoilt answer condemn no engine, and try lost answers again

A trace of what passes to and from engines showed 7 of those connections ended here on a second copy of a good answer, and 146 well-formed calls of bad clients whose errors, from three engines each, were counted against the engines. Lost and garbage ends counted once for each attempt on the connection, and each had the engine taken as cold for 15 s.

Lines at fault: links.done took a second DONE for garbage; End.Result made garbage a broken connection; policy.learn counted a connection once for each attempt and an error whoever's fault it was; nothing noticed an answer that stopped in the middle or never came, before the attempt's time was over. link.past kept ids for as long as the link lived.

Checked against the sockets: of 17137 gaps between two words on one attempt, 63 were over 1.4 s, all after a note that it waits; so an attempt that is not waiting and of which nothing is heard for 1.5 times the quiet span, while its engine tells of others, has lost its answer. Every DONE for a known id names its pages; those that don't are strays under unknown ids. Ruled out: the event bus, which was silent three times and resumed each time.

--- a/internal/core/end.go
+++ b/internal/core/end.go
@@ -54,8 +54,10 @@
 		return policy.TimedOut
 	case EndRefused, EndConnectTimeout, EndNoEngine:
 		return policy.NoConnection
-	case EndReset, EndGarbage:
+	case EndReset:
 		return policy.Lost
+	case EndGarbage: // any engine's answer may be spoilt on its way; it says nothing of its health
+		return policy.Unknown
 	case EndCancelled:
 		return policy.Cancelled
 	case EndPast, EndNotSent, EndRejected, EndNoDescriptor: // the last is no fault of the engine's
--- a/internal/engine/lines/links.go
+++ b/internal/engine/lines/links.go
@@ -9,9 +9,11 @@
 	"slices"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"gannetspur/internal/config"
 	"gannetspur/internal/core"
+	"gannetspur/internal/deadline"
 	"gannetspur/internal/engine"
 	"gannetspur/internal/netio"
 	"gannetspur/internal/stats"
@@ -23,6 +25,8 @@
 	// pastFor is how long an id that was given up on a connection is not used
 	// there again: a late answer to the first would be taken for one to the second.
 	pastFor = 30 * time.Second
+	// stallMost is how long an answer may stop in the middle: they come in one piece.
+	stallMost = 500 * time.Millisecond
 	// idlePart of the engines' idle time is when an idle connection is closed from
 	// here, so that no send crosses a close from there.
 	idlePart = 0.8
@@ -57,6 +61,8 @@
 	conn    *netio.Conn // nil until it is up
 	streams map[string]*stream
 	past    map[string]time.Duration // ids given up here, until then
+	oldest  []string                 // the same ids, oldest first
+	stall   *deadline.Entry          // ends the link in the middle of an answer
 	retired bool                     // takes no more
 	used    time.Duration
 	end     core.End // why it is being closed from here
@@ -215,7 +221,9 @@
 	l := s.link
 	delete(l.streams, a.Request.ID)
 	if s.written && l.conn != nil { // a lost link ends its streams one by one
+		l.forget()
 		l.past[a.Request.ID] = ls.core.Now() + pastFor
+		l.oldest = append(l.oldest, a.Request.ID)
 		word := "never_mind "
 		if s.missing > 0 { // it is done, and only its pages are still wanted
 			word = "shut "
@@ -225,6 +233,15 @@
 	l.closeIfDone()
 }
 
+// forget drops the ids that may be used again: a link that lives for days would
+// else keep all that were ever given up on it.
+func (l *link) forget() {
+	for len(l.oldest) > 0 && l.all.core.Now() >= l.past[l.oldest[0]] {
+		delete(l.past, l.oldest[0])
+		l.oldest = l.oldest[1:]
+	}
+}
+
 // Hurry sets the priority of an attempt that is out.
 func (ls *Links) Hurry(a *core.Attempt, priority int) {
 	if s, ok := a.Link.(*stream); ok && s.written && s.missing == 0 && s.link.conn != nil {
@@ -233,7 +250,7 @@
 }
 
 // Data reads the answers that are whole.
-func (l *link) Data(c *netio.Conn, in *netio.Buffer) {
+func (l *link) Data(_ *netio.Conn, in *netio.Buffer) {
 	for l.end == core.EndUnknown {
 		a, n, err := parse(in.Bytes())
 		if err == nil && n > 0 {
@@ -241,15 +258,30 @@
 			in.Consume(n)
 		}
 		if err != nil {
-			l.all.log.Printf("engine %s: %v", l.engine.ID, err)
-			l.end, l.retired = core.EndGarbage, true
-			c.Close()
+			l.spoilt(err)
 			return
 		}
 		if n == 0 {
-			return
+			break
 		}
 	}
+	l.stall.Stop()
+	if in.Len() > 0 && l.end == core.EndUnknown {
+		l.stall = l.all.loop.Timers.Add(l.all.loop.Now()+stallMost, func() {
+			l.spoilt(errors.New("an answer stopped in the middle"))
+		})
+	}
+}
+
+// spoilt ends the link, and with it all that is open on it: where one answer can't
+// be read, nothing tells where the next begins.
+func (l *link) spoilt(err error) {
+	if l.conn == nil || l.end != core.EndUnknown {
+		return
+	}
+	l.all.log.Printf("engine %s: %v", l.engine.ID, err)
+	l.end, l.retired = core.EndGarbage, true
+	l.conn.Abort()
 }
 
 // answer takes one message. One for an id that was given up is passed by.
@@ -286,19 +318,18 @@
 // here: pages lost with their engine are then an attempt's end, and another may
 // serve the client.
 func (l *link) done(s *stream, a answer) error {
-	if s.pages != nil {
-		return errors.New("a second DONE for one request")
-	}
-	pages := 1
-	if text, ok := field(a.fields, "batches"); ok {
-		n, err := strconv.Atoi(text)
-		if err != nil || n < 0 || n > maxPages {
-			return fmt.Errorf("%.20q pages in an answer", text)
-		}
-		pages = max(n, 1)
+	if s.pages != nil { // a second copy of an answer that is good
+		l.all.stats.Add("links.doubled-answer")
+		return nil
+	}
+	text, _ := field(a.fields, "batches")
+	pages, err := strconv.Atoi(text)
+	if err != nil || pages < 0 || pages > maxPages {
+		return fmt.Errorf("%.20q pages in an answer", text)
 	}
+	pages = max(pages, 1)
 	if !wholeRows(a.body) {
-		return errors.New("a page does not end with a whole row")
+		return errBody
 	}
 	work, _ := number(a.fields, "cpu")
 	s.report.Work = config.FromMS(max(work, 0))
@@ -327,7 +358,7 @@
 	case err != nil || n < 1 || n >= len(s.pages):
 		return fmt.Errorf("a page numbered %.20q", text)
 	case !wholeRows(a.body):
-		return errors.New("a page does not end with a whole row")
+		return errBody
 	case s.pages[n] != nil:
 		return nil
 	}
@@ -339,7 +370,30 @@
 	return nil
 }
 
-func wholeRows(page []byte) bool { return len(page) == 0 || page[len(page)-1] == '\n' }
+var errBody = errors.New("a page does not hold whole rows of three columns of text")
+
+// columns of a row.
+const columns = 3
+
+// wholeRows tells whether a page holds what it should. Guards against passing on
+// what was spoilt within its length.
+func wholeRows(page []byte) bool {
+	if !utf8.Valid(page) {
+		return false
+	}
+	tabs := 0
+	for _, c := range page {
+		switch {
+		case c == '\t':
+			tabs++
+		case c == '\n' && tabs != columns-1, c == 0, c == '\r':
+			return false
+		case c == '\n':
+			tabs = 0
+		}
+	}
+	return len(page) == 0 || page[len(page)-1] == '\n'
+}
 
 // finish takes the stream off the link and ends its attempt.
 func (l *link) finish(s *stream, end core.End) {
@@ -366,6 +420,7 @@
 
 func (l *link) lost(end core.End) {
 	l.retired, l.conn = true, nil
+	l.stall.Stop()
 	l.all.stats.Add("links.ended." + end.String())
 	l.engine.Remove(l)
 	for _, s := range l.inOrder() {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,6 +33,9 @@
 	kneeTimes   = 1.6                    // times the quick latency from which the top of a bound shrinks
 	hopeless    = 0.7                    // of the time left, projected, that ends a query early
 	quietNotes  = 2.6                    // note intervals without word that make an engine suspect
+	lostQuiet   = 1.5                    // and this many times that, while others are heard, lost an answer
+	waitQuiet   = 5.0                    // or this many, where it was told to wait
+	startLeast  = 2 * time.Second        // in which no process ends and serves again
 	faultStep   = 0.4                    // weight of a failed connection among faults; an error half
 	faultMost   = 0.6                    // share of faults that makes an engine suspect
 	coldMargin  = 0.7                    // part of a cold engine's budget that is used
@@ -272,7 +275,7 @@
 	case ev.Final || q.done:
 		g.over(q)
 	case q.outstanding(): // its outcome will decide
-	case ms(q.deadline-g.now) <= q.class.latency/4: // too late for another attempt
+	case ms(q.deadline-g.now) <= q.class.latency/4, q.errors() > 1: // too late for another, or in vain
 		g.giveUp(q)
 	default:
 		g.admit(q)
@@ -306,6 +309,12 @@
 		e.faults -= e.faults * faultStep / 2
 		e.heard, e.erring = g.now, false
 		g.trust(e)
+		g.unbroken(a)
+		for _, b := range a.q.tries { // an error may be the query's own; not where another engine serves it
+			if b.erred && b.e != e {
+				g.fault(b.e, faultStep/2, "it answers with errors")
+			}
+		}
 	case TimedOut:
 		e.answered(ms(ev.Elapsed)/g.aim(a.q), e.slow)
 		g.fleet.answered(ms(ev.Elapsed)/g.aim(a.q), g.fleet.slow)
@@ -313,11 +322,17 @@
 		e.pressed = g.now + 4*period
 		e.heard = g.now
 	case NoConnection, Lost: // it may have restarted, seconds before the list tells
+		if g.now-e.lostAt >= period/ticks || ev.Result == NoConnection { // what ends together is one fault
+			g.fault(e, faultStep, "connections fail")
+		}
+		if e.lostAt = g.now; ev.Result == NoConnection {
+			e.doubted = false
+		} else if !e.doubted {
+			e.doubted, e.coldWas = true, e.coldUntil
+		}
 		g.chill(e, max(e.coldUntil, g.now+g.set.Rules.ColdFor))
-		g.fault(e, faultStep, "connections fail")
 	case Failed:
-		e.heard = g.now
-		g.fault(e, faultStep/2, "it answers with errors")
+		e.heard, a.erred = g.now, true
 	}
 }
 
@@ -374,7 +389,9 @@
 		return
 	}
 	a.heard, a.e.heard = g.now, g.now
+	a.waits = ev.Kind == NoteWaitMemory || ev.Kind == NoteWaitLoad
 	g.trust(a.e)
+	g.unbroken(a)
 	if ev.Kind == NoteWaitLoad {
 		a.e.heldSets[a.q.set] = g.now + 2*g.set.NoteEvery
 	}
@@ -657,6 +674,15 @@
 	return from <= g.now+time.Duration(max(0, coldBurst-spans)*float64(span))
 }
 
+// unbroken takes back that an engine may have restarted, on word of what was sent
+// after its connection broke and sooner than a process starts. Guards against
+// starving an engine of which only a connection was lost.
+func (g *Gateway) unbroken(a *attempt) {
+	if e := a.e; e.doubted && a.sent > e.lostAt && g.now < e.lostAt+startLeast {
+		e.doubted, e.coldUntil = false, e.coldWas
+	}
+}
+
 // chill takes an engine as cold, with a new place in the line for wide queries
 // unless it is in one.
 func (g *Gateway) chill(e *engine, until time.Duration) {
@@ -848,11 +874,12 @@
 		return
 	}
 	quiet := 0
-	for _, a := range e.out {
+	for _, a := range slices.Clone(e.out) {
 		if g.set.NoteEvery == 0 {
 			g.overdue(a)
 		} else if !a.stream && g.now-max(a.heard, g.awake) > g.quiet {
 			quiet++
+			g.missed(a)
 		}
 	}
 	silent := g.now - max(e.heard, e.out[0].sent, g.awake)
@@ -866,6 +893,20 @@
 	}
 }
 
+// missed sends a query again whose answer seems lost: its engine tells of others and
+// has long told nothing of it. Guards against answers and pages that never arrive.
+// What waits is told of less often.
+func (g *Gateway) missed(a *attempt) {
+	after := lostQuiet
+	if a.waits {
+		after = waitQuiet
+	}
+	silent := float64(g.now - max(a.heard, g.awake))
+	if silent > after*float64(g.quiet) && g.now-a.e.heard < g.quiet && a.q.class.Effect != Unsafe {
+		g.move(a)
+	}
+}
+
 // overdue stands in for notes where there are none: an attempt out for longer than
 // its class's answers usually scatter is cancelled while a fresh run makes the aim.
 // Guards against answers that vanish, bad plans and hung engines.
@@ -936,7 +977,8 @@
 	}
 	if n.Fresh && n.Started > e.begun {
 		g.fresh(e, n)
-		e.begun, e.coldUntil = n.Started, 0 // a new line: the places in an earlier one have all passed
+		e.begun, e.doubted = n.Started, false
+		e.coldUntil = 0 // a new line: the places in an earlier one have all passed
 		g.chill(e, n.Started+g.set.Rules.ColdFor)
 	}
 	e.zone, e.kind, e.cell, e.state = n.Zone, n.Kind, n.Cell, n.State
--- a/policy/state.go
+++ b/policy/state.go
@@ -92,6 +92,18 @@
 	stream  bool
 	grant   float64 // memory asked for, MB
 	spilled bool
+	waits   bool // its latest note said so
+	erred   bool // it ended in an error
+}
+
+// errors counts the attempts that ended in an error.
+func (q *query) errors() (n int) {
+	for _, a := range q.tries {
+		if a.erred {
+			n++
+		}
+	}
+	return n
 }
 
 func (q *query) outstanding() bool {
@@ -136,6 +148,9 @@
 	heard     time.Duration // latest word from it
 	load      float64       // told threads a core
 	toldAt    time.Duration // when that was told; 0: never
+	lostAt    time.Duration // when a connection to it broke; 0: never
+	doubted   bool          // it is taken as cold since, and nothing else says so
+	coldWas   time.Duration // coldUntil before that
 	faults    float64       // share of its latest attempts that failed
 	erring    bool          // suspect for faults, not for silence
 	suspected bool
