Have a cold engine's bound follow the capacity it has at the least

A trace showed why: a new engine was sent 49 lookups and 8 reports within 0.25 s of the roster's word, about 24 s of work, and had over 100 attempts in hand soon after; its memory line stood still, it went silent, and all that it held was moved to the others at once. Its bound was that of a warm engine, while it has a third of the capacity, and a choice prefers new engines because their budget lapses unused.

Fault: policy.scale took no account of the cold ramp.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -683,6 +683,13 @@
 	}
 }
 
+// warm is the part of its capacity that an engine has at the least: a fresh one
+// that held as much as a warm one would stand still under it.
+func (g *Gateway) warm(e *engine) float64 {
+	left := float64(e.coldUntil-g.now) / float64(max(g.set.Rules.ColdFor, 1))
+	return 1 - (1-g.set.Rules.ColdStart)*min(max(left, 0), 1)
+}
+
 // chill takes an engine as cold, with a new place in the line for wide queries
 // unless it is in one.
 func (g *Gateway) chill(e *engine, until time.Duration) {
@@ -998,7 +1005,7 @@
 	share := g.share()
 	e.faults -= e.faults / 40 // else what is avoided for its faults would be for ever
 	e.start = g.full * e.cores * share
-	e.top = (capStarts*e.start + g.widest*(1-share)) * min(1, kneeTimes/max(e.slow, 1))
+	e.top = (capStarts*e.start + g.widest*(1-share)) * min(1, kneeTimes/max(e.slow, 1)) * g.warm(e)
 }
 
 // scaleAll does the same for all engines together, with room for the chance in
@@ -1008,7 +1015,7 @@
 	f.start = 0
 	for _, e := range g.engines {
 		if e.state == EngineLive && !e.suspected {
-			f.start += e.start
+			f.start += e.start * g.warm(e)
 		}
 	}
 	if first {
