Send no more of a class to an engine where it stands still

Of attempts not told to wait, none was ever without a word for over 1.5 note intervals (27096, 11763 and 9490 gaps), so 2.2 intervals are enough to tell; they were 3.9.

Now: policy counts answers lost by engine and class; after two without a word of the class the engine gets none of it for a while, then one at a time.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,8 +33,9 @@
 	kneeTimes   = 1.6                    // times the quick latency from which the top of a bound shrinks
 	hopeless    = 0.7                    // of the time left, projected, that ends a query early
 	quietNotes  = 2.6                    // note intervals without word that make an engine suspect
-	lostQuiet   = 1.5                    // and this many times that, while others are heard, lost an answer
-	waitQuiet   = 5.0                    // or this many, where it was told to wait
+	lostNotes   = 2.2                    // and this many, while others are heard, that its answer is lost
+	waitNotes   = 13.0                   // or this many, where the engine told that it waits
+	muteAfter   = 2                      // answers of a class lost, and no word of it, that make one mute
 	startLeast  = 2 * time.Second        // in which no process ends and serves again
 	faultStep   = 0.4                    // weight of a failed connection among faults; an error half
 	faultMost   = 0.6                    // share of faults that makes an engine suspect
@@ -308,8 +309,7 @@
 		}
 		e.faults -= e.faults * faultStep / 2
 		e.heard, e.erring = g.now, false
-		g.trust(e)
-		g.unbroken(a)
+		g.spoke(a)
 		for _, b := range a.q.tries { // an error may be the query's own; not where another engine serves it
 			if b.erred && b.e != e {
 				g.fault(b.e, faultStep/2, "it answers with errors")
@@ -390,8 +390,7 @@
 	}
 	a.heard, a.e.heard = g.now, g.now
 	a.waits = ev.Kind == NoteWaitMemory || ev.Kind == NoteWaitLoad
-	g.trust(a.e)
-	g.unbroken(a)
+	g.spoke(a)
 	if ev.Kind == NoteWaitLoad {
 		a.e.heldSets[a.q.set] = g.now + 2*g.set.NoteEvery
 	}
@@ -460,7 +459,7 @@
 		if e.suspected && g.trial(q, e) {
 			return e
 		}
-		if e.suspected || !g.fits(q, &e.loop, bound) || !g.maySend(q, e) {
+		if e.suspected || g.mute(e, q.class) || !g.fits(q, &e.loop, bound) || !g.maySend(q, e) {
 			continue
 		}
 		room := bound - e.backlog + g.liking(q, e, affinity(e.hash, q.set) >= mark)
@@ -884,8 +883,10 @@
 	for _, a := range slices.Clone(e.out) {
 		if g.set.NoteEvery == 0 {
 			g.overdue(a)
-		} else if !a.stream && g.now-max(a.heard, g.awake) > g.quiet {
-			quiet++
+		} else if !a.stream {
+			if g.now-max(a.heard, g.awake) > g.quiet {
+				quiet++
+			}
 			g.missed(a)
 		}
 	}
@@ -901,19 +902,43 @@
 }
 
 // missed sends a query again whose answer seems lost: its engine tells of others and
-// has long told nothing of it. Guards against answers and pages that never arrive.
-// What waits is told of less often.
+// has long told nothing of it. Guards against answers and pages that never arrive, and
+// against an engine where one class stands still while all else runs. What waits is
+// told of less often.
 func (g *Gateway) missed(a *attempt) {
-	after := lostQuiet
+	e, c, notes := a.e, a.q.class, lostNotes
 	if a.waits {
-		after = waitQuiet
+		notes = waitNotes
 	}
 	silent := float64(g.now - max(a.heard, g.awake))
-	if silent > after*float64(g.quiet) && g.now-a.e.heard < g.quiet && a.q.class.Effect != Unsafe {
+	if a.missed || silent < notes*float64(g.set.NoteEvery) || g.now-e.heard > g.quiet {
+		return
+	}
+	a.missed = true
+	if e.lost[c]++; e.lost[c] >= muteAfter {
+		e.muteTill[c] = g.now + 2*g.quiet
+	}
+	if c.Effect != Unsafe {
 		g.move(a)
 	}
 }
 
+// mute tells whether a class stands still on the engine. After a while one query at a
+// time may find out.
+func (g *Gateway) mute(e *engine, c *class) bool {
+	return e.lost[c] >= muteAfter && (g.now < e.muteTill[c] ||
+		slices.ContainsFunc(e.out, func(a *attempt) bool {
+			return a.q.class == c && a.sent >= e.muteTill[c]
+		}))
+}
+
+// spoke takes word of an attempt: its class doesn't stand still on the engine.
+func (g *Gateway) spoke(a *attempt) {
+	delete(a.e.lost, a.q.class)
+	g.trust(a.e)
+	g.unbroken(a)
+}
+
 // overdue stands in for notes where there are none: an attempt out for longer than
 // its class's answers usually scatter is cancelled while a fresh run makes the aim.
 // Guards against answers that vanish, bad plans and hung engines.
@@ -974,7 +999,8 @@
 func (g *Gateway) entry(n Engine) {
 	e := g.byID[n.ID]
 	if e == nil {
-		e = &engine{id: n.ID, begun: math.MinInt64, heldSets: map[int64]time.Duration{}}
+		e = &engine{id: n.ID, begun: math.MinInt64, heldSets: map[int64]time.Duration{},
+			lost: map[*class]int{}, muteTill: map[*class]time.Duration{}}
 		for _, b := range []byte(n.ID) {
 			e.hash = (e.hash ^ uint64(b)) * 0x100000001b3
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -741,6 +741,65 @@
 	}
 }
 
+// One class stands still on an engine while another runs there: it gets no more of the
+// first, but one at a time to find out, until there is word of that.
+func TestEngineWhereOneClassStandsStill(t *testing.T) {
+	r := start(t, settings(), live("e", "a", 1), live("f", "a", 1))
+	e := r.g.byID["e"]
+	to := func(class string) (n int) {
+		for id := uint64(100); id < 110; id++ {
+			for _, s := range sends(r.arrive(id, class)) {
+				if s.Engine == "e" {
+					n++
+				}
+			}
+			r.do(Gone{Query: id})
+			for _, q := range r.g.queries {
+				if q.id == id {
+					r.ends(id, 0, Cancelled)
+				}
+			}
+		}
+		return n
+	}
+	still := map[uint64]bool{}
+	for id := uint64(1); len(still) < muteAfter; id++ {
+		if sends(r.arrive(id, "safe"))[0].Engine == "e" {
+			still[id] = true
+		} else {
+			r.ends(id, 0, Served)
+		}
+	}
+	for range 4 {
+		r.ticks(300 * msec)
+		e.heard = r.now // by way of other classes
+	}
+	if !r.g.mute(e, r.g.classes["safe"]) || r.g.mute(e, r.g.classes["unsafe"]) {
+		t.Fatalf("mute to %v lost answers is not the class's", e.lost)
+	}
+	if n := to("safe"); n > 0 {
+		t.Errorf("%d more of the class that stands still", n)
+	}
+	other := live("f", "a", 1)
+	other.State = EngineDraining
+	r.do(Engines{Mode: ListChanges, Engines: []Engine{other}})
+	if n := to("unsafe"); n == 0 {
+		t.Error("none of the class that runs")
+	}
+	r.after(3 * r.g.quiet)
+	for id := uint64(200); id < 220 && !r.g.mute(e, r.g.classes["safe"]); id++ {
+		r.arrive(id, "safe")
+	}
+	if !r.g.mute(e, r.g.classes["safe"]) {
+		t.Error("no query was sent to find out, or more than one")
+	}
+	trial := e.out[len(e.out)-1]
+	r.do(Note{Query: trial.q.id, Attempt: trial.n, Kind: NoteProgress, Value: 0.5})
+	if r.g.mute(e, r.g.classes["safe"]) {
+		t.Error("mute after word of the class")
+	}
+}
+
 func TestAFitComesBeforeAChanceSend(t *testing.T) {
 	s, list := many(2)
 	for seed := uint64(1); seed < 60; seed++ {
--- a/policy/state.go
+++ b/policy/state.go
@@ -94,6 +94,7 @@
 	spilled bool
 	waits   bool // its latest note said so
 	erred   bool // it ended in an error
+	missed  bool // its answer was given up as lost
 }
 
 // errors counts the attempts that ended in an error.
@@ -155,7 +156,9 @@
 	erring    bool          // suspect for faults, not for silence
 	suspected bool
 	trialAt   time.Duration
-	heldSets  map[int64]time.Duration // data sets held by loads, until then
+	lost      map[*class]int           // answers lost since the latest word of the class
+	muteTill  map[*class]time.Duration // nothing of the class is sent until then
+	heldSets  map[int64]time.Duration  // data sets held by loads, until then
 }
 
 // lane is the line of one order key (rule 5).
