Make room for clients until there is enough, and bound what both fronts hold by the memory

A new silent connection now has 20 ms, and room is made again until there is enough (rest.makeRoom). Also: a whole list left connections to engines that it no longer names open (core.Roster); a platform engine could claim 64 pages of 64 KB for one request (now 256 KB a result); rows held by the PostgreSQL links and portals had fixed bounds of 48 and 32 MB, also with 32 MB of memory; an engine or client that stopped in the middle of a message kept its connection on the PostgreSQL side.

--- a/cmd/ringwood/main.go
+++ b/cmd/ringwood/main.go
@@ -162,6 +162,7 @@
 	g.core.SetLinks(pg.New(g.loop, g.core, pg.Options{
 		User: p.User, Database: p.Database,
 		ConnectTimeout: config.FromMS(p.ConnectWithin), IdleClose: config.FromMS(p.IdleClose),
+		MostHeld: part(p.MemoryMB, 4),
 	}, g.counters, g.log))
 	follower := consul.New(g.loop.Post, g.core, g.counters, g.log)
 	follower.Follow(ctx, consul.Options(p.Consul))
@@ -191,7 +192,7 @@
 }
 
 func frontOptions(p *config.Postgres) pgwire.Options {
-	opts := pgwire.Options{DefaultClass: p.DefaultClass, MostClients: mostClients(p.Sockets)}
+	opts := pgwire.Options{DefaultClass: p.DefaultClass, MostClients: mostClients(p.Sockets), MostHeld: part(p.MemoryMB, 6)}
 	if p.MostClients > 0 {
 		opts.MostClients = min(opts.MostClients, p.MostClients)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -104,6 +104,7 @@
 	log     *log.Logger
 	round   time.Duration
 	classes map[string]policy.Class
+	engines map[string]Engine // that the roster names and that are not gone
 
 	last     uint64 // query given out last
 	requests map[uint64]*Request
@@ -122,7 +123,7 @@
 	}
 	c := &Core{
 		gateway: g, clock: clock, timers: timers, stats: counters, log: l, round: set.Round,
-		classes: map[string]policy.Class{}, requests: map[uint64]*Request{},
+		classes: map[string]policy.Class{}, engines: map[string]Engine{}, requests: map[uint64]*Request{},
 	}
 	for _, class := range set.Classes {
 		c.classes[class.Name] = class
@@ -157,9 +158,23 @@
 func (c *Core) Roster(mode policy.ListMode, engines []Engine) {
 	c.stats.Add("roster.events")
 	ev := policy.Engines{Mode: mode}
+	before := c.engines
+	if mode == policy.ListFull || mode == policy.ListCached {
+		c.engines = map[string]Engine{}
+	}
 	for _, e := range engines {
 		ev.Engines = append(ev.Engines, e.Engine)
 		c.links.Engine(e) // before the module may name it in a send
+		if c.engines[e.ID] = e; e.State == policy.EngineGone {
+			delete(c.engines, e.ID)
+		}
+	}
+	// Guards against keeping connections to engines that a whole list no longer names.
+	for id, e := range before {
+		if _, ok := c.engines[id]; !ok && e.State != policy.EngineGone {
+			e.State = policy.EngineGone
+			c.links.Engine(e)
+		}
 	}
 	c.tell(ev)
 }
--- a/internal/engine/lines/links.go
+++ b/internal/engine/lines/links.go
@@ -20,8 +20,10 @@
 )
 
 const (
-	maxBuffer = 256 << 10 // of one connection; the rest waits in the socket
+	maxBuffer = 64 << 10 // of one connection; the rest waits in the socket
 	maxPages  = 64
+	// maxResult bounds all pages of one result, which may have 48,000 bytes.
+	maxResult = 256 << 10
 	// pastFor is how long an id that was given up on a connection is not used
 	// there again: a late answer to the first would be taken for one to the second.
 	pastFor = 30 * time.Second
@@ -75,6 +77,7 @@
 	written bool
 	pages   Rows
 	missing int // pages
+	size    int // of those that are here
 	report  core.Report
 }
 
@@ -336,6 +339,7 @@
 	s.report.MemoryMB, _ = number(a.fields, "used")
 	s.report.Load = gauges(a.fields)
 	s.pages = make(Rows, pages)
+	s.size = len(a.body)
 	s.pages[0] = append([]byte{}, a.body...)
 	s.missing = pages - 1
 	if s.missing == 0 {
@@ -361,7 +365,10 @@
 		return errBody
 	case s.pages[n] != nil:
 		return nil
+	case s.size+len(a.body) > maxResult:
+		return errors.New("a result is too large")
 	}
+	s.size += len(a.body)
 	s.pages[n] = append([]byte{}, a.body...)
 	if s.missing--; s.missing == 0 {
 		l.conn.Write([]byte("shut " + a.id + "\r\n"))
--- a/internal/engine/lines/parse.go
+++ b/internal/engine/lines/parse.go
@@ -13,7 +13,7 @@
 
 const (
 	maxLine = 2 << 10  // an answer's first line
-	maxBody = 64 << 10 // a page, with room
+	maxBody = 16 << 10 // a page, with room
 )
 
 // answer is one message of an engine.
--- a/internal/engine/pg/links.go
+++ b/internal/engine/pg/links.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gannetspur/internal/core"
+	"gannetspur/internal/deadline"
 	"gannetspur/internal/engine"
 	"gannetspur/internal/netio"
 	"gannetspur/internal/pgproto"
@@ -19,8 +20,10 @@
 const (
 	// MaxResult bounds the rows of one result, which is held until it is whole.
 	MaxResult = 4 << 20
-	// maxResults bounds the rows of all results that are on their way.
-	maxResults = 48 << 20
+	// usualHeld bounds the rows of all results on their way where the options don't.
+	usualHeld = 48 << 20
+	// stallMost is how long an engine may send nothing in the middle of a message.
+	stallMost  = 2 * time.Second
 	maxMessage = MaxResult
 	maxNamed   = 32      // statements that stay prepared on one connection
 	maxKept    = 4 << 10 // and the length of each: their texts are kept
@@ -33,6 +36,7 @@
 	User, Database string
 	ConnectTimeout time.Duration // for the connection and its startup together
 	IdleClose      time.Duration // 0: idle connections stay open
+	MostHeld       int           // bytes of rows of all results that are on their way
 }
 
 // Links holds the connections to all engines.
@@ -51,6 +55,9 @@
 	if opts.ConnectTimeout <= 0 {
 		opts.ConnectTimeout = time.Second
 	}
+	if opts.MostHeld <= 0 {
+		opts.MostHeld = usualHeld
+	}
 	return &Links{loop: loop, core: c, opts: opts, stats: counters, log: l, engines: engine.NewPool[*link]()}
 }
 
@@ -62,6 +69,7 @@
 	ready   bool        // its startup is over
 	retired bool
 	used    time.Duration
+	stall   *deadline.Entry   // ends it in the middle of a message
 	end     core.End          // why it is being closed from here
 	key     []byte            // process and secret, as a CancelRequest wants them
 	named   map[string]string // statements that stay prepared here: their names by text and types
@@ -238,14 +246,28 @@
 			in.Consume(n)
 		}
 		if err != nil {
-			l.all.log.Printf("engine %s: %v", l.engine.ID, err)
-			l.close(core.EndGarbage)
+			l.spoilt(err)
 			return
 		}
 		if n == 0 {
-			return
+			break
 		}
 	}
+	l.stall.Stop()
+	if in.Len() > 0 && l.end == core.EndUnknown {
+		l.stall = l.all.loop.Timers.Add(l.all.loop.Now()+stallMost, func() {
+			l.spoilt(errors.New("a message stopped in the middle"))
+		})
+	}
+}
+
+// spoilt ends the link on what can't be read, and what is open on it.
+func (l *link) spoilt(err error) {
+	if l.conn == nil || l.end != core.EndUnknown {
+		return
+	}
+	l.all.log.Printf("engine %s: %v", l.engine.ID, err)
+	l.close(core.EndGarbage)
 }
 
 func (l *link) message(kind byte, body, whole []byte) error {
@@ -308,7 +330,7 @@
 		case len(r.Rows)+len(whole) > MaxResult:
 			l.stop("54000", fmt.Sprintf("the result is larger than %d bytes", MaxResult))
 			return nil
-		case l.all.size+len(whole) > maxResults:
+		case l.all.size+len(whole) > l.all.opts.MostHeld:
 			l.stop("53200", "the gateway holds too many results")
 			return nil
 		}
@@ -455,6 +477,7 @@
 
 func (l *link) lost(end core.End) {
 	l.retired, l.conn, l.ready = true, nil, false
+	l.stall.Stop()
 	l.all.stats.Add("links.ended." + end.String())
 	l.engine.Remove(l)
 	if a := l.attempt; a != nil {
--- a/internal/front/pgwire/extended.go
+++ b/internal/front/pgwire/extended.go
@@ -283,7 +283,7 @@
 // nothing, and the batch fails.
 func (k *conn) hold(p *portal) {
 	f := k.front
-	if f.held+len(p.rest) > heldMost {
+	if f.held+len(p.rest) > f.opts.MostHeld {
 		p.rest = nil
 		k.failed(fail("53200", "open portals hold too many rows; fetch them, or ask for all at once"))
 		return
--- a/internal/front/pgwire/front.go
+++ b/internal/front/pgwire/front.go
@@ -36,8 +36,8 @@
 	// slowReader is how much may wait to be sent before no more messages are
 	// taken. Guards against a client that asks and does not read.
 	slowReader = 1 << 20
-	// heldMost bounds the rows of all open portals together, in bytes.
-	heldMost = 32 << 20
+	// usualHeld bounds the rows of all open portals where the options don't.
+	usualHeld = 32 << 20
 )
 
 // Options come from the deploy file.
@@ -45,6 +45,7 @@
 	DefaultClass string
 	Rules        []Rule
 	MostClients  int // connections at once; 0: no limit of its own
+	MostHeld     int // bytes of rows in all open portals together
 }
 
 // Front accepts clients.
@@ -62,7 +63,9 @@
 
 // New returns a front that puts its requests to the core.
 func New(loop *netio.Loop, c *core.Core, opts Options, counters *stats.Counters) *Front {
-	return &Front{loop: loop, core: c, opts: opts, stats: counters, conns: map[uint32]*conn{}}
+	f := &Front{loop: loop, core: c, stats: counters, conns: map[uint32]*conn{}}
+	f.SetOptions(opts)
+	return f
 }
 
 // Listen accepts at the address.
@@ -92,7 +95,12 @@
 
 // SetOptions changes the options, for statements prepared and clients that connect
 // from now on.
-func (f *Front) SetOptions(opts Options) { f.opts = opts }
+func (f *Front) SetOptions(opts Options) {
+	if opts.MostHeld <= 0 {
+		opts.MostHeld = usualHeld
+	}
+	f.opts = opts
+}
 
 // Addr is where clients connect.
 func (f *Front) Addr() string { return f.listener.Addr().String() }
--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -33,6 +33,8 @@
 	// idleLeast is how long one is idle before it may be closed for want of room: the
 	// client's next call could cross the close.
 	idleLeast = 100 * time.Millisecond
+	// silentLeast is how long a new connection has for its first words before that.
+	silentLeast = 20 * time.Millisecond
 	// slowReader is how much may wait to be sent before no more calls are taken.
 	// Guards against a client that asks and does not read.
 	slowReader = 256 << 10
@@ -63,6 +65,7 @@
 	heldSize int
 	seq      uint64
 	draining bool
+	crowded  bool // makeRoom comes again
 }
 
 // held is a result of more than one page that the client has not fetched whole.
@@ -93,11 +96,11 @@
 func (f *Front) Listen(addr string) error {
 	ln, err := f.loop.Listen(addr, maxCall, f.opts.MostClients+spareClients, func(c *netio.Conn) netio.Handler {
 		f.stats.Add("rest.connections")
-		if len(f.conns) >= f.opts.MostClients {
-			f.makeRoom()
-		}
 		k := &conn{front: f, conn: c, used: f.loop.Now()}
 		f.conns[k] = struct{}{}
+		if len(f.conns) > f.opts.MostClients {
+			f.makeRoom()
+		}
 		k.await()
 		return k
 	})
@@ -120,25 +123,37 @@
 	f.loop.Timers.Add(now+idleMost/4, f.sweepIdle)
 }
 
-// makeRoom closes the connection that is missed least: the oldest that has not made
-// a good call yet, else the longest idle. Guards against clients that connect by the
-// hundred, or ask once and stay: the others would find no descriptor left.
+// makeRoom closes the connections that are missed least while there are too many: the
+// oldest that have not made a good call yet, then the longest idle. Guards against
+// clients that connect by the hundred, or ask once and stay: the others would find no
+// descriptor left. Where none can be closed yet it comes again: at the most
+// connections nothing more is accepted, so nothing else would call it.
 func (f *Front) makeRoom() {
-	var least *conn
-	open := 0
-	for k := range f.conns {
-		if k.ended { // it only waits for its client to read the last answer
-			k.conn.Abort()
-			continue
-		}
-		if open++; k.request != nil || k.good && (k.further || f.loop.Now()-k.used < idleLeast) {
-			continue
+	for {
+		var least *conn
+		open, now := 0, f.loop.Now()
+		for k := range f.conns {
+			if k.ended { // it only waits for its client to read the last answer
+				k.conn.Abort()
+				continue
+			}
+			if open++; k.request != nil || k.further || k.good && now-k.used < idleLeast || now-k.used < silentLeast {
+				continue
+			}
+			if least == nil || least.good && !k.good || least.good == k.good && k.used < least.used {
+				least = k
+			}
 		}
-		if least == nil || least.good && !k.good || least.good == k.good && k.used < least.used {
-			least = k
+		switch {
+		case open <= f.opts.MostClients:
+			return
+		case least == nil:
+			if !f.crowded {
+				f.crowded = true
+				f.loop.Timers.Add(now+silentLeast, func() { f.crowded = false; f.makeRoom() })
+			}
+			return
 		}
-	}
-	if least != nil && open >= f.opts.MostClients {
 		f.stats.Add("rest.closed-for-room")
 		least.ended = true
 		least.conn.Close()
@@ -210,6 +225,7 @@
 	}
 	switch {
 	case k.ended:
+		in.Consume(in.Len())
 	case k.request != nil && in.Len() > 0 && !begins(in.Bytes()):
 		k.leave()
 		k.refuse(wrongLength())
--- a/internal/stories/postgres_test.go
+++ b/internal/stories/postgres_test.go
@@ -343,3 +343,33 @@
 	k.send(pgproto.AppendStartup(nil, pgproto.Version+2, append(append(pgproto.Str("user"), pgproto.Str("x")...), 0)))
 	same(t, "startup", k.until('Z'), "v R S S S S S S S K Z")
 }
+
+// Peers that stop and stay: a client that says nothing is closed, one that stops in the
+// middle of a message is told so, and an engine that does loses its connection, so
+// that another serves the client.
+func TestPostgresPeersThatStop(t *testing.T) {
+	stopped := make(chan struct{}, 1)
+	stopped <- struct{}{}
+	script := func(pgCall) []byte {
+		select {
+		case <-stopped:
+			return []byte{'1', 0, 0, 0, 4, '2', 0, 0, 0, 200} // the script's Z follows within that message
+		default:
+			return append([]byte{'1', 0, 0, 0, 4, '2', 0, 0, 0, 4, 'n', 0, 0, 0, 4}, pgproto.Append(nil, 'C', pgproto.Str("INSERT 0 1"))...)
+		}
+	}
+	one, _ := pgEngine(t, script)
+	two, _ := pgEngine(t, script)
+	g := postgres(t, one, two)
+	silent := &pgClient{t: t, c: dial(t, g.addr)}
+	half := connect(t, g.addr)
+	half.send(query("SELECT 1")[:7])
+	k := connect(t, g.addr)
+	k.send(parse("", "INSERT INTO stock_1.parts VALUES ($1)"), bind("", "", "key"), execute("", 0), sync)
+	same(t, "answer", k.until('Z'), "1 2 C(INSERT 0 1) Z")
+	same(t, "silent client", silent.until(0), "end")
+	same(t, "client that stopped", half.until(0), "E(08P01) end")
+	if n := g.count("ended.garbage"); n != 1 {
+		t.Errorf("%d attempts ended with a message that stopped, want 1", n)
+	}
+}
