--- a/policy/policy.go
+++ b/policy/policy.go
@@ -41,7 +41,7 @@
 	faultMost   = 0.6                    // share of faults that makes an engine suspect
 	coldMargin  = 0.7                    // part of a cold engine's budget that is used
 	coldBurst   = 0.5                    // and this part of a span's budget may go at once
-	grantCover  = 0.87                    // part of its queries whose need a class's grant should cover
+	grantCover  = 0.87                   // part of its queries whose need a class's grant should cover
 	hotSpread   = 2.0                    // engines near a data set for each engine's worth of its traffic
 	setPrior    = 2.0                    // queries as which an unseen set counts, among ten such
 	setMemory   = 256                    // queries over which the sets' parts of the traffic are counted
