Move a query that waits for memory once, not twice

On the earlier traces queries went to three engines within 2 ms: each said that the query must wait for memory, and the third attempt, which has no other behind it, waited or was lost where it was. Fault: policy.note moved whatever waits for as long as it had tries.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -404,8 +404,10 @@
 	if a.cancel || q.done || !g.set.Limits.Cancel || ev.Kind == NoteSpill {
 		return
 	}
-	if ev.Kind != NoteProgress { // it stands still; elsewhere it would run. A ration is for what fails
-		if g.set.Rules.LookBack == 0 && q.class.Effect == Safe && ms(g.now-a.sent)+usual < g.aim(q) {
+	if ev.Kind != NoteProgress { // it stands still; elsewhere it would run. A ration is for what fails,
+		// and where memory is short on two engines, a third is no better
+		once := ev.Kind == NoteWaitLoad || len(q.tries) == 1
+		if once && g.set.Rules.LookBack == 0 && q.class.Effect == Safe && ms(g.now-a.sent)+usual < g.aim(q) {
 			g.move(a)
 		}
 		return
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -589,6 +589,20 @@
 	}
 }
 
+// What waits for memory is moved once: engines that are all short of it would else use
+// up the attempts of every query within a moment, and leave none for what goes wrong.
+func TestQueryThatWaitsForMemoryMovesOnce(t *testing.T) {
+	r := start(t, settings(), live("e", "a", 1), live("f", "a", 1), live("g", "a", 1))
+	r.arrive(1, "wide")
+	if out := r.do(Note{Query: 1, Kind: NoteWaitMemory}); !has[Cancel](out) {
+		t.Fatalf("it did not move: %+v", out)
+	}
+	r.ends(1, 0, Cancelled)
+	if out := r.do(Note{Query: 1, Attempt: 1, Kind: NoteWaitMemory}); has[Cancel](out) {
+		t.Fatalf("it moved again: %+v", out)
+	}
+}
+
 func TestToldLoadClosesTheRoomForChance(t *testing.T) {
 	s, list := many(40)
 	r := start(t, s, list...)
