Send what may write once at most, whatever class its client or a rule gives it

A statement that no rule names had the default class, a lookup, which may be repeated and refused. With an engine that runs a statement and then breaks the connection, DELETE, UPDATE, MERGE, CREATE TABLE AS, SELECT INTO, WITH (DELETE ...), setval and EXPLAIN ANALYZE DELETE each ran three times, and the client was told that trying again is harmless.

sqltext has a lexer by PostgreSQL's lexical rules, and EffectOf reads from its tokens what a statement may do, in doubt that it writes. What may write gets write_class (effect non_idempotent), or is refused where the settings have no such class. A safe class named by a comment or rule is an error, for plain writes of a rule at load time. After a write was sent its client hears its result, the engine's own error, or 40003: a time-out and a cancel no longer read 57014, an error of the kind 53 in its middle goes to no second engine, and an attempt that never ran no longer words the one in doubt. A dropped name is believed only before BindComplete.

Not seen from a text, and said so: views, casts and operators over functions that write.

--- a/cmd/ringwood/main.go
+++ b/cmd/ringwood/main.go
@@ -28,6 +28,7 @@
 	"gannetspur/internal/netio"
 	"gannetspur/internal/roster/bus"
 	"gannetspur/internal/roster/consul"
+	"gannetspur/internal/sqltext"
 	"gannetspur/internal/stats"
 	"gannetspur/policy"
 )
@@ -192,7 +193,12 @@
 }
 
 func frontOptions(p *config.Postgres) pgwire.Options {
-	opts := pgwire.Options{DefaultClass: p.DefaultClass, MostClients: mostClients(p.Sockets), MostHeld: part(p.MemoryMB, 6)}
+	opts := pgwire.Options{
+		DefaultClass: p.DefaultClass, WriteClass: p.WriteClass, ReadOnly: sqltext.Functions{}, MostClients: mostClients(p.Sockets), MostHeld: part(p.MemoryMB, 6),
+	}
+	for _, name := range p.ReadOnly {
+		opts.ReadOnly[name] = true
+	}
 	if p.MostClients > 0 {
 		opts.MostClients = min(opts.MostClients, p.MostClients)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -76,6 +76,10 @@
 		{`class = "load"`, `class = "odd"`, "statement[0].class"},
 		{`key = 1`, `key = -1`, "statement[0].key"},
 		{`postgres-settings.json`, `none.json`, "settings"},
+		{`write_class = "write"`, `write_class = "lookup"`, "write_class"},
+		{`read_only_functions = []`, `read_only_functions = ["F(x)"]`, "read_only_functions[0]"},
+		{`class = "load"`, `class = "report"`, "statement[0].class"},
+		{`key = 1`, `read_only = true`, "statement[0].read_only"},
 	} {
 		path := filepath.Join(dir, "postgres.toml")
 		if err := os.WriteFile(path, []byte(strings.Replace(string(raw), tt.old, tt.new, 1)), 0o600); err != nil {
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -50,6 +50,9 @@
 	c.forget(r)
 }
 
+// Doubt tells whether a request that is open may have run and is not safe to repeat.
+func (c *Core) Doubt(r *Request) bool { return c.doubt(r) }
+
 func (c *Core) doubt(r *Request) bool {
 	return c.classes[r.Class].Effect != policy.Safe &&
 		slices.ContainsFunc(r.tries, func(a *Attempt) bool { return !a.neverRan })
--- a/internal/engine/pg/links.go
+++ b/internal/engine/pg/links.go
@@ -15,6 +15,7 @@
 	"gannetspur/internal/netio"
 	"gannetspur/internal/pgproto"
 	"gannetspur/internal/stats"
+	"gannetspur/policy"
 )
 
 const (
@@ -80,6 +81,7 @@
 	using   string // text and types of the attempt's statement, where it has a name
 	parsing string // the name that this attempt's Parse gives
 	result  *pgproto.Result
+	bound   bool // BindComplete has come: it may be running
 	whole   bool // CommandComplete or the like has come
 	failure *pgproto.Error
 }
@@ -104,7 +106,7 @@
 	if l == nil {
 		l = ls.dial(e)
 	}
-	l.attempt, l.written, l.result, l.whole, l.failure = a, false, &pgproto.Result{}, false, nil
+	l.attempt, l.written, l.result, l.bound, l.whole, l.failure = a, false, &pgproto.Result{}, false, false, nil
 	a.Link = l
 	if l.ready {
 		l.write()
@@ -173,11 +175,11 @@
 }
 
 // stale tells that an error concerns a name from an earlier attempt: the engine has
-// dropped it, or what it stands for has changed. Nothing has run, and without the
-// name the statement may well do.
+// dropped it, or what it stands for has changed. Both show before BindComplete, so
+// nothing has run, and without the name the statement may well do.
 func (l *link) stale(code string) bool {
 	_, reused := l.named[l.using]
-	if !reused || l.parsing != "" || code != "26000" && code != "0A000" {
+	if !reused || l.bound || l.parsing != "" || code != "26000" && code != "0A000" {
 		return false
 	}
 	delete(l.named, l.using)
@@ -318,7 +320,9 @@
 		if l.parsing != "" {
 			l.named[l.using] = l.parsing
 		}
-	case '2', '3':
+	case '2':
+		l.bound = true
+	case '3':
 	case 't':
 		r.Params = append([]byte{}, body...)
 	case 'T':
@@ -403,7 +407,7 @@
 	case l.failure != nil && l.stale(l.failure.Code):
 		l.finish(core.EndNotSent, core.Report{})
 	case l.failure != nil:
-		l.finish(errorEnd(l.failure.Code), core.Report{Detail: l.failure})
+		l.finish(l.errorEnd(s), core.Report{Detail: l.failure})
 	case l.whole || s.Describe && l.result.Params != nil:
 		l.finish(core.EndServed, core.Report{Result: l.result})
 	default:
@@ -412,6 +416,18 @@
 	return nil
 }
 
+// errorEnd sorts the error that ended the link's attempt. Of what runs once at most, an
+// engine that was short of something in the middle has done some of it for good where
+// that is outside its transaction (a sequence, say): no other is asked.
+func (l *link) errorEnd(s *pgproto.Statement) core.End {
+	end := errorEnd(l.failure.Code)
+	class, _ := l.all.core.Class(l.attempt.Request.Class)
+	if end == core.EndFull && class.Effect == policy.Unsafe && !s.Describe {
+		return core.EndError
+	}
+	return end
+}
+
 // errorEnd sorts an engine's errors. What the engine is short of, or that it is
 // about to stop, is no answer to the statement: another engine may serve it. A
 // fault of the statement's own would be the same everywhere.
--- a/internal/front/pgwire/class.go
+++ b/internal/front/pgwire/class.go
@@ -13,9 +13,10 @@
 // Rule gives a class to statements that begin with some words, and names the
 // parameter that holds their key.
 type Rule struct {
-	Starts string // words, in any case, after comments
-	Class  string
-	Key    int // the parameter's number from 1; 0: none
+	Starts   string // words, in any case, after comments
+	Class    string
+	Key      int  // the parameter's number from 1; 0: none
+	ReadOnly bool // the operator's word that such statements only read, where their text can't tell
 }
 
 // sorted is what a statement's comment or a rule says of it.
@@ -25,12 +26,14 @@
 }
 
 // sort finds a statement's class: its leading comment goes before the rules, and
-// these before the default.
+// these before the default. What the statement may do goes before all three: one that
+// may write is never given a class that is safe to repeat. Unless it is a keyed load it
+// has the class for writes, of which one attempt is made.
 func (f *Front) sort(query string) (sorted, *pgproto.Error) {
-	name, key := f.opts.DefaultClass, 0
+	name, key, readOnly, named := f.opts.DefaultClass, 0, false, false
 	for _, r := range f.opts.Rules {
-		if starts(query, r.Starts) {
-			name, key = r.Class, r.Key
+		if sqltext.Begins(query, r.Starts) {
+			name, key, readOnly, named = r.Class, r.Key, r.ReadOnly, true
 			break
 		}
 	}
@@ -39,7 +42,7 @@
 			k, v, _ := strings.Cut(word, "=")
 			switch k {
 			case "class":
-				name = v
+				name, named = v, true
 			case "key":
 				n, err := strconv.Atoi(strings.TrimPrefix(v, "$"))
 				if err != nil || n < 1 || n > maxParams {
@@ -53,22 +56,24 @@
 	if !ok {
 		return sorted{}, fail("42704", "class %q is not known here", name)
 	}
-	return sorted{class: class, key: key}, nil
-}
-
-// starts compares word by word, so that spacing does not count.
-func starts(query, words string) bool {
-	have := strings.Fields(sqltext.SkipComments(query))
-	want := strings.Fields(words)
-	if len(want) == 0 || len(have) < len(want) {
-		return false
+	if class.Effect != policy.Safe {
+		return sorted{class: class, key: key}, nil
 	}
-	for i, w := range want {
-		if !strings.EqualFold(w, have[i]) {
-			return false
-		}
+	effect := sqltext.EffectOf(query, f.opts.ReadOnly)
+	if effect.Effect == sqltext.Reads || effect.Effect == sqltext.Untold && readOnly {
+		return sorted{class: class, key: key}, nil
+	}
+	f.stats.Add("pgwire.may-write")
+	if named {
+		e := fail("22023", "class %s is safe to repeat, and the statement may write (%v)", name, effect)
+		e.Hint = "Name no class, or one for writes or loads. Functions that only read belong in the gateway's read_only_functions."
+		return sorted{}, e
+	}
+	class, ok = f.core.Class(f.opts.WriteClass)
+	if !ok || class.Effect != policy.Unsafe {
+		return sorted{}, fail("0A000", "the statement may write (%v), and this gateway has no class for writes", effect)
 	}
-	return true
+	return sorted{class: class}, nil
 }
 
 // keyOf reads the key of a load from the bound values. A load without one is
--- a/internal/front/pgwire/extended.go
+++ b/internal/front/pgwire/extended.go
@@ -10,6 +10,7 @@
 	"gannetspur/internal/core"
 	"gannetspur/internal/pgproto"
 	"gannetspur/internal/sqltext"
+	"gannetspur/policy"
 )
 
 func malformed(what string) *pgproto.Error { return fail("08P01", "malformed %s message", what) }
@@ -364,12 +365,16 @@
 // ask puts one request to the core. The answer may come before it returns.
 func (k *conn) ask(s *statement, want *pgproto.Statement, token string, served func(*pgproto.Result)) {
 	f := k.front
-	wait := s.class.Deadline
+	class := s.class
+	if d, ok := f.core.Class(f.opts.DefaultClass); ok && want.Describe && d.Effect == policy.Safe {
+		class = d // a description runs nothing, whatever its statement would do
+	}
+	wait := class.Deadline
 	if k.timeout > 0 {
 		wait = k.timeout
 	}
 	r := &core.Request{
-		ID: fmt.Sprintf("pg%d", k.process), Class: s.class.Name, Token: token, Statement: want,
+		ID: fmt.Sprintf("pg%d", k.process), Class: class.Name, Token: token, Statement: want,
 		Deadline: f.core.Now() + wait, Client: k,
 	}
 	r.Set, _ = sqltext.Group(s.query)
@@ -401,9 +406,13 @@
 func answerError(a core.Answer) *pgproto.Error {
 	e, _ := a.Detail.(*pgproto.Error)
 	switch {
+	case a.Doubt && e == nil: // also when its time is over: a time-out would say that nothing was done
+		return inDoubt()
+	case a.Doubt:
+		return e
 	case a.Late:
 		return fail("57014", "canceling statement due to statement timeout")
-	case a.Verdict == core.Refused && !a.Doubt:
+	case a.Verdict == core.Refused:
 		e := fail("53000", "the engines are busy; the statement was refused, and trying again is harmless")
 		if a.ComeBack > 0 {
 			e.Hint = fmt.Sprintf("Try again in %d ms.", (a.ComeBack+time.Millisecond-1)/time.Millisecond)
@@ -412,7 +421,12 @@
 	case e != nil:
 		return e
 	case a.Sent:
-		return fail("40003", "the statement failed on its way or at its engine; it may have run")
+		return inDoubt()
 	}
 	return fail("58000", "the statement could not be sent to any engine")
 }
+
+// inDoubt is the answer to what was sent and may have run (statement_completion_unknown).
+func inDoubt() *pgproto.Error {
+	return fail("40003", "the statement failed on its way or at its engine; it may have run")
+}
--- /dev/null
+++ b/internal/sqltext/effect_test.go
@@ -0,0 +1,121 @@
+package sqltext
+
+import (
+	"strings"
+	"testing"
+)
+
+// What may write is never taken for a reading statement, however it is written.
+func TestEffect(t *testing.T) {
+	more := Functions{"stock.price_of": true, "is_open": true}
+	for stmt, want := range map[string]Effect{
+		"DELETE FROM t":                Writes,
+		" /* c */ UPDATE t SET a = 1":  Writes,
+		"MERGE INTO t USING s ON true": Writes,
+		"CREATE TABLE x AS SELECT 1":   Writes,
+		"TRUNCATE t":                   Writes,
+		"SELECT a INTO x FROM t":       Writes,
+		"SELECT 1INTO x FROM t":        Writes,
+		"SELECT $1INTO x":              Writes,
+		"WITH d AS (DELETE FROM t RETURNING *) SELECT * FROM d":                    Writes,
+		"WITH RECURSIVE d(a) AS (SELECT 1), e AS (insert into t select 1) TABLE d": Writes,
+		"SELECT * FROM t FOR UPDATE":                                               Writes,
+		"SELECT * FROM t FOR NO KEY UPDATE":                                        Writes,
+		"SELECT * FROM t FOR KEY SHARE SKIP LOCKED":                                Writes,
+		"EXPLAIN ANALYZE DELETE FROM t":                                            Writes,
+		"EXPLAIN (ANALYZE, BUFFERS) DELETE FROM t":                                 Writes,
+		"EXPLAIN (\"analyze\" on) DELETE FROM t":                                   Writes,
+		"explain analyse verbose update t set a = 1":                               Writes,
+		"EXPLAIN ANALYZE CREATE TABLE x AS SELECT 1":                               Writes,
+		"SELECT 1 -- x\rFROM t FOR UPDATE":                                         Writes,
+		"SELECT 1 /* a /* b */ */ FROM x; DELETE FROM t":                           Writes,
+		"SELECT 'a''' , b FROM t FOR SHARE":                                        Writes,
+		"SELECT E'a\\'', b FROM t FOR SHARE":                                       Writes,
+		"SELECT E'a'\n'\\'', b FROM t FOR SHARE":                                   Writes,
+
+		"SELECT setval('s', 1)":                                   Untold,
+		"SELECT \"setval\" ('s', 1)":                              Untold,
+		"SELECT pg_catalog.setval('s', 1)":                        Untold,
+		"SELECT setval/**/('s', 1)":                               Untold,
+		"SELECT public.lower('s')":                                Untold,
+		"SELECT DISTINCT ON (a) setval('s', 1)":                   Untold,
+		"SELECT a FROM unnest(x) WITH ORDINALITY, setval('s', 1)": Untold,
+		"WITH a AS (SELECT 1) SELECT 2, setval('s', 1)":           Untold,
+		"WITH a AS (SELECT 1, evil(2)) SELECT 2":                  Untold,
+		"SELECT \"Lower\"('s')":                                   Untold,
+		"SELECT 1 WHERE a = over(1)":                              Untold,
+		"SELECT 1 WHERE a IN (1) AND join(1) > 0":                 Untold,
+		"EXPLAIN ANALYZE SELECT evil()":                           Untold,
+		"EXPLAIN ANALYZE EXECUTE p":                               Untold,
+		"DO $$ BEGIN DELETE FROM t; END $$":                       Untold,
+		"CALL f()":                                                Untold, "EXECUTE p": Untold, "NOTIFY x": Untold, "": Untold, "xyz": Untold,
+		"SELECT 'open":                     Untold,
+		"SELECT 1 /* open":                 Untold,
+		"SELECT 'a\\' || 'b'":              Untold,
+		"SELECT U&'\\0061'":                Untold,
+		"SELECT U&\"\\0073etval\"('s', 1)": Untold,
+		"SELECT a OPERATOR(evil.+) b":      Untold,
+		"SELECT a <<<>>> b":                Untold,
+		"SELECT '\xff'":                    Untold,
+		"SELECT query_to_xml('DELETE FROM t', true, true, '')": Untold,
+
+		"SELECT day, count(*), max(note) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day": Reads,
+		"select pg_catalog.now(), is_open(x), Stock.Price_Of(y) from t":                        Reads,
+		"(SELECT 1) UNION ALL (SELECT 2)":                                                      Reads,
+		"VALUES (1), (2)":                                                                      Reads, "TABLE t": Reads, "SHOW timezone": Reads,
+		"EXPLAIN DELETE FROM t":              Reads,
+		"EXPLAIN (COSTS off) SELECT evil()":  Reads,
+		"EXPLAIN ANALYZE VERBOSE (SELECT 1)": Reads,
+		"WITH a (x, y) AS MATERIALIZED (SELECT 1, 2), b(z) AS (SELECT 3) SELECT * FROM a":               Reads,
+		"SELECT t.update, 'DELETE', \"insert\" AS delete FROM t -- INSERT":                              Reads,
+		"SELECT a::numeric(10,2), CAST(b AS varchar(3)) FROM t AS u(a, b)":                              Reads,
+		"SELECT sum(a) FILTER (WHERE b) OVER (PARTITION BY (c) ORDER BY (d)) FROM t":                    Reads,
+		"SELECT * FROM a LEFT JOIN (SELECT 1) b USING (x) WHERE c NOT LIKE ('x')":                       Reads,
+		"SELECT i FROM generate_series(1, 9) g(i) WHERE i = ANY ($1) AND $2 IS NULL":                    Reads,
+		"SELECT a #>> '{b}', c->>'d', -e, f||g, h !~* 'i', 1.5e-3, $$ DELETE $$ FROM t":                 Reads,
+		"SELECT substring(a FROM 1 FOR 3), position('a' IN b) FROM t":                                   Reads,
+		"SELECT percentile_cont(0.5) WITHIN GROUP (ORDER BY a) FROM t GROUP BY GROUPING SETS ((a), ())": Reads,
+	} {
+		if got := EffectOf(stmt, more); got.Effect != want {
+			t.Errorf("%s: %v (%v), want %v", stmt, got.Effect, got, want)
+		}
+	}
+}
+
+// However a reading statement is cut, nested or garbled, a write put behind it is seen.
+func TestEffectOfLongText(t *testing.T) {
+	for _, fill := range []string{"(", "[", "a,", "'x' ", "/* */", "E'\\\\' ", "$$x$$ ", "1.", "\"q\"", "WITH a AS (", "f.", "'a'\n"} {
+		text := "SELECT " + strings.Repeat(fill, 1<<20/len(fill)) + " 1 FOR UPDATE"
+		if got := EffectOf(text, nil); got.Effect == Reads {
+			t.Errorf("%d bytes of %q: %v", len(text), fill, got)
+		}
+	}
+}
+
+// The tokens of a text lie in it in order, without a byte that is not space or comment
+// left out twice, and the reading of a text does not depend on what it follows.
+func FuzzLexer(f *testing.F) {
+	for _, s := range []string{"SELECT 'a''b', $x$ y $x$ FROM s_1.t -- c\n/* d /* e */", "E'\\", "$a$", "U&\"x", "1..2", "a<--b\r'c'\n'd'", "::=:", "$1$$x$$"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, stmt string) {
+		l := Lexer{Src: stmt}
+		at := 0
+		for tok := l.Next(); tok.Kind != End; tok = l.Next() {
+			if tok.Start < at || tok.End <= tok.Start || tok.End > len(stmt) || l.Pos != tok.End {
+				t.Fatalf("token %+v after %d, lexer at %d of %d", tok, at, l.Pos, len(stmt))
+			}
+			at = tok.End
+		}
+		Group(stmt)
+		FirstWord(stmt)
+		LeadingComment(stmt)
+		SkipComments(stmt)
+		Begins(stmt, stmt)
+		if EffectOf(stmt, nil).Effect == Reads && l.Flaws&^High == 0 {
+			if got := EffectOf(stmt+"\n FOR UPDATE", nil); got.Effect == Reads && !strings.HasPrefix(strings.ToUpper(SkipComments(stmt)), "EXPLAIN") {
+				t.Fatalf("%q reads also with FOR UPDATE behind it", stmt)
+			}
+		}
+	})
+}
--- a/internal/sqltext/sqltext.go
+++ b/internal/sqltext/sqltext.go
@@ -1,5 +1,3 @@
-// Package sqltext reads what the program needs of a statement: the group of
-// tables that it touches, and its leading comment. It is no SQL parser.
 package sqltext
 
 import "strings"
@@ -12,31 +10,59 @@
 // name where a table stands (after FROM and the like) goes before others, which
 // may be a column of an alias.
 func Group(stmt string) (group int64, ok bool) {
-	s := scanner{rest: stmt}
-	table, found := false, false // a table's name stands here; a group was found
-	name, prev := "", other
-	for {
-		kind, word := s.next()
-		switch {
-		case kind == end:
-			return group, found
-		case kind == ident && prev != dot && isTableWord(word):
-			table, kind = true, other
-		case kind == ident: // of a.b.c the last but one is the schema's
-			name = word
-		case kind == dot && prev == ident:
-			n, is := schemaGroup(name)
-			if is && table {
-				return n, true
-			}
-			if is && !found {
-				group, found = n, true
+	l := Lexer{Src: stmt}
+	var g groupReader
+	for t := l.Next(); t.Kind != End; t = l.Next() {
+		_, use := l.lookup(t)
+		if g.token(&l, t, use) {
+			break
+		}
+	}
+	return g.group, g.found
+}
+
+// groupReader finds the group in a run of tokens.
+type groupReader struct {
+	group       int64
+	found, sure bool // sure: it stood where a table does
+	table       bool // a table's name stands here
+	name        Token
+	prev        Kind
+}
+
+// token takes the next token, and tells whether the group can't change any more.
+func (g *groupReader) token(l *Lexer, t Token, use use) (done bool) {
+	if g.sure {
+		return true
+	}
+	switch t.Kind {
+	case Ident, Quoted:
+		if t.Kind == Ident && g.prev != Dot && use&beforeTable != 0 {
+			g.table, g.prev = true, Op
+			return false
+		}
+		g.name = t // of a.b.c the last but one is the schema's
+	case Dot:
+		if g.prev == Ident || g.prev == Quoted {
+			n, is := schemaGroup(bare(l.Text(g.name)))
+			if is && (g.table || !g.found) {
+				g.group, g.found, g.sure = n, true, g.table
 			}
-		case kind == other || kind == semicolon:
-			table = false
 		}
-		prev = kind
+	case Open:
+	default:
+		g.table = false
 	}
+	g.prev = t.Kind
+	return g.sure
+}
+
+// bare takes the quotes off a name.
+func bare(name string) string {
+	if len(name) >= 2 && name[0] == '"' {
+		return strings.TrimSuffix(name[1:], `"`)
+	}
+	return name
 }
 
 // schemaGroup reads the number of one name.
@@ -54,25 +80,19 @@
 	return n, true
 }
 
-func isTableWord(w string) bool {
-	switch strings.ToUpper(w) {
-	case "FROM", "JOIN", "INTO", "UPDATE", "TABLE", "ONLY":
-		return true
-	}
-	return false
-}
-
 // LeadingComment is the text of the statement's first comment where nothing but
 // space stands before it.
 func LeadingComment(stmt string) (text string, ok bool) {
-	s := strings.TrimLeft(stmt, " \t\r\n")
+	s := strings.TrimLeft(stmt, " \t\r\n\f\v")
 	switch {
 	case strings.HasPrefix(s, "--"):
-		text, _, _ = strings.Cut(s[2:], "\n")
-		return strings.TrimSpace(text), true
+		return strings.TrimSpace(s[2:lineEnd(s, 2)]), true
 	case strings.HasPrefix(s, "/*"):
-		text, _, ok = strings.Cut(s[2:], "*/")
-		return strings.TrimSpace(text), ok
+		end, ok := blockEnd(s, 0)
+		if !ok {
+			return "", false
+		}
+		return strings.TrimSpace(s[2 : end-2]), true
 	}
 	return "", false
 }
@@ -80,169 +100,43 @@
 // FirstWord is the statement's first word in capitals, past comments, and
 // whether a second statement follows it.
 func FirstWord(stmt string) (word string, more bool) {
-	s := scanner{rest: stmt}
+	l := Lexer{Src: stmt}
 	ended := false
-	for {
-		kind, w := s.next()
+	for t := l.Next(); t.Kind != End; t = l.Next() {
 		switch {
-		case kind == end:
-			return word, false
-		case kind == semicolon:
+		case t.Kind == Semicolon:
 			ended = word != ""
 		case ended:
 			return word, true
-		case word == "" && kind == ident:
-			word = strings.ToUpper(w)
+		case word == "" && t.Kind == Ident:
+			word = strings.ToUpper(l.Text(t))
 		case word == "":
 			word = "("
 		}
 	}
-}
-
-type token uint8
-
-const (
-	end token = iota
-	ident
-	dot
-	open
-	semicolon
-	other
-)
-
-type scanner struct{ rest string }
-
-// next reads one token. Strings are tokens of the kind other; what is open at
-// the end of the text ends there.
-func (s *scanner) next() (token, string) {
-	for {
-		s.rest = strings.TrimLeft(s.rest, " \t\r\n\f\v")
-		switch {
-		case s.rest == "":
-			return end, ""
-		case strings.HasPrefix(s.rest, "--"):
-			_, s.rest, _ = strings.Cut(s.rest, "\n")
-		case strings.HasPrefix(s.rest, "/*"):
-			s.skipComment()
-		default:
-			return s.token()
-		}
-	}
-}
-
-// skipComment passes a block comment; these nest.
-func (s *scanner) skipComment() {
-	depth, i := 0, 0
-	for i < len(s.rest) {
-		switch {
-		case strings.HasPrefix(s.rest[i:], "/*"):
-			depth++
-			i += 2
-		case strings.HasPrefix(s.rest[i:], "*/"):
-			depth--
-			i += 2
-			if depth == 0 {
-				s.rest = s.rest[i:]
-				return
-			}
-		default:
-			i++
-		}
-	}
-	s.rest = ""
-}
-
-func (s *scanner) token() (token, string) {
-	c := s.rest[0]
-	switch {
-	case c == '\'':
-		s.skipString(false)
-		return other, ""
-	case c == '"':
-		return ident, s.quoted()
-	case c == '$':
-		return other, s.dollar()
-	case isWord(c):
-		n := 1
-		for n < len(s.rest) && (isWord(s.rest[n]) || s.rest[n] == '$') {
-			n++
-		}
-		word := s.rest[:n]
-		s.rest = s.rest[n:]
-		if strings.HasPrefix(s.rest, "'") && len(word) == 1 { // E'..', B'..', X'..', N'..'
-			s.skipString(word == "E" || word == "e")
-			return other, ""
-		}
-		return ident, word
-	}
-	s.rest = s.rest[1:]
-	switch c {
-	case '.':
-		return dot, ""
-	case '(':
-		return open, ""
-	case ';':
-		return semicolon, ""
-	}
-	return other, ""
-}
-
-func isWord(c byte) bool {
-	return c == '_' || c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= 0x80
-}
-
-// skipString passes a string that starts here; a quote doubled stays within it,
-// and so does one behind a backslash where these escape.
-func (s *scanner) skipString(escapes bool) {
-	for i := 1; i < len(s.rest); i++ {
-		switch {
-		case escapes && s.rest[i] == '\\':
-			i++
-		case s.rest[i] == '\'' && i+1 < len(s.rest) && s.rest[i+1] == '\'':
-			i++
-		case s.rest[i] == '\'':
-			s.rest = s.rest[i+1:]
-			return
-		}
-	}
-	s.rest = ""
-}
-
-func (s *scanner) quoted() string {
-	name, rest, _ := strings.Cut(s.rest[1:], `"`)
-	s.rest = rest
-	return name
-}
-
-// dollar passes a dollar-quoted string, or a parameter such as $1.
-func (s *scanner) dollar() string {
-	n := 1
-	for n < len(s.rest) && isWord(s.rest[n]) {
-		n++
-	}
-	if n < len(s.rest) && s.rest[n] == '$' && !(n > 1 && s.rest[1] >= '0' && s.rest[1] <= '9') {
-		tag := s.rest[:n+1]
-		_, s.rest, _ = strings.Cut(s.rest[n+1:], tag)
-		return ""
-	}
-	s.rest = s.rest[n:]
-	return ""
+	return word, false
 }
 
 // SkipComments is the statement without the space and comments it begins with.
 func SkipComments(stmt string) string {
-	s := scanner{rest: stmt}
-	for {
-		before := s.rest
-		s.rest = strings.TrimLeft(s.rest, " \t\r\n\f\v")
-		switch {
-		case strings.HasPrefix(s.rest, "--"):
-			_, s.rest, _ = strings.Cut(s.rest, "\n")
-		case strings.HasPrefix(s.rest, "/*"):
-			s.skipComment()
+	l := Lexer{Src: stmt}
+	l.skip()
+	return l.Src[l.Pos:]
+}
+
+// Begins tells whether a statement begins with the tokens of a text. Space, comments
+// and, in key words and names without quotes, case don't count.
+func Begins(stmt, with string) bool {
+	a, b := Lexer{Src: stmt}, Lexer{Src: with}
+	for n := 0; ; n++ {
+		want := b.Next()
+		if want.Kind == End {
+			return n > 0
 		}
-		if s.rest == before {
-			return s.rest
+		have := a.Next()
+		x, y := a.Text(have), b.Text(want)
+		if have.Kind != want.Kind || x != y && !(have.Kind == Ident && strings.EqualFold(x, y)) {
+			return false
 		}
 	}
 }
