--- /dev/null
+++ b/internal/sqltext/shape.go
@@ -0,0 +1,609 @@
+package sqltext
+
+// Role is what a value of a statement does there.
+type Role uint8
+
+// Roles of a value.
+const (
+	RoleOther    Role = iota
+	RoleEqual         // it is compared for equality
+	RoleList          // one of its alternatives is (IN, ANY)
+	RoleLow           // lower end of a range
+	RoleHigh          // upper end of a range
+	RolePattern       // of LIKE, ILIKE, SIMILAR TO and the operators ~ and ~~
+	RoleLimit         // of rows
+	RoleInterval      // a span of time by itself, as in now() - interval '1 year'
+)
+
+// Slot is one value of a statement that its size may depend on.
+type Slot struct {
+	Role   Role
+	Guard  bool   // the statement asks whether it is null, as in $1 IS NULL OR a = $1
+	Column uint32 // hash of the name that it is compared with; 0: none
+	Param  int    // its number from 1; 0: a literal, which stands at From
+	From   int
+	To     int
+	Count  int // of alternatives in a list that is written out
+}
+
+// MostSlots bounds the values of one statement that are looked at; of the others only
+// the number counts.
+const MostSlots = 24
+
+// Features are what the words of a statement tell of its work.
+type Features struct {
+	Verb       byte // s: it selects; i, u, d, m: it writes so; e: EXPLAIN; 0: something else
+	Tables     int  // names behind FROM and JOIN
+	Joins      int
+	Aggregates int // calls of aggregate functions
+	Windows    int
+	Groups     int // GROUP BY
+	Sorts      int // ORDER BY
+	Distincts  int
+	Selects    int // SELECT, those of subqueries and unions among them
+	Rows       int // of VALUES
+	Values     int // literals and parameters
+	Where      bool
+	Limited    bool
+}
+
+// Reading is what one pass over a statement tells. It belongs to its Reader.
+type Reading struct {
+	// Norm is the statement with its values, comments, case and spacing taken out,
+	// and with lists of alternatives and rows of values as one. The number in the
+	// name of a schema is # there: shapes of all groups are one.
+	Norm     []byte
+	Features Features
+	Slots    []Slot
+	Group    int64
+	Grouped  bool
+	Flaws    Flaw
+	// Restrictions counts the comparisons of a name with a value, which can narrow what
+	// is read. Open: one is written so that it holds for all rows (NULL IS NULL OR).
+	Restrictions int
+	Open         bool
+}
+
+// Reader reads statements. It allocates while its buffer grows and not after; it is
+// for one goroutine.
+type Reader struct {
+	norm  []byte
+	slots [MostSlots]Slot
+	out   Reading
+}
+
+// keepNorm is how large a buffer stays with its Reader.
+const keepNorm = 64 << 10
+
+// listContext is a list whose alternatives are folded into one.
+type listContext struct {
+	depth int  // of its commas
+	rows  bool // rows of VALUES
+	start int  // of its first element in the buffer
+	first int  // length of that; -1: not over yet
+	elem  int  // start of the element being read
+	count int
+	slot  int // that counts its alternatives; -1: none
+}
+
+// mostLists is how deep lists are folded within each other.
+const mostLists = 8
+
+// Read reads a statement. What it returns holds until the next call.
+func (r *Reader) Read(stmt string) *Reading {
+	if cap(r.norm) > keepNorm {
+		r.norm = nil
+	}
+	r.norm = r.norm[:0]
+	r.out = Reading{}
+	p := pass{l: Lexer{Src: stmt}, r: r, out: &r.out, norm: r.norm}
+	for t := p.l.Next(); t.Kind != End; t = p.l.Next() {
+		p.token(t)
+	}
+	p.endLists(-1)
+	p.finish()
+	r.norm = p.norm
+	r.out.Norm = p.norm
+	r.out.Slots = r.slots[:p.slots]
+	r.out.Group, r.out.Grouped = p.group.group, p.group.found
+	r.out.Flaws = p.l.Flaws
+	return &r.out
+}
+
+// pass is the state of one reading.
+type pass struct {
+	l     Lexer
+	r     *Reader
+	out   *Reading
+	norm  []byte
+	slots int
+	group groupReader
+
+	depth    int
+	kind     Kind // of the last token
+	prev     word // of the last token
+	before   word
+	name     int    // where the last name starts in the buffer
+	column   uint32 // of the last name
+	pending  Role   // of a value that comes now
+	compared uint32 // the column that it is compared with
+	between  bool   // AND leads to the upper end
+	sign     int    // a sign stands in the buffer from here on; 0: none
+	signAt   int    // and in the text here
+	param    int    // the last parameter's number, while nothing but a cast is behind it
+	interval bool   // the last token is the word interval
+
+	lists [mostLists]listContext
+	open  int
+}
+
+// token takes one token into the normal form, the slots and the features.
+func (p *pass) token(t Token) {
+	w, use := p.l.lookup(t)
+	if p.kind == Dot {
+		w, use = wNone, 0
+	}
+	p.group.token(&p.l, t, use)
+	if p.open > 0 {
+		p.elements(t, use)
+	}
+	switch t.Kind {
+	case Ident, Quoted:
+		p.word(t, w, use)
+	case String, Bits, Dollar, Number, Param:
+		p.value(t)
+	default:
+		p.mark(t)
+	}
+	if t.Kind != Op {
+		p.sign = 0
+	}
+	p.before, p.prev = p.prev, w
+	p.kind = t.Kind
+}
+
+// space parts two words.
+func (p *pass) space() {
+	switch p.kind {
+	case End, Dot, Open, Bracket, Cast:
+	default:
+		p.norm = append(p.norm, ' ')
+	}
+}
+
+func (p *pass) word(t Token, w word, use use) {
+	f := &p.out.Features
+	p.space()
+	p.name = len(p.norm)
+	text := p.l.Src[t.Start:t.End]
+	if t.Kind == Quoted {
+		p.norm = appendQuoted(p.norm, text)
+	} else {
+		p.norm = appendLower(p.norm, text)
+	}
+	p.interval = w == wInterval
+	if p.kind != Cast && w != wIs {
+		p.param = 0
+	}
+	if w == wNone && use == 0 {
+		p.operand(t, text)
+		return
+	}
+	switch w {
+	case wSelect:
+		f.Selects++
+		p.verb('s')
+	case wInsert:
+		p.verb('i')
+	case wUpdate:
+		if p.prev != wFor {
+			p.verb('u')
+		}
+	case wDelete:
+		p.verb('d')
+	case wMerge:
+		p.verb('m')
+	case wExplain:
+		p.verb('e')
+	case wFrom:
+		f.Tables++
+	case wJoin:
+		f.Tables++
+		f.Joins++
+	case wGroup:
+		if p.prev != wWithin {
+			f.Groups++
+		}
+	case wOrder:
+		f.Sorts++
+	case wDistinct:
+		if p.prev != wIs && p.prev != wNot {
+			f.Distincts++
+		}
+	case wOver:
+		f.Windows++
+	case wWhere, wOn:
+		f.Where = f.Where || w == wWhere
+	case wValues:
+		if p.open < mostLists {
+			p.push(listContext{depth: p.depth, rows: true, start: len(p.norm), elem: len(p.norm), first: -1, slot: -1})
+		}
+	}
+	p.expect(w, use)
+}
+
+func (p *pass) verb(v byte) {
+	f := &p.out.Features
+	if f.Verb == 0 || f.Verb == 's' && v != 's' {
+		f.Verb = v
+	}
+}
+
+// operand takes a name that is no key word.
+func (p *pass) operand(t Token, text string) {
+	f := &p.out.Features
+	if t.Kind == Ident && len(text) <= 12 && aggregate(text) {
+		next := p.l
+		if next.Next().Kind == Open {
+			f.Aggregates++
+		}
+	}
+	p.column = t.hash
+	if t.Kind == Quoted {
+		p.column = hashName(text)
+	}
+	if same2(text, "date") || same2(text, "timestamptz") {
+		return // the type of a literal to come
+	}
+	p.pending = RoleOther
+}
+
+// expect sets what a value behind a key word is.
+func (p *pass) expect(w word, use use) {
+	switch w {
+	case wBetween:
+		p.pending, p.compared, p.between = RoleLow, p.column, true
+	case wSymmetric, wNot, wSimilar, wInterval:
+	case wAnd:
+		if p.between {
+			p.pending, p.between = RoleHigh, false
+		} else {
+			p.pending, p.column = RoleOther, 0
+		}
+	case wWhere, wOr, wOn, wHaving:
+		p.pending, p.column = RoleOther, 0
+	case wLike, wIlike:
+		p.pending, p.compared = RolePattern, p.column
+	case wLimit:
+		p.pending = RoleLimit
+		p.out.Features.Limited = true
+	case wFirst, wNext:
+		if p.before == wFetch || p.prev == wFetch {
+			p.pending = RoleLimit
+			p.out.Features.Limited = true
+		}
+	case wIn, wAny, wSome:
+		p.pending, p.compared = RoleList, p.column
+	case wArray:
+	case wIs:
+		for i := range p.slots {
+			if s := &p.r.slots[i]; p.param > 0 && s.Param == p.param {
+				s.Guard = true
+			}
+		}
+		if p.prev == wNull {
+			p.out.Open = true
+		}
+		p.param, p.pending = 0, RoleOther
+	default:
+		if use&typeName == 0 { // timestamp and the like keep what is compared
+			p.pending = RoleOther
+		}
+	}
+}
+
+func (p *pass) value(t Token) {
+	f := &p.out.Features
+	f.Values++
+	at := p.sign
+	if at > 0 {
+		p.norm = p.norm[:at]
+	} else {
+		p.space()
+	}
+	p.norm = append(p.norm, '?')
+	role := p.pending
+	if p.interval && t.Kind == String {
+		role = RoleInterval
+	}
+	p.interval = false
+	if p.open > 0 && role == RoleList {
+		if c := &p.lists[p.open-1]; !c.rows && c.depth == p.depth {
+			return // one of a list, whose slot counts it
+		}
+	}
+	guard := p.before == wCoalesce && p.kind == Open
+	if t.Kind == Param {
+		p.param = number(p.l.Src[t.Start+1 : t.End])
+	} else {
+		p.param = 0
+	}
+	switch role {
+	case RoleInterval:
+		p.out.Restrictions++
+	case RoleEqual, RoleList, RoleLow, RoleHigh, RolePattern:
+		if p.compared == 0 { // 1 = 1
+			role = RoleOther
+			break
+		}
+		p.out.Restrictions++
+	}
+	// Of values that have no part in it only parameters can turn out to be guards.
+	if role == RoleOther && (t.Kind != Param || f.Verb == 'i') || p.slots == MostSlots {
+		return
+	}
+	s := Slot{Role: role, Guard: guard, Column: p.compared, Count: 1}
+	if t.Kind == Param {
+		s.Param = p.param
+	} else if s.From, s.To = t.Start, t.End; at > 0 {
+		s.From = p.signAt
+	}
+	p.r.slots[p.slots] = s
+	p.slots++
+	p.pending = RoleOther
+}
+
+// number reads a parameter's number; those past what a message can hold are one.
+func number(digits string) (n int) {
+	for i := range len(digits) {
+		if n = n*10 + int(digits[i]-'0'); n > 1<<16 {
+			return 1 << 16
+		}
+	}
+	return n
+}
+
+// mark takes punctuation and operators.
+func (p *pass) mark(t Token) {
+	text := p.l.Src[t.Start:t.End]
+	p.interval = false
+	if t.Kind != Cast {
+		p.param = 0
+	}
+	switch t.Kind {
+	case Open:
+		if p.kind == Op || p.kind == Comma || p.prev != wNone {
+			p.space()
+		}
+		p.norm = append(p.norm, '(')
+		p.depth++
+		if p.pending == RoleList && (p.prev == wIn || p.prev == wAny || p.prev == wSome) {
+			next := p.l
+			_, use := next.lookup(next.Next())
+			if p.prev == wIn && use&reader == 0 && p.open < mostLists {
+				p.list()
+			}
+			if use&reader != 0 {
+				p.pending = RoleOther
+			}
+		}
+	case Bracket:
+		p.norm = append(p.norm, '[')
+		p.depth++
+		if p.prev == wArray && p.open < mostLists {
+			p.list()
+		}
+	case Close, Unbracket:
+		p.norm = append(p.norm, text...)
+		p.depth--
+	case Comma:
+		p.norm = append(p.norm, ',')
+		if p.pending != RoleList {
+			p.pending, p.column = RoleOther, 0
+		}
+	case Dot:
+		p.schema()
+		p.norm = append(p.norm, '.')
+	case Semicolon:
+	case Op:
+		p.operator(text)
+		return
+	default:
+		p.norm = append(p.norm, text...)
+	}
+}
+
+func (p *pass) operator(text string) {
+	p.sign = 0
+	signed := p.kind == Op || p.kind == Open || p.kind == Comma || p.kind == Bracket || p.prev != wNone
+	p.space()
+	at := len(p.norm)
+	p.norm = append(p.norm, text...)
+	if text == "-" && signed {
+		p.sign, p.signAt = at, p.l.Pos-1
+		if at > 0 && p.norm[at-1] != ' ' && p.norm[at-1] != '(' && p.norm[at-1] != '[' {
+			p.sign = 0
+		}
+		if p.sign > 0 {
+			return // of the value to come
+		}
+	}
+	switch text {
+	case "=":
+		p.pending, p.compared = RoleEqual, p.column
+	case "<", "<=":
+		p.pending, p.compared = RoleHigh, p.column
+	case ">", ">=":
+		p.pending, p.compared = RoleLow, p.column
+	case "~", "~~", "~*", "~~*":
+		p.pending, p.compared = RolePattern, p.column
+	default:
+		p.pending = RoleOther
+	}
+}
+
+// schema puts # in place of the number of a schema's name, once the dot behind it
+// shows that it is one.
+func (p *pass) schema() {
+	if p.kind != Ident && p.kind != Quoted || p.name >= len(p.norm) {
+		return
+	}
+	n := len(p.norm)
+	for n > p.name && isDigit(p.norm[n-1]) {
+		n--
+	}
+	if n < len(p.norm) && n > p.name+1 && p.norm[n-1] == '_' {
+		p.norm = append(p.norm[:n], '#')
+	}
+}
+
+// list begins a list of alternatives behind the parenthesis or bracket just read.
+func (p *pass) list() {
+	c := listContext{depth: p.depth, start: len(p.norm), elem: len(p.norm), first: -1, slot: -1}
+	if p.slots < MostSlots {
+		p.r.slots[p.slots] = Slot{Role: RoleList, Column: p.compared}
+		c.slot = p.slots
+		p.slots++
+	}
+	p.out.Restrictions++
+	p.pending = RoleList
+	p.push(c)
+}
+
+func (p *pass) push(c listContext) {
+	p.lists[p.open] = c
+	p.open++
+}
+
+// elements ends an element, or the list, where this token does.
+func (p *pass) elements(t Token, use use) {
+	c := &p.lists[p.open-1]
+	switch {
+	case p.depth < c.depth:
+		p.endLists(p.depth)
+	case p.depth > c.depth:
+	case t.Kind == Comma:
+		p.element(c)
+		c.elem = len(p.norm)
+	case t.Kind == Close || t.Kind == Unbracket:
+		p.endLists(p.depth - 1)
+	case c.rows && t.Kind != Open:
+		p.endLists(p.depth - 1)
+	}
+}
+
+// element ends an element: one that repeats the first is left out.
+func (p *pass) element(c *listContext) {
+	c.count++
+	switch {
+	case c.first < 0:
+		c.first = len(p.norm) - c.start
+	case sameElement(p.norm[c.elem:], p.norm[c.start:c.start+c.first]):
+		p.norm = p.norm[:c.elem]
+	}
+}
+
+// sameElement compares an element, which has the comma before it, with the first.
+func sameElement(b, first []byte) bool {
+	b = trimElement(b)
+	first = trimElement(first)
+	if len(b) != len(first) {
+		return false
+	}
+	for i := range b {
+		if b[i] != first[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func trimElement(b []byte) []byte {
+	for len(b) > 0 && (b[0] == ',' || b[0] == ' ') {
+		b = b[1:]
+	}
+	return b
+}
+
+// endLists ends the lists deeper than a depth.
+func (p *pass) endLists(depth int) {
+	for p.open > 0 && p.lists[p.open-1].depth > depth {
+		c := &p.lists[p.open-1]
+		p.element(c)
+		if c.rows {
+			p.out.Features.Rows += c.count
+		} else if c.slot >= 0 {
+			p.r.slots[c.slot].Count = c.count
+		}
+		p.open--
+		p.pending = RoleOther
+	}
+}
+
+// finish drops what ends the text and says nothing.
+func (p *pass) finish() {
+	for n := len(p.norm); n > 0 && p.norm[n-1] == ' '; n-- {
+		p.norm = p.norm[:n-1]
+	}
+}
+
+func appendLower(b []byte, s string) []byte {
+	at := len(b)
+	b = append(b, s...)
+	for i := at; i < len(b); i++ {
+		if c := b[i]; c >= 'A' && c <= 'Z' {
+			b[i] = c | 0x20
+		}
+	}
+	return b
+}
+
+// appendQuoted takes the quotes off a name that means the same without them.
+func appendQuoted(b []byte, s string) []byte {
+	if len(s) < 3 || s[0] != '"' || classes[s[1]]&cStart == 0 {
+		return append(b, s...)
+	}
+	inner := s[1 : len(s)-1]
+	h := uint32(foldStart)
+	for i := range len(inner) {
+		c := inner[i]
+		if classes[c]&cWord == 0 || c >= 'A' && c <= 'Z' {
+			return append(b, s...)
+		}
+		h = fold(h, c)
+	}
+	l := Lexer{Src: inner}
+	if w, use := l.lookup(Token{Kind: Ident, End: len(inner), hash: h}); w != wNone || use != 0 {
+		return append(b, s...)
+	}
+	return append(b, inner...)
+}
+
+func hashName(s string) uint32 {
+	h := uint32(foldStart)
+	for i := range len(s) {
+		if s[i] != '"' {
+			h = fold(h, s[i])
+		}
+	}
+	return h
+}
+
+// aggregate tells whether a function of this name reads many rows into one.
+func aggregate(s string) bool {
+	switch s[0] | 0x20 {
+	case 'c':
+		return same2(s, "count")
+	case 's':
+		return same2(s, "sum") || same2(s, "string_agg") || same2(s, "stddev")
+	case 'm':
+		return same2(s, "max") || same2(s, "min")
+	case 'a':
+		return same2(s, "avg") || same2(s, "array_agg")
+	case 'j':
+		return same2(s, "json_agg") || same2(s, "jsonb_agg")
+	case 'v':
+		return same2(s, "variance")
+	}
+	return false
+}
--- a/internal/sqltext/words.go
+++ b/internal/sqltext/words.go
@@ -85,6 +85,8 @@
 	wNext
 	wTrue
 	wFalse
+	wInterval
+	wCoalesce
 )
 
 type entry struct {
@@ -119,10 +121,10 @@
 	{"localtime", 0, reserved}, {"localtimestamp", 0, reserved}, {"session_user", 0, reserved}, {"user", 0, reserved},
 
 	{"between", wBetween, typeName}, {"bigint", 0, typeName}, {"bit", 0, typeName}, {"boolean", 0, typeName},
-	{"char", 0, typeName}, {"character", 0, typeName}, {"coalesce", 0, typeName}, {"dec", 0, typeName},
+	{"char", 0, typeName}, {"character", 0, typeName}, {"coalesce", wCoalesce, typeName}, {"dec", 0, typeName},
 	{"decimal", 0, typeName}, {"exists", 0, typeName}, {"extract", 0, typeName}, {"float", 0, typeName},
 	{"greatest", 0, typeName}, {"grouping", wGrouping, typeName}, {"int", 0, typeName}, {"integer", 0, typeName},
-	{"interval", 0, typeName}, {"least", 0, typeName}, {"national", 0, typeName}, {"nchar", 0, typeName},
+	{"interval", wInterval, typeName}, {"least", 0, typeName}, {"national", 0, typeName}, {"nchar", 0, typeName},
 	{"none", 0, typeName}, {"normalize", 0, typeName}, {"nullif", wNullif, typeName}, {"numeric", 0, typeName},
 	{"overlay", 0, typeName}, {"position", 0, typeName}, {"precision", 0, typeName}, {"real", 0, typeName},
 	{"row", 0, typeName}, {"smallint", 0, typeName}, {"substring", 0, typeName}, {"time", 0, typeName},
