--- /dev/null
+++ b/cmd/ringlab/main.go
@@ -0,0 +1,27 @@
+// Command ringlab is the laboratory: it makes traffic whose truth is known, judges the
+// gateway's parts on it, and sets up a gateway with emulated surroundings to try. Nothing
+// of it is needed to serve.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+type cli struct {
+	Traffic trafficCommand `cmd:"" help:"Recorded traffic: make it, look at it, sum it up."`
+	Shapes  shapesCommand  `cmd:"" help:"Judge the classifier of statements, and flood its cache."`
+	Try     tryCommand     `cmd:"" help:"Start emulated engines, a bus, a Consul stand-in and both fronts on loopback, until Ctrl-C."`
+}
+
+func main() {
+	var c cli
+	ctx := kong.Parse(&c, kong.Name("ringlab"), kong.UsageOnError(),
+		kong.Description("The laboratory of ringwood: traffic, models and measurements on this machine's loopback."))
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "ringlab:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/ringlab/shapes.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"gannetspur/internal/lab/register"
+	"gannetspur/internal/lab/report"
+	"gannetspur/internal/lab/shapes"
+	"gannetspur/internal/lab/traffic"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+type shapesCommand struct {
+	Evaluate evaluateCommand `cmd:"" help:"Judge classes and estimates on recorded traffic, with each part switched off in turn."`
+	Flood    floodCommand    `cmd:"" help:"Flood the cache with shapes that come once while others recur."`
+}
+
+type evaluateCommand struct {
+	Files  []string `arg:"" optional:"" name:"file" help:"Traffic files; without any, worlds are made from the seeds."`
+	Seeds  []uint64 `default:"1,2,3,4,5" help:"Of worlds that are made here."`
+	Number int      `default:"20000" help:"Statements of each such world."`
+	Train  float64  `default:"0.5" help:"Share of the records that is not judged."`
+	Kbytes int      `default:"2048" help:"Bound of the cache."`
+	Out    string   `placeholder:"FOLDER" help:"Keep table, figures and chart there, as shapes-evaluate.*."`
+}
+
+// medians of the results of one variant over all files, with the spread.
+func spread(results []shapes.Result, of func(shapes.Result) float64) string {
+	x := make([]float64, len(results))
+	for i, r := range results {
+		x[i] = of(r)
+	}
+	slices.Sort(x)
+	return fmt.Sprintf("%.3f (%.3f to %.3f)", stat.Quantile(0.5, stat.Empirical, x, nil), x[0], x[len(x)-1])
+}
+
+func (c *evaluateCommand) Run() error {
+	var worlds [][]traffic.Record
+	var seeds []uint64
+	for _, path := range c.Files {
+		f, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		all, head, err := shapes.Records(bufio.NewReader(f))
+		f.Close()
+		if err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		worlds, seeds = append(worlds, all), append(seeds, head.Seed)
+	}
+	if len(c.Files) == 0 {
+		for _, seed := range c.Seeds {
+			worlds, seeds = append(worlds, shapes.Generated(register.Defaults(seed), c.Number)), append(seeds, seed)
+		}
+	}
+	t := report.Table{Columns: []string{"variant", "class right by count", "by worth", "hard cases alone", "writes taken as reads", "median error", "p90 error"}}
+	raw := report.Table{Columns: []string{"variant", "seed", "judged", "by_count", "by_worth", "hard", "hard_judged", "writes_safe", "writes_seen", "reads_denied",
+		"median", "p90", "hint_median", "hint_p90", "mean_median", "mean_p90", "hint_class", "shapes", "bytes", "hit_rate"}}
+	chart := report.Bars{Title: "Classes right, median of the seeds", Axis: "share", Series: []string{"by count", "by worth", "hard cases"}, Values: make([][]float64, 3)}
+	var first []shapes.Result
+	for _, v := range shapes.Variants() {
+		var results []shapes.Result
+		for i, w := range worlds {
+			r, err := shapes.Evaluate(w, v, shapes.Options{Train: c.Train, Bytes: c.Kbytes << 10})
+			if err != nil {
+				return err
+			}
+			results = append(results, r)
+			raw.Add(v.Name, seeds[i], r.Judged, fmt.Sprintf("%.5f", r.ByCount), fmt.Sprintf("%.5f", r.ByWorth), fmt.Sprintf("%.5f", r.Hard), r.HardJudged, r.WritesSafe, r.WritesSeen,
+				r.ReadsDenied, r.Median, r.P90, r.HintMedian, r.HintP90, r.MeanMedian, r.MeanP90, fmt.Sprintf("%.5f", r.HintClass), r.Shapes, r.Bytes, r.HitRate)
+		}
+		if first == nil {
+			first = results
+		}
+		safe, seen := 0, 0
+		for _, r := range results {
+			safe, seen = safe+r.WritesSafe, seen+r.WritesSeen
+		}
+		figures := []func(shapes.Result) float64{
+			func(r shapes.Result) float64 { return r.ByCount }, func(r shapes.Result) float64 { return r.ByWorth }, func(r shapes.Result) float64 { return r.Hard },
+		}
+		t.Add(v.Name, spread(results, figures[0]), spread(results, figures[1]), spread(results, figures[2]), fmt.Sprintf("%d of %d", safe, seen),
+			spread(results, func(r shapes.Result) float64 { return r.Median }), spread(results, func(r shapes.Result) float64 { return r.P90 }))
+		chart.Groups = append(chart.Groups, v.Name)
+		for i, f := range figures {
+			x := make([]float64, len(results))
+			for j, r := range results {
+				x[j] = f(r)
+			}
+			slices.Sort(x)
+			chart.Values[i] = append(chart.Values[i], stat.Quantile(0.5, stat.Empirical, x, nil))
+		}
+	}
+	t.Add("the client's hint", spread(first, func(r shapes.Result) float64 { return r.HintClass }), "", "", "",
+		spread(first, func(r shapes.Result) float64 { return r.HintMedian }), spread(first, func(r shapes.Result) float64 { return r.HintP90 }))
+	t.Add("mean of the true class", "", "", "", "",
+		spread(first, func(r shapes.Result) float64 { return r.MeanMedian }), spread(first, func(r shapes.Result) float64 { return r.MeanP90 }))
+	return keep(c.Out, "shapes-evaluate", &t, &raw, chart.SVG)
+}
+
+// keep prints a table, and writes it with its figures and chart where a folder is named.
+func keep(dir, name string, t, raw *report.Table, svg func() ([]byte, error)) error {
+	md, err := t.Markdown()
+	if err != nil {
+		return err
+	}
+	fmt.Print(md)
+	if dir == "" {
+		return nil
+	}
+	csv, err := raw.CSV()
+	if err != nil {
+		return err
+	}
+	chart, err := svg()
+	if err != nil {
+		return err
+	}
+	err = report.Write(dir, map[string][]byte{name + ".md": []byte(md), name + ".csv": []byte(csv), name + ".svg": chart})
+	if err == nil {
+		fmt.Println("kept in", filepath.Join(dir, name)+".*")
+	}
+	return err
+}
+
+type floodCommand struct {
+	Seeds     []uint64 `default:"1,2,3,4,5" help:"One run each."`
+	Recurring int      `default:"200" help:"Shapes that come again."`
+	OneOff    int      `default:"1000000" help:"Shapes that come once."`
+	Share     float64  `default:"0.2" help:"Of statements that are of recurring shapes."`
+	Kbytes    int      `default:"1024" help:"Bound of the cache."`
+	Out       string   `placeholder:"FOLDER" help:"Keep table, figures and chart there, as shapes-flood.*."`
+}
+
+func (c *floodCommand) Run() error {
+	t := report.Table{Columns: []string{"cache", "recurring shapes found", "shapes held", "bytes as counted", "heap grew by", "resident memory of the process"}}
+	raw := report.Table{Columns: []string{"cache", "seed", "asked", "hits", "held", "counted", "heap", "rss"}}
+	chart := report.Bars{Title: fmt.Sprintf("Recurring shapes found among %d that come once", c.OneOff), Axis: "share", Series: []string{"found"}, Values: make([][]float64, 1)}
+	for _, name := range []string{"w-tinylfu", "lru", "2q"} {
+		var hits, held, counted, heap, rss []float64
+		for _, seed := range c.Seeds {
+			r, err := shapes.Flood(name, shapes.FloodOptions{Seed: seed, Recurring: c.Recurring, OneOff: c.OneOff, Share: c.Share, Bytes: c.Kbytes << 10})
+			if err != nil {
+				return err
+			}
+			raw.Add(name, seed, r.Asked, fmt.Sprintf("%.5f", r.Hits), r.Held, r.Counted, r.HeapBytes, r.RSSBytes)
+			hits, held, counted = append(hits, r.Hits), append(held, float64(r.Held)), append(counted, float64(r.Counted))
+			heap, rss = append(heap, float64(r.HeapBytes)), append(rss, float64(r.RSSBytes))
+		}
+		for _, x := range [][]float64{hits, held, counted, heap, rss} {
+			slices.Sort(x)
+		}
+		mid := func(x []float64) float64 { return stat.Quantile(0.5, stat.Empirical, x, nil) }
+		t.Add(name, fmt.Sprintf("%.3f (%.3f to %.3f)", mid(hits), hits[0], hits[len(hits)-1]), fmt.Sprintf("%.0f", mid(held)),
+			fmt.Sprintf("%.0f KB", mid(counted)/1024), fmt.Sprintf("%.0f KB", mid(heap)/1024), fmt.Sprintf("%.1f MB", mid(rss)/(1<<20)))
+		chart.Groups = append(chart.Groups, name)
+		chart.Values[0] = append(chart.Values[0], mid(hits))
+	}
+	return keep(c.Out, "shapes-flood", &t, &raw, chart.SVG)
+}
--- /dev/null
+++ b/cmd/ringlab/traffic.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"gannetspur/internal/lab/register"
+	"gannetspur/internal/lab/traffic"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/vbauerster/mpb/v8"
+	"github.com/vbauerster/mpb/v8/decor"
+)
+
+type trafficCommand struct {
+	Generate generateCommand `cmd:"" help:"Write a file of seeded traffic on the model of the register."`
+	Show     showCommand     `cmd:"" help:"Print records."`
+	Stats    statsCommand    `cmd:"" help:"Sum a file up."`
+}
+
+// world are the flags that make a world of the model.
+type world struct {
+	Seed        uint64  `default:"1" help:"Of everything that is drawn."`
+	Number      int     `default:"20000" help:"How many statements."`
+	Templates   int     `default:"200" help:"Shapes that recur."`
+	OneOff      float64 `default:"0.05" help:"Share of statements whose shape never comes again."`
+	Hard        float64 `default:"0.04" help:"Share of lookups whose values make them broad reports."`
+	Writes      float64 `default:"0.02" help:"Share of statements that write and are no loads."`
+	DriftAt     float64 `default:"0.6" help:"When the table of orders has grown, as a share of the statements; 0: never."`
+	Drift       float64 `default:"3" help:"And by which factor."`
+	HintNoise   float64 `default:"0.7" help:"Scatter of the clients' estimates, of the natural logarithm."`
+	HintMissing float64 `default:"0.15" help:"Share of statements without one."`
+}
+
+func (w world) options() register.Options {
+	return register.Options{
+		Seed: w.Seed, Templates: w.Templates, OneOff: w.OneOff, Hard: w.Hard, Writes: w.Writes,
+		DriftAt: w.DriftAt, Drift: w.Drift, HintNoise: w.HintNoise, HintMissing: w.HintMissing,
+	}
+}
+
+type generateCommand struct {
+	world
+	File  string  `arg:"" help:"The file to write."`
+	Rate  float64 `default:"99" help:"Statements a second on average."`
+	Comes string  `enum:"poisson,bursts,season" default:"season" help:"How they come: ${enum}."`
+}
+
+func (c *generateCommand) Run() (err error) {
+	f, err := os.Create(c.File)
+	if err != nil {
+		return err
+	}
+	w := bufio.NewWriter(f)
+	bars := mpb.New(mpb.WithOutput(os.Stderr), mpb.WithWidth(40))
+	bar := bars.AddBar(int64(c.Number), mpb.PrependDecorators(decor.Name("statements ")), mpb.AppendDecorators(decor.CountersNoUnit("%d of %d")))
+	err = traffic.Generate(w, c.options(), c.Number, c.Rate, traffic.Comes(c.Comes), func(n int) { bar.IncrBy(n) })
+	bar.SetCurrent(int64(c.Number))
+	bars.Wait()
+	if e := w.Flush(); err == nil {
+		err = e
+	}
+	if e := f.Close(); err == nil {
+		err = e
+	}
+	return err
+}
+
+// records reads a file and hands its records on. A file that was cut off is read as far
+// as it is whole, and the error says so.
+func records(path string, each func(*traffic.Record) bool) (traffic.Head, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return traffic.Head{}, err
+	}
+	defer f.Close()
+	t, err := traffic.NewReader(bufio.NewReader(f))
+	if err != nil {
+		return traffic.Head{}, fmt.Errorf("%s: %w", path, err)
+	}
+	defer t.Close()
+	for {
+		var r traffic.Record
+		switch err := t.Next(&r); {
+		case errors.Is(err, io.EOF):
+			return t.Head, nil
+		case err != nil:
+			return t.Head, fmt.Errorf("%s: %w", path, err)
+		}
+		if !each(&r) {
+			return t.Head, nil
+		}
+	}
+}
+
+type showCommand struct {
+	File string `arg:"" help:"The file."`
+	From int    `default:"0" help:"The first record to print, from 0."`
+	Most int    `default:"20" help:"How many."`
+	Hard bool   `help:"Only the hard cases."`
+}
+
+func (c *showCommand) Run() error {
+	n, shown := 0, 0
+	_, err := records(c.File, func(r *traffic.Record) bool {
+		if n++; n > c.From && (!c.Hard || r.Hard != "") {
+			text := r.Statement
+			if len(text) > 200 {
+				text = text[:197] + "..."
+			}
+			fmt.Printf("%10.3fs %-7s %6.0f ms %5.0f MB  hint %6.0f  %s", float64(r.At)/1e6, r.Class, r.Work, r.MemoryMB, r.HintWork, text)
+			if len(r.Values) > 0 {
+				fmt.Printf("  [%d bound]", len(r.Values))
+			}
+			if r.Hard != "" {
+				fmt.Printf("  (%s)", r.Hard)
+			}
+			fmt.Println()
+			shown++
+		}
+		return shown < c.Most
+	})
+	return err
+}
+
+type statsCommand struct {
+	File string `arg:"" help:"The file."`
+}
+
+func (c *statsCommand) Run() error {
+	type sum struct {
+		n, worth float64
+		work     *hdrhistogram.Histogram // microseconds
+		hard     int
+	}
+	classes := map[string]*sum{}
+	hard := map[string]int{}
+	shapes := map[int]bool{}
+	total, oneOff, bytes, last := 0, 0, 0, int64(0)
+	head, err := records(c.File, func(r *traffic.Record) bool {
+		s := classes[r.Class]
+		if s == nil {
+			s = &sum{work: hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)}
+			classes[r.Class] = s
+		}
+		s.n++
+		s.worth += r.Worth
+		_ = s.work.RecordValue(max(int64(r.Work*1000), 1)) // past an hour it would only be left out
+		if r.Hard != "" {
+			s.hard++
+			hard[r.Hard]++
+		}
+		if r.Template >= 0 {
+			shapes[r.Template] = true
+		} else if r.Template == -1 {
+			oneOff++
+		}
+		total++
+		bytes += len(r.Statement)
+		last = r.At
+		return true
+	})
+	fmt.Printf("seed %d, %s arrivals, %d statements in %s; %d shapes recur, %d come once; %d bytes a statement\n%s\n\n",
+		head.Seed, head.Comes, total, time.Duration(last)*time.Microsecond, len(shapes), oneOff, bytes/max(total, 1), head.Model)
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "class\tshare\tworth\tmedian ms\tp90 ms\tp99 ms\thard\n")
+	names := make([]string, 0, len(classes))
+	for name := range classes {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		s := classes[name]
+		ms := func(q float64) float64 { return float64(s.work.ValueAtQuantile(q)) / 1000 }
+		fmt.Fprintf(w, "%s\t%.1f %%\t%.0f\t%.0f\t%.0f\t%.0f\t%d\n", name, 100*s.n/float64(total), s.worth, ms(50), ms(90), ms(99), s.hard)
+	}
+	_ = w.Flush() // to standard output
+	cases := make([]string, 0, len(hard))
+	for name, n := range hard {
+		cases = append(cases, fmt.Sprintf("%s (%d)", name, n))
+	}
+	slices.Sort(cases)
+	if len(cases) > 0 {
+		fmt.Printf("\nhard: %s\n", strings.Join(cases, ", "))
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/ringwood/check.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"gannetspur/internal/config"
+)
+
+type checkCommand struct {
+	Files []string `arg:"" name:"file" help:"Settings (JSON), deploy files of the PostgreSQL front, or files of shapes (TOML)."`
+}
+
+// Run names every fault of every file in one pass.
+func (c *checkCommand) Run() error {
+	bad := 0
+	for _, path := range c.Files {
+		faults := config.FaultsOf(c.check(path))
+		for _, f := range faults {
+			fmt.Println(f.Error())
+		}
+		if len(faults) == 0 {
+			fmt.Printf("%s: good\n", path)
+		}
+		bad += len(faults)
+	}
+	if bad > 0 {
+		fmt.Printf("%d faults\n", bad)
+		return errTold
+	}
+	return nil
+}
+
+// check reads one file as what it looks like: JSON with known and settings is a platform
+// configuration, other JSON the settings object alone; TOML with an address to listen at
+// or a Consul to ask is a deploy file, other TOML a file of shapes.
+func (c *checkCommand) check(path string) error {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return config.Fault{File: path, Want: err.Error()}
+	}
+	switch {
+	case filepath.Ext(path) == ".json" && bytes.Contains(raw, []byte(`"settings"`)):
+		_, err = config.Load(path)
+	case filepath.Ext(path) == ".json":
+		err = config.CheckSettings(path, raw)
+	case bytes.Contains(raw, []byte("listen")) || bytes.Contains(raw, []byte("[consul]")):
+		_, err = config.LoadPostgres(path)
+	case filepath.Ext(path) == ".toml":
+		_, err = config.LoadShapes(path)
+	default:
+		err = config.Fault{File: path, Want: "no .json and no .toml: what it is can't be told"}
+	}
+	return err
+}
--- a/cmd/ringwood/main.go
+++ b/cmd/ringwood/main.go
@@ -1,273 +1,103 @@
 // Command ringwood is a front end: it takes requests of clients, has the policy
 // module decide where each runs, and relays the answers.
 //
-// It serves the platform's protocol as its configuration says (-config, or
-// $LB_CONFIG), or, with -postgres, the PostgreSQL wire protocol as a deploy file
-// says. HUP has the file read again, USR1 prints the counters; TERM and INT begin a
-// planned stop.
+// Without arguments it serves the platform's protocol as its configuration says
+// ($LB_CONFIG); with --postgres, the PostgreSQL wire protocol as a deploy file says.
+// HUP has the file read again, USR1 prints the counters; TERM and INT begin a planned
+// stop. Other commands check files and show what is known of statements.
 package main
 
 import (
-	"context"
 	"errors"
-	"flag"
 	"fmt"
-	"log"
 	"os"
-	"os/signal"
-	"runtime"
 	"runtime/debug"
-	"syscall"
 
 	"gannetspur/internal/config"
-	"gannetspur/internal/core"
-	"gannetspur/internal/engine/lines"
-	"gannetspur/internal/engine/pg"
-	"gannetspur/internal/front/pgwire"
-	"gannetspur/internal/front/rest"
-	"gannetspur/internal/netio"
-	"gannetspur/internal/roster/bus"
-	"gannetspur/internal/roster/consul"
-	"gannetspur/internal/sqltext"
-	"gannetspur/internal/stats"
-	"gannetspur/policy"
+	"gannetspur/internal/logs"
+
+	"github.com/alecthomas/kong"
 )
 
-func main() {
-	path := flag.String("config", os.Getenv("LB_CONFIG"), "the configuration `file`")
-	deploy := flag.String("postgres", "", "the deploy `file` of the PostgreSQL front, which then runs in place of the platform's")
-	flag.Parse()
-	logger := log.New(os.Stderr, "", log.Lmicroseconds)
-	if err := run(*path, *deploy, logger); err != nil {
-		logger.Print("ringwood: ", err)
-		os.Exit(1)
-	}
-}
+// cli is the grammar of the command line.
+type cli struct {
+	LogFormat string `enum:"auto,json,text" default:"auto" help:"How events are logged: ${enum}; auto is text on a terminal, else JSON."`
+	LogLevel  string `enum:"debug,info,warn,error" default:"info" help:"From which level on events are logged: ${enum}."`
 
-// gateway is one front on a core of its own.
-type gateway struct {
-	loop     *netio.Loop
-	core     *core.Core
-	front    front
-	counters *stats.Counters
-	log      *log.Logger
-	reload   func() error // reads the file again; for the loop's goroutine
+	Serve      serveCommand      `cmd:"" default:"withargs" help:"Serve. This is what ringwood does without a command."`
+	Check      checkCommand      `cmd:"" help:"Read settings and deploy files and name every fault in them."`
+	Shapes     shapesCommand     `cmd:"" help:"What is known of the shapes of statements."`
+	Completion completionCommand `cmd:"" help:"Print a script that completes commands and flags in a shell."`
+	Version    versionCommand    `cmd:"" help:"Print the version."`
 }
 
-// front is what a planned stop needs of a front.
-type front interface {
-	Addr() string
-	CloseListener()
-	Drain()
-	Idle() bool
+type serveCommand struct {
+	Config   string `env:"LB_CONFIG" placeholder:"FILE" help:"The platform's configuration, as JSON."`
+	Postgres string `placeholder:"FILE" help:"Serve the PostgreSQL wire protocol as this deploy file says, in place of the platform's."`
+	Shapes   string `placeholder:"FILE" help:"Estimate by the shapes of statements as this file says; of the platform's front. The PostgreSQL front has [shapes] in its deploy file."`
 }
 
-func run(path, deploy string, logger *log.Logger) error {
-	// First of all: a signal that comes before it is listened for ends the process.
-	told := make(chan os.Signal, 16)
-	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	g := &gateway{counters: stats.New(), log: logger}
-	var err error
-	switch {
-	case deploy != "":
-		err = g.postgres(ctx, deploy)
-	case path != "":
-		err = g.platform(path)
-	default:
-		err = errors.New("nothing to serve: set LB_CONFIG, -config or -postgres")
-	}
+func (c *serveCommand) Run(all *cli) error {
+	log, err := logs.New(os.Stderr, logs.Options{Format: all.LogFormat, Level: all.LogLevel})
 	if err != nil {
 		return err
 	}
-	if g.front == nil {
-		logger.Print("the front is off: its deploy file names no address to listen at")
-		return nil
+	if err := run(serving{config: c.Config, postgres: c.Postgres, shapes: c.Shapes}, log); err != nil {
+		for _, f := range config.FaultsOf(err) {
+			log.Error("cannot serve", "file", f.File, "line", f.Line, "field", f.Field, "error", f.Want)
+		}
+		return errTold
 	}
-	logger.Printf("serving at %s", g.front.Addr())
-	go g.signals(told)
-	g.loop.Run()
-	g.counters.Print(os.Stderr)
 	return nil
 }
 
-// start makes the loop and the core.
-func (g *gateway) start(set policy.Settings, seed uint64, memoryMB, sockets int) (err error) {
-	limitResources(memoryMB)
-	if g.loop, err = netio.New(sockets); err != nil {
-		return err
-	}
-	g.loop.Budget = int64(part(memoryMB, 6))
-	g.core, err = core.New(set, seed, g.loop, g.loop.Timers, g.counters, g.log)
-	if err != nil {
-		return fmt.Errorf("configuration: %w", err)
-	}
-	return nil
-}
+// errTold is an error that has been told already.
+var errTold = errors.New("told")
 
-// platform serves the platform's protocol.
-func (g *gateway) platform(path string) error {
-	cfg, err := config.Load(path)
-	if err != nil {
-		return err
-	}
-	if v := os.Getenv("LB_LISTEN"); v != "" {
-		cfg.Listen = v
-	}
-	if cfg.Listen == "" {
-		return errors.New("configuration: listen: missing")
-	}
-	if err := g.start(cfg.Site.Policy, cfg.Seed, cfg.MemoryMB, cfg.Sockets); err != nil {
-		return err
-	}
-	g.core.SetLinks(lines.New(g.loop, g.core, cfg.Site, g.counters, g.log))
-	for _, ev := range cfg.Known {
-		mode := policy.ListChanges
-		if ev.Whole {
-			mode = policy.ListFull
-		}
-		g.core.Roster(mode, ev.Engines)
-	}
-	if cfg.Bus != "" {
-		follower := bus.New(g.loop, cfg.Bus, cfg.Offset, cfg.Site.Zones, cfg.Site.Kinds, g.core, g.counters, g.log)
-		follower.Start()
-		g.reload = func() error {
-			next, err := config.Load(path)
-			if err == nil && next.Bus == "" {
-				err = errors.New("configuration: bus: missing")
-			}
-			if err != nil {
-				return err
-			}
-			follower.Move(next.Bus)
-			return nil
-		}
-	}
-	f := rest.New(g.loop, g.core, rest.Options{
-		MostClients: mostClients(cfg.Sockets), MostHeld: part(cfg.MemoryMB, 8),
-	}, g.counters)
-	g.front = f
-	return f.Listen(cfg.Listen)
-}
+type versionCommand struct{}
 
-// postgres serves the PostgreSQL wire protocol.
-func (g *gateway) postgres(ctx context.Context, path string) error {
-	p, err := config.LoadPostgres(path)
-	if err != nil || p.Listen == "" {
-		return err
+func (versionCommand) Run() error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return errors.New("this program was built without its version")
 	}
-	if err := g.start(p.Site.Policy, uint64(os.Getpid()), p.MemoryMB, p.Sockets); err != nil {
-		return err
-	}
-	g.core.SetLinks(pg.New(g.loop, g.core, pg.Options{
-		User: p.User, Database: p.Database,
-		ConnectTimeout: config.FromMS(p.ConnectWithin), IdleClose: config.FromMS(p.IdleClose),
-		MostHeld: part(p.MemoryMB, 4),
-	}, g.counters, g.log))
-	follower := consul.New(g.loop.Post, g.core, g.counters, g.log)
-	follower.Follow(ctx, consul.Options(p.Consul))
-	f := pgwire.New(g.loop, g.core, frontOptions(p), g.counters)
-	g.front = f
-	g.reload = func() error {
-		next, err := config.LoadPostgres(path)
-		if err == nil && next.Listen == "" {
-			err = errors.New("deploy file: listen: missing")
-		}
-		if err != nil {
-			return err
-		}
-		for class := range next.Classes() {
-			if _, ok := g.core.Class(class); !ok { // settings hold from the start on
-				return fmt.Errorf("deploy file: class %q is not among the settings that this program started with", class)
-			}
-		}
-		f.SetOptions(frontOptions(next))
-		if next.Consul != p.Consul {
-			follower.Follow(ctx, consul.Options(next.Consul))
+	revision, modified := "unknown", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			revision = s.Value
+		case s.Key == "vcs.modified" && s.Value == "true":
+			modified = ", changed since"
 		}
-		p = next
-		return nil
-	}
-	return f.Listen(p.Listen)
-}
-
-func frontOptions(p *config.Postgres) pgwire.Options {
-	opts := pgwire.Options{
-		DefaultClass: p.DefaultClass, WriteClass: p.WriteClass, ReadOnly: sqltext.Functions{}, MostClients: mostClients(p.Sockets), MostHeld: part(p.MemoryMB, 6),
-	}
-	for _, name := range p.ReadOnly {
-		opts.ReadOnly[name] = true
-	}
-	if p.MostClients > 0 {
-		opts.MostClients = min(opts.MostClients, p.MostClients)
-	}
-	for _, s := range p.Statements {
-		opts.Rules = append(opts.Rules, pgwire.Rule(s))
-	}
-	return opts
-}
-
-// usualMB and usualSockets hold where the configuration names no limits.
-const (
-	usualMB      = 192
-	usualSockets = 1024
-)
-
-// part is the n-th part of the memory, in bytes.
-func part(memoryMB, n int) int {
-	if memoryMB <= 0 {
-		memoryMB = usualMB
 	}
-	return memoryMB << 20 / n
+	fmt.Printf("ringwood %s (%s%s), %s\n", info.Main.Version, revision, modified, info.GoVersion)
+	return nil
 }
 
-// mostClients leaves a quarter of the descriptors to engines, the roster and the
-// program itself, and some for clients that are being closed.
-func mostClients(sockets int) int {
-	if sockets <= 0 {
-		sockets = usualSockets
-	}
-	return max(sockets*3/4-32, 8)
-}
+// oldFlags are flags of the time before there were commands; they went by one dash.
+var oldFlags = map[string]string{"-config": "--config", "-postgres": "--postgres"}
 
-// limitResources keeps the garbage collector well under the memory limit. More
-// than one P, also on one core: the poller's wait holds one.
-func limitResources(memoryMB int) {
-	if memoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryMB) << 20 * 6 / 10)
-	}
-	runtime.GOMAXPROCS(3)
-}
-
-// signals carries out what the process is told.
-func (g *gateway) signals(told <-chan os.Signal) {
-	stopping := false
-	for s := range told {
-		switch {
-		case s == syscall.SIGUSR1:
-			g.loop.Post(func() { g.counters.Print(os.Stderr) })
-		case s == syscall.SIGHUP:
-			g.loop.Post(g.readAgain)
-		case !stopping:
-			stopping = true
-			g.loop.Post(g.stop)
+func main() {
+	args := make([]string, len(os.Args)-1)
+	for i, a := range os.Args[1:] {
+		if new, ok := oldFlags[a]; ok {
+			a = new
 		}
+		args[i] = a
 	}
-}
-
-// readAgain takes what may change while the program runs from its file. A file that
-// can't be used changes nothing.
-func (g *gateway) readAgain() {
-	if g.reload == nil {
-		g.log.Print("told to read the configuration again: it names nothing that may change")
-		return
+	var c cli
+	parser, err := kong.New(&c, kong.Name("ringwood"), kong.UsageOnError(),
+		kong.Description("A gateway between clients and query engines. It serves as $LB_CONFIG, --config or --postgres says."))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "ringwood:", err)
+		os.Exit(1)
 	}
-	if err := g.reload(); err != nil {
-		g.counters.Add("reload.failed")
-		g.log.Printf("the new file can't be used, the old one holds: %v", err)
-		return
+	ctx, err := parser.Parse(args)
+	parser.FatalIfErrorf(err)
+	if err := ctx.Run(&c, parser); err != nil {
+		if !errors.Is(err, errTold) {
+			fmt.Fprintln(os.Stderr, "ringwood:", err)
+		}
+		os.Exit(1)
 	}
-	g.counters.Add("reload.done")
-	g.log.Print("read the configuration again")
 }
--- a/cmd/ringwood/reload_test.go
+++ b/cmd/ringwood/reload_test.go
@@ -5,7 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"os"
 	"os/exec"
@@ -51,7 +51,7 @@
 func TestHangup(t *testing.T) {
 	if args := os.Getenv(childEnv); args != "" {
 		path, deploy, _ := strings.Cut(args, "|")
-		if err := run(path, deploy, log.New(os.Stderr, "", 0)); err != nil {
+		if err := run(serving{config: path, postgres: deploy}, slog.New(slog.NewTextHandler(os.Stderr, nil))); err != nil {
 			t.Fatal(err)
 		}
 		return
@@ -75,18 +75,18 @@
 	}
 	write(path, config(one))
 	p := start(t, path+"|")
-	p.await("serving at")
+	p.await("serving")
 	if got := <-toldOne; got != 1 {
 		t.Errorf("the first bus was told %d", got)
 	}
 	for _, bad := range []string{"{", config("nowhere"), string(raw)} {
 		write(path, bad)
 		p.signal(syscall.SIGHUP)
-		p.await("the old one holds")
+		p.await("the old file holds")
 	}
 	write(path, config(two))
 	p.signal(syscall.SIGHUP)
-	p.await("going over")
+	p.await("bus.moving")
 	if got := <-toldTwo; got != 7 {
 		t.Errorf("the second bus was told %d, want the last event's number", got)
 	}
@@ -105,14 +105,14 @@
 	text := strings.NewReplacer("127.0.0.1:5433", "127.0.0.1:0", "127.0.0.1:8500", "127.0.0.1:1").Replace(string(deploy))
 	write(path, text)
 	p = start(t, "|"+path)
-	p.await("serving at")
+	p.await("serving")
 	write(path, strings.Replace(text, `default_class = "lookup"`, `default_class = "odd"`, 1))
 	p.signal(syscall.SIGHUP)
 	p.await("default_class")
 	write(path, strings.Replace(text, "127.0.0.1:1", "127.0.0.1:2", 1))
 	p.signal(syscall.SIGHUP)
-	p.await("read the configuration again")
-	p.await("consul 127.0.0.1:2") // where nobody listens
+	p.await("reload.done")
+	p.await("consul=127.0.0.1:2") // where nobody listens
 	p.end("count reload.failed 1")
 }
 
--- /dev/null
+++ b/cmd/ringwood/serve.go
@@ -0,0 +1,301 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"gannetspur/internal/config"
+	"gannetspur/internal/core"
+	"gannetspur/internal/engine/lines"
+	"gannetspur/internal/engine/pg"
+	"gannetspur/internal/front/pgwire"
+	"gannetspur/internal/front/rest"
+	"gannetspur/internal/netio"
+	"gannetspur/internal/roster/bus"
+	"gannetspur/internal/roster/consul"
+	"gannetspur/internal/shape"
+	"gannetspur/internal/sqltext"
+	"gannetspur/internal/stats"
+	"gannetspur/policy"
+)
+
+// gateway is one front on a core of its own.
+type gateway struct {
+	loop     *netio.Loop
+	core     *core.Core
+	front    front
+	counters *stats.Counters
+	log      *slog.Logger
+	shapes   *shape.Service // nil: off
+	reload   func() error   // reads the file again; for the loop's goroutine
+}
+
+// front is what a planned stop needs of a front.
+type front interface {
+	Addr() string
+	CloseListener()
+	Drain()
+	Idle() bool
+}
+
+// serving says what to serve.
+type serving struct {
+	config   string // the platform's configuration
+	postgres string // the PostgreSQL front's deploy file; "": the platform's front
+	shapes   string // the platform's front's file of shapes; "": off
+}
+
+func run(what serving, logger *slog.Logger) error {
+	// First of all: a signal that comes before it is listened for ends the process.
+	told := make(chan os.Signal, 16)
+	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g := &gateway{counters: stats.New(), log: logger}
+	var err error
+	switch {
+	case what.postgres != "":
+		err = g.postgres(ctx, what.postgres)
+	case what.config != "":
+		err = g.platform(what.config, what.shapes)
+	default:
+		err = errors.New("nothing to serve: set LB_CONFIG, --config or --postgres")
+	}
+	if err != nil {
+		return err
+	}
+	if g.front == nil {
+		logger.Info("off", "why", "the deploy file names no address to listen at")
+		return nil
+	}
+	logger.Info("serving", "addr", g.front.Addr())
+	go g.signals(told)
+	g.loop.Run()
+	g.print()
+	return nil
+}
+
+// print writes the counters.
+func (g *gateway) print() {
+	if g.shapes != nil {
+		g.shapes.Count()
+	}
+	g.counters.Print(os.Stderr)
+}
+
+// learnShapes has the shapes of statements learned as the settings say.
+func (g *gateway) learnShapes(s *config.Shapes, memoryMB int, site *config.Site, workTold bool) (err error) {
+	if s == nil || !s.Enabled {
+		return nil
+	}
+	if most := part(memoryMB, 4) >> 10; s.MemoryKB > most {
+		return fmt.Errorf("shapes: memory_kb: %d is more than a quarter of the memory, %d", s.MemoryKB, most)
+	}
+	g.shapes, err = shape.NewService(shape.Settings{
+		Decide: s.Decide(), Bytes: s.MemoryKB << 10, Correct: s.Correct, Snapshot: s.Snapshot, Every: s.Every(), WorkTold: workTold,
+	}, site.Policy.Classes, g.loop, g.counters, g.log)
+	if err == nil {
+		g.core.SetLearner(g.shapes)
+	}
+	return err
+}
+
+// start makes the loop and the core.
+func (g *gateway) start(set policy.Settings, seed uint64, memoryMB, sockets int) (err error) {
+	limitResources(memoryMB)
+	if g.loop, err = netio.New(sockets); err != nil {
+		return err
+	}
+	g.loop.Budget = int64(part(memoryMB, 6))
+	g.core, err = core.New(set, seed, g.loop, g.loop.Timers, g.counters, g.log)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	return nil
+}
+
+// platform serves the platform's protocol.
+func (g *gateway) platform(path, shapes string) error {
+	cfg, err := config.Load(path)
+	if err != nil {
+		return err
+	}
+	if v := os.Getenv("LB_LISTEN"); v != "" {
+		cfg.Listen = v
+	}
+	if cfg.Listen == "" {
+		return errors.New("configuration: listen: missing")
+	}
+	if err := g.start(cfg.Site.Policy, cfg.Seed, cfg.MemoryMB, cfg.Sockets); err != nil {
+		return err
+	}
+	g.core.SetLinks(lines.New(g.loop, g.core, cfg.Site, g.counters, g.log))
+	for _, ev := range cfg.Known {
+		mode := policy.ListChanges
+		if ev.Whole {
+			mode = policy.ListFull
+		}
+		g.core.Roster(mode, ev.Engines)
+	}
+	if cfg.Bus != "" {
+		follower := bus.New(g.loop, cfg.Bus, cfg.Offset, cfg.Site.Zones, cfg.Site.Kinds, g.core, g.counters, g.log)
+		follower.Start()
+		g.reload = func() error {
+			next, err := config.Load(path)
+			if err == nil && next.Bus == "" {
+				err = errors.New("configuration: bus: missing")
+			}
+			if err != nil {
+				return err
+			}
+			follower.Move(next.Bus)
+			return nil
+		}
+	}
+	if shapes != "" {
+		s, err := config.LoadShapes(shapes)
+		if err != nil {
+			return err
+		}
+		if err := g.learnShapes(s, cfg.MemoryMB, &cfg.Site, cfg.Site.Policy.CostTold); err != nil {
+			return err
+		}
+	}
+	f := rest.New(g.loop, g.core, rest.Options{
+		MostClients: mostClients(cfg.Sockets), MostHeld: part(cfg.MemoryMB, 8), Shapes: g.shapes,
+	}, g.counters)
+	g.front = f
+	return f.Listen(cfg.Listen)
+}
+
+// postgres serves the PostgreSQL wire protocol.
+func (g *gateway) postgres(ctx context.Context, path string) error {
+	p, err := config.LoadPostgres(path)
+	if err != nil || p.Listen == "" {
+		return err
+	}
+	if err := g.start(p.Site.Policy, uint64(os.Getpid()), p.MemoryMB, p.Sockets); err != nil {
+		return err
+	}
+	g.core.SetLinks(pg.New(g.loop, g.core, pg.Options{
+		User: p.User, Database: p.Database,
+		ConnectTimeout: config.FromMS(p.ConnectWithin), IdleClose: config.FromMS(p.IdleClose),
+		MostHeld: part(p.MemoryMB, 4),
+	}, g.counters, g.log))
+	follower := consul.New(g.loop.Post, g.core, g.counters, g.log)
+	follower.Follow(ctx, consul.Options(p.Consul))
+	if err := g.learnShapes(&p.Shapes, p.MemoryMB, &p.Site, false); err != nil {
+		return err
+	}
+	f := pgwire.New(g.loop, g.core, g.frontOptions(p), g.counters)
+	g.front = f
+	g.reload = func() error {
+		next, err := config.LoadPostgres(path)
+		if err == nil && next.Listen == "" {
+			err = errors.New("deploy file: listen: missing")
+		}
+		if err != nil {
+			return err
+		}
+		for class := range next.Classes() {
+			if _, ok := g.core.Class(class); !ok { // settings hold from the start on
+				return fmt.Errorf("deploy file: class %q is not among the settings that this program started with", class)
+			}
+		}
+		f.SetOptions(g.frontOptions(next))
+		if next.Consul != p.Consul {
+			follower.Follow(ctx, consul.Options(next.Consul))
+		}
+		p = next
+		return nil
+	}
+	return f.Listen(p.Listen)
+}
+
+func (g *gateway) frontOptions(p *config.Postgres) pgwire.Options {
+	opts := pgwire.Options{
+		DefaultClass: p.DefaultClass, WriteClass: p.WriteClass, ReadOnly: sqltext.Functions{}, MostClients: mostClients(p.Sockets), MostHeld: part(p.MemoryMB, 6),
+		Shapes: g.shapes,
+	}
+	for _, name := range p.ReadOnly {
+		opts.ReadOnly[name] = true
+	}
+	if p.MostClients > 0 {
+		opts.MostClients = min(opts.MostClients, p.MostClients)
+	}
+	for _, s := range p.Statements {
+		opts.Rules = append(opts.Rules, pgwire.Rule(s))
+	}
+	return opts
+}
+
+// usualMB and usualSockets hold where the configuration names no limits.
+const (
+	usualMB      = 192
+	usualSockets = 1024
+)
+
+// part is the n-th part of the memory, in bytes.
+func part(memoryMB, n int) int {
+	if memoryMB <= 0 {
+		memoryMB = usualMB
+	}
+	return memoryMB << 20 / n
+}
+
+// mostClients leaves a quarter of the descriptors to engines, the roster and the
+// program itself, and some for clients that are being closed.
+func mostClients(sockets int) int {
+	if sockets <= 0 {
+		sockets = usualSockets
+	}
+	return max(sockets*3/4-32, 8)
+}
+
+// limitResources keeps the garbage collector well under the memory limit. More
+// than one P, also on one core: the poller's wait holds one.
+func limitResources(memoryMB int) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryMB) << 20 * 6 / 10)
+	}
+	runtime.GOMAXPROCS(3)
+}
+
+// signals carries out what the process is told.
+func (g *gateway) signals(told <-chan os.Signal) {
+	stopping := false
+	for s := range told {
+		switch {
+		case s == syscall.SIGUSR1:
+			g.loop.Post(g.print)
+		case s == syscall.SIGHUP:
+			g.loop.Post(g.readAgain)
+		case !stopping:
+			stopping = true
+			g.loop.Post(g.stop)
+		}
+	}
+}
+
+// readAgain takes what may change while the program runs from its file. A file that
+// can't be used changes nothing.
+func (g *gateway) readAgain() {
+	if g.reload == nil {
+		g.log.Info("reload.nothing", "why", "the configuration names nothing that may change")
+		return
+	}
+	if err := g.reload(); err != nil {
+		g.counters.Add("reload.failed")
+		g.log.Warn("reload.failed", "error", err, "then", "the old file holds")
+		return
+	}
+	g.counters.Add("reload.done")
+	g.log.Info("reload.done")
+}
--- a/cmd/ringwood/stop_test.go
+++ b/cmd/ringwood/stop_test.go
@@ -3,8 +3,7 @@
 import (
 	"bufio"
 	"fmt"
-	"io"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -77,8 +76,8 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	g := &gateway{counters: stats.New(), log: log.New(io.Discard, "", 0)}
-	if err := g.platform(path); err != nil {
+	g := &gateway{counters: stats.New(), log: slog.New(slog.DiscardHandler)}
+	if err := g.platform(path, ""); err != nil {
 		t.Fatal(err)
 	}
 	ended := make(chan struct{})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,12 +3,14 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"gannetspur/internal/core"
@@ -70,68 +72,100 @@
 	"in_service": policy.EngineLive, "terminating": policy.EngineDraining, "terminated": policy.EngineGone,
 }
 
-// Load reads the file at the path. Its errors name the field at fault.
+// Load reads the file at the path. Its error tells of all faults, each with its line and
+// field (see FaultsOf).
 func Load(path string) (*Config, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	c, err := Parse(raw)
-	if err != nil {
-		return nil, fmt.Errorf("configuration %s: %w", path, err)
-	}
-	return c, nil
+	return parse(raw, path)
 }
 
 // Parse reads a configuration.
-func Parse(raw []byte) (*Config, error) {
+func Parse(raw []byte) (*Config, error) { return parse(raw, "configuration") }
+
+func parse(raw []byte, path string) (*Config, error) {
+	k := &checker{file: path, locate: func(field string) int { return jsonLine(raw, field) }}
 	var f file
 	if err := json.Unmarshal(raw, &f); err != nil {
-		return nil, fieldError(err)
-	}
-	if f.Settings == nil {
-		return nil, errors.New("settings: missing")
+		field, what, ok := strings.Cut(fieldError(err).Error(), ": ")
+		if !ok || strings.Contains(field, " ") {
+			field, what = "", fieldError(err).Error()
+		} else if f.Settings != nil || !strings.HasPrefix(field, "known") {
+			if line := jsonLine(raw, "settings."+field); line > jsonLine(raw, "settings") {
+				field = "settings." + field
+			}
+		}
+		k.add(field, "%s", what)
+		var syntax *json.SyntaxError
+		if errors.As(err, &syntax) {
+			k.faults[0].Line = 1 + bytes.Count(raw[:min(int(syntax.Offset), len(raw))], []byte("\n"))
+		}
+		return nil, k.err()
 	}
 	for _, a := range []struct{ name, addr string }{{"listen", f.Listen}, {"bus", f.Bus}} {
-		if a.addr == "" { // the second front needs neither
-			continue
-		}
-		if err := checkAddr(a.addr); err != nil {
-			return nil, fmt.Errorf("%s: %w", a.name, err)
+		if a.addr != "" { // the second front needs neither
+			k.address(a.name, a.addr)
 		}
 	}
 	c := &Config{
 		Name: f.Name, Listen: f.Listen, MemoryMB: int(f.Limits.MemoryMB), Sockets: int(f.Limits.Sockets),
-		Bus: f.Bus, Offset: f.Known.Offset, Site: *f.Settings,
+		Bus: f.Bus, Offset: f.Known.Offset,
 	}
 	if f.Seed != "" {
 		seed, err := strconv.ParseUint(f.Seed, 16, 64)
-		if err != nil {
-			return nil, fmt.Errorf("seed: %q is not a number of up to 16 hex digits", f.Seed)
-		}
+		k.must(err == nil, "seed", "%q is not a number of up to 16 hex digits", f.Seed)
 		c.Seed = seed
 	}
 	for i, b := range f.Known.Batch {
 		ev := Event{Whole: b.Topology.All}
 		for j, t := range b.Topology.Targets {
-			e, err := t.engine()
-			if err != nil {
-				return nil, fmt.Errorf("known.batch[%d].topology.targets[%d].%w", i, j, err)
-			}
-			ev.Engines = append(ev.Engines, e)
+			ev.Engines = append(ev.Engines, t.engine(k, fmt.Sprintf("known.batch[%d].topology.targets[%d].", i, j)))
 		}
 		c.Offset = max(c.Offset, b.Offset)
 		c.Known = append(c.Known, ev)
 	}
-	if c.Site.Policy.Gateways < 1 {
-		return nil, errors.New("settings.balancers: not at least 1")
+	if f.Settings == nil {
+		k.add("settings", "missing")
+		return nil, k.err()
 	}
-	if len(c.Site.Policy.Classes) == 0 {
-		return nil, errors.New("settings.classes: none")
+	c.Site = *f.Settings
+	k.must(c.Site.Policy.Gateways >= 1, "settings.balancers", "not at least 1")
+	k.must(len(c.Site.Policy.Classes) > 0, "settings.classes", "none")
+	if err := k.err(); err != nil {
+		return nil, err
 	}
 	return c, nil
 }
 
+// CheckSettings tells what is wrong with a file that holds the settings object alone.
+func CheckSettings(path string, raw []byte) error {
+	c := &checker{file: path}
+	var s Site
+	if !c.settings(raw, &s) {
+		return c.err()
+	}
+	c.must(len(s.Policy.Classes) > 0, "classes", "none")
+	return c.err()
+}
+
+// settings reads the settings object, and names the field at fault.
+func (c *checker) settings(raw []byte, s *Site) bool {
+	c.locate = func(field string) int { return jsonLine(raw, field) }
+	err := json.Unmarshal(raw, s)
+	if err == nil {
+		return true
+	}
+	what := fieldError(err).Error()
+	field, rest, ok := strings.Cut(what, ": ")
+	if !ok || strings.Contains(field, " ") {
+		field, rest = "", what
+	}
+	c.add(field, "%s", rest)
+	return false
+}
+
 // checkAddr tells what is wrong with an address of the form host:port.
 func checkAddr(addr string) error {
 	_, port, err := net.SplitHostPort(addr)
@@ -144,22 +178,16 @@
 	return nil
 }
 
-func (t *target) engine() (core.Engine, error) {
+func (t *target) engine(k *checker, at string) core.Engine {
 	state, ok := states[t.State]
-	if !ok {
-		return core.Engine{}, fmt.Errorf("state: unknown value %q", t.State)
-	}
-	if t.UID == "" {
-		return core.Engine{}, errors.New("uid: missing")
-	}
-	if err := checkAddr(t.Endpoint); err != nil {
-		return core.Engine{}, fmt.Errorf("endpoint: %w", err)
-	}
+	k.must(ok, at+"state", "unknown value %q", t.State)
+	k.must(t.UID != "", at+"uid", "missing")
+	k.address(at+"endpoint", t.Endpoint)
 	e := core.Engine{Addr: t.Endpoint, Engine: policy.Engine{
 		ID: t.UID, Zone: t.AZ, Kind: t.Model, Cell: t.Group, State: state,
 	}}
 	e.Started, e.Fresh = started(t.Boot)
-	return e, nil
+	return e
 }
 
 // started reads a Unix millisecond, 0 for long ago. Module time counts from the
--- a/internal/config/postgres.go
+++ b/internal/config/postgres.go
@@ -1,8 +1,6 @@
 package config
 
 import (
-	"encoding/json"
-	"errors"
 	"fmt"
 	"iter"
 	"os"
@@ -11,8 +9,6 @@
 
 	"gannetspur/internal/sqltext"
 	"gannetspur/policy"
-
-	"github.com/BurntSushi/toml"
 )
 
 // Postgres is the deploy file of the second front.
@@ -31,6 +27,7 @@
 	ConnectWithin float64 `toml:"connect_timeout_ms"`
 	IdleClose     float64 `toml:"idle_close_ms"`
 	Consul        Consul
+	Shapes        Shapes
 	Site          Site `toml:"-"`
 }
 
@@ -46,22 +43,23 @@
 // Consul is where the roster of engines is read.
 type Consul struct{ Address, Service, Token, Zone, Kind string }
 
-// LoadPostgres reads the deploy file of the second front, and the settings that
-// it names. Its errors name the field at fault.
+// LoadPostgres reads the deploy file of the second front, and the settings that it names.
+// Its error tells of all faults, each with its file, line and field (see FaultsOf).
 func LoadPostgres(path string) (*Postgres, error) {
-	var p Postgres
-	meta, err := toml.DecodeFile(path, &p)
+	raw, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("deploy file %s: %w", path, err)
+		return nil, fmt.Errorf("deploy file: %w", err)
 	}
-	if odd := meta.Undecoded(); len(odd) > 0 {
-		return nil, fmt.Errorf("deploy file %s: %s: unknown field", path, odd[0])
+	var p Postgres
+	c := &checker{file: path}
+	if !decodeTOML(c, raw, &p) {
+		return nil, c.err()
 	}
-	if p.Listen == "" {
-		return &p, nil
+	if p.Listen != "" {
+		p.check(c, filepath.Dir(path))
 	}
-	if err := p.check(filepath.Dir(path)); err != nil {
-		return nil, fmt.Errorf("deploy file %s: %w", path, err)
+	if err := c.err(); err != nil {
+		return nil, err
 	}
 	return &p, nil
 }
@@ -80,65 +78,64 @@
 	}
 }
 
-func (p *Postgres) check(dir string) error {
-	for _, a := range []struct{ name, addr string }{{"listen", p.Listen}, {"consul.address", p.Consul.Address}} {
-		if err := checkAddr(a.addr); err != nil {
-			return fmt.Errorf("%s: %w", a.name, err)
-		}
-	}
-	if p.Consul.Service == "" {
-		return errors.New("consul.service: missing")
-	}
-	if p.User == "" {
-		return errors.New("user: missing")
-	}
+func (p *Postgres) check(c *checker, dir string) {
+	c.address("listen", p.Listen)
+	c.address("consul.address", p.Consul.Address)
+	c.must(p.Consul.Service != "", "consul.service", "missing; wanted is the name that engines are registered under")
+	c.must(p.User != "", "user", "missing; wanted is the name that engines are spoken to in")
+	c.must(p.MemoryMB >= 0, "memory_mb", "%d is below 0", p.MemoryMB)
+	c.must(p.Sockets >= 0, "sockets", "%d is below 0", p.Sockets)
 	if p.Database == "" {
 		p.Database = p.User
 	}
-	file := p.Settings
-	if !filepath.IsAbs(file) {
-		file = filepath.Join(dir, file)
-	}
-	raw, err := os.ReadFile(file)
-	if err != nil {
-		return fmt.Errorf("settings: %w", err)
+	for i, name := range p.ReadOnly {
+		if name == "" || name != strings.ToLower(name) || strings.ContainsAny(name, " ()\"'") || strings.Count(name, ".") > 1 {
+			c.add(fmt.Sprintf("read_only_functions[%d]", i), "%q is no function's name in small letters, as in price_of or stock.price_of", name)
+		}
 	}
-	if err := json.Unmarshal(raw, &p.Site); err != nil {
-		return fmt.Errorf("settings: %s: %w", p.Settings, fieldError(err))
+	if !p.site(c, dir) {
+		return // nothing is known of the classes
 	}
 	classes := map[string]policy.Effect{}
-	for _, c := range p.Site.Policy.Classes {
-		classes[c.Name] = c.Effect
-		if p.WriteClass == "" && c.Effect == policy.Unsafe {
-			p.WriteClass = c.Name
+	for _, class := range p.Site.Policy.Classes {
+		classes[class.Name] = class.Effect
+		if p.WriteClass == "" && class.Effect == policy.Unsafe {
+			p.WriteClass = class.Name
 		}
 	}
-	if _, ok := classes[p.DefaultClass]; !ok {
-		return fmt.Errorf("default_class: %q is no class of the settings", p.DefaultClass)
-	}
+	_, ok := classes[p.DefaultClass]
+	c.must(ok, "default_class", "%q is no class of the settings", p.DefaultClass)
 	if e, ok := classes[p.WriteClass]; p.WriteClass != "" && (!ok || e != policy.Unsafe) {
-		return fmt.Errorf("write_class: %q is no class of the settings whose effect is non_idempotent", p.WriteClass)
-	}
-	for i, name := range p.ReadOnly {
-		if name == "" || name != strings.ToLower(name) || strings.ContainsAny(name, " ()\"'") || strings.Count(name, ".") > 1 {
-			return fmt.Errorf("read_only_functions[%d]: %q is no function's name in small letters, as in price_of or stock.price_of", i, name)
-		}
+		c.add("write_class", "%q is no class of the settings whose effect is non_idempotent", p.WriteClass)
 	}
 	for i, s := range p.Statements {
+		at := func(field string) string { return fmt.Sprintf("statement[%d].%s", i, field) }
 		effect, ok := classes[s.Class]
 		writes := sqltext.EffectOf(s.Starts, nil).Effect == sqltext.Writes
-		switch {
-		case s.Starts == "":
-			return fmt.Errorf("statement[%d].starts: missing", i)
-		case !ok:
-			return fmt.Errorf("statement[%d].class: %q is no class of the settings", i, s.Class)
-		case s.Key < 0 || s.Key > 65535:
-			return fmt.Errorf("statement[%d].key: %d is no parameter's number", i, s.Key)
-		case writes && s.ReadOnly:
-			return fmt.Errorf("statement[%d].read_only: %q writes", i, s.Starts)
-		case writes && effect == policy.Safe:
-			return fmt.Errorf("statement[%d].class: %q writes, and class %q is safe to repeat", i, s.Starts, s.Class)
-		}
+		c.must(s.Starts != "", at("starts"), "missing; wanted are the words that statements begin with")
+		c.must(ok, at("class"), "%q is no class of the settings", s.Class)
+		c.must(s.Key >= 0 && s.Key <= 65535, at("key"), "%d is no parameter's number, 1 to 65535", s.Key)
+		c.must(!writes || !s.ReadOnly, at("read_only"), "%q writes", s.Starts)
+		c.must(!ok || !writes || effect != policy.Safe, at("class"), "%q writes, and class %q is safe to repeat", s.Starts, s.Class)
+	}
+	p.Shapes.check(c, "shapes.", p.Site.Policy.Classes)
+}
+
+// site reads the settings that the file names.
+func (p *Postgres) site(c *checker, dir string) bool {
+	file := p.Settings
+	if !filepath.IsAbs(file) {
+		file = filepath.Join(dir, file)
+	}
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		c.add("settings", "%v", err)
+		return false
+	}
+	k := &checker{file: file}
+	if !k.settings(raw, &p.Site) {
+		c.faults = append(c.faults, k.faults...)
+		return false
 	}
-	return nil
+	return true
 }
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -24,6 +24,14 @@
 	if !a.neverRan || rep.Detail != nil && !c.doubt(r) {
 		r.detail = rep.Detail
 	}
+	if c.learner != nil && r.Note != nil {
+		switch elapsed := c.clock.Now() - a.Sent; end {
+		case EndServed:
+			c.learner.Served(r, rep, elapsed)
+		case EndTimeout:
+			c.learner.GivenUp(r, elapsed)
+		}
+	}
 	switch end {
 	case EndServed:
 		c.final(r.query, Answer{Verdict: Served, Result: rep.Result})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,7 +6,7 @@
 package core
 
 import (
-	"log"
+	"log/slog"
 	"time"
 
 	"gannetspur/internal/deadline"
@@ -51,6 +51,7 @@
 	MemoryMB  float64       // estimate; 0: none
 	Repeat    bool
 	Client    Client
+	Note      any // the front's own, for the Learner
 
 	query    uint64
 	tries    []*Attempt
@@ -85,6 +86,13 @@
 // Ended tells whether the attempt is over.
 func (a *Attempt) Ended() bool { return a.ended }
 
+// Learner hears what requests have cost at their engines, once for each attempt that was
+// served, or given up as its time was over.
+type Learner interface {
+	Served(r *Request, rep Report, elapsed time.Duration)
+	GivenUp(r *Request, elapsed time.Duration)
+}
+
 // Report is what came with the end of an attempt.
 type Report struct {
 	Result   any // the whole answer, for fronts of the same wire
@@ -100,8 +108,9 @@
 	clock   Clock
 	timers  *deadline.Queue
 	links   Links
+	learner Learner // nil: nobody
 	stats   *stats.Counters
-	log     *log.Logger
+	log     *slog.Logger
 	round   time.Duration
 	classes map[string]policy.Class
 	engines map[string]Engine // that the roster names and that are not gone
@@ -116,7 +125,7 @@
 }
 
 // New returns a core for the settings. SetLinks must follow before any event.
-func New(set policy.Settings, seed uint64, clock Clock, timers *deadline.Queue, counters *stats.Counters, l *log.Logger) (*Core, error) {
+func New(set policy.Settings, seed uint64, clock Clock, timers *deadline.Queue, counters *stats.Counters, l *slog.Logger) (*Core, error) {
 	g, err := policy.New(set, seed)
 	if err != nil {
 		return nil, err
@@ -134,6 +143,9 @@
 // SetLinks names where attempts go.
 func (c *Core) SetLinks(l Links) { c.links = l }
 
+// SetLearner names who hears what requests have cost.
+func (c *Core) SetLearner(l Learner) { c.learner = l }
+
 // Class looks a class up by name.
 func (c *Core) Class(name string) (policy.Class, bool) {
 	class, ok := c.classes[name]
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -25,7 +25,7 @@
 	case policy.Wake:
 		c.timers.Add(c.clock.Now()+a.After, func() { c.tell(policy.Timer{Token: a.Token}) })
 	case policy.Log:
-		c.log.Print(a.Text)
+		c.log.Info("policy", "says", a.Text)
 	case policy.Probe, policy.Subscribe:
 		// Neither is permitted where this program runs: engines are not probed,
 		// and the roster tells unasked.
--- a/internal/decide/shape/heavy.go
+++ b/internal/decide/shape/heavy.go
@@ -6,7 +6,7 @@
 // value that is new costs a bounded time. Keys are seeded hashes: an outsider can't
 // choose which values meet in a set.
 type heavy struct {
-	sets [heavySets][heavyWays]heavyKey
+	Sets [heavySets][heavyWays]heavyKey
 }
 
 const (
@@ -17,43 +17,58 @@
 )
 
 type heavyKey struct {
-	key    uint64
-	count  uint32
-	offset Track
+	Key    uint64
+	Count  uint32
+	Offset Track // of the cost: from the estimate, or, of values that look alike, from what the shape usually costs
+	// Of values that look alike: the errors that these two voices made on them.
+	Prior, Hint Track
 }
 
 // telling tells whether enough is known of the value to correct by it.
 func (h *heavyKey) telling() bool {
-	return h.offset.N >= heavyLeast && (h.offset.Mid > heavyShift || h.offset.Mid < -heavyShift)
+	return h.Offset.N >= heavyLeast && (h.Offset.Mid > heavyShift || h.Offset.Mid < -heavyShift)
 }
 
 func (h *heavy) find(key uint64) *heavyKey {
 	if key == 0 {
 		return nil
 	}
-	set := &h.sets[key%heavySets]
+	set := &h.Sets[key%heavySets]
 	for i := range set {
-		if set[i].key == key {
+		if set[i].Key == key {
 			return &set[i]
 		}
 	}
 	return nil
 }
 
-func (h *heavy) add(key uint64, offset float64, forget bool) {
+// add counts a value, in the place of the one that came least where it is new.
+func (h *heavy) add(key uint64) *heavyKey {
 	k := h.find(key)
 	if k == nil {
-		set := &h.sets[key%heavySets]
+		set := &h.Sets[key%heavySets]
 		k = &set[0]
 		for i := range set {
-			if set[i].count < k.count {
+			if set[i].Count < k.Count {
 				k = &set[i]
 			}
 		}
-		*k = heavyKey{key: key, count: k.count} // it may have come as often as the one it replaces
+		*k = heavyKey{Key: key, Count: k.Count} // it may have come as often as the one it replaces
 	}
-	if k.count < 1<<31 {
-		k.count++
+	if k.Count < 1<<31 {
+		k.Count++
 	}
-	k.offset.Add(offset, forget)
+	return k
+}
+
+// likeKey names values that look alike, whatever the shape: their bucket and the column
+// that the longest list or widest range of them is of. All districts in an array mean
+// the same to every statement that takes one.
+func likeKey(bucket, column uint32) uint64 {
+	h := uint64(bucket)<<32 | uint64(column)
+	h = (h ^ h>>31) * 0x9e3779b97f4a7c15
+	if h ^= h >> 29; h == 0 {
+		h = 1
+	}
+	return h
 }
--- a/internal/decide/shape/prior.go
+++ b/internal/decide/shape/prior.go
@@ -7,7 +7,7 @@
 )
 
 // dims is the number of features of the prior.
-const dims = 26
+const dims = 29
 
 type vector [dims]float64
 
@@ -27,8 +27,13 @@
 		math.Log2(1+float64(p.Alternatives)) / 4, math.Log2(1+p.Span) / 4, flag(p.HalfOpen), flag(p.Wild == sqltext.Prefix),
 		flag(p.Wild == sqltext.Leading), math.Log2(1+p.Limit) / 8, flag(p.Off > 0), flag(p.Open), math.Log2(1+float64(p.Rows)) / 4,
 	}
+	// Beyond some size each doubling counts for more: short lists are found by an index,
+	// long ones are not.
+	x[22] = math.Max(0, math.Log2(1+float64(p.Alternatives))-4) / 2
+	x[23] = math.Max(0, math.Log2(1+p.Span)-4) / 2
+	x[24] = math.Max(0, math.Log2(1+p.Limit)-8) / 4
 	if class >= 0 && class < 4 {
-		x[22+class] = 1
+		x[25+class] = 1
 	}
 	return x
 }
@@ -37,10 +42,10 @@
 // squares with forgetting (Haykin, "Adaptive Filter Theory", chapter on RLS), with
 // errors clipped so that one voice moves little.
 type prior struct {
-	w     vector
-	p     [dims][dims]float64
-	n     int
-	track Track // of its own errors
+	W     vector
+	P     [dims][dims]float64
+	N     int
+	Track Track // of its own errors
 }
 
 const (
@@ -54,29 +59,29 @@
 func newPrior() *prior {
 	r := &prior{}
 	for i := range dims {
-		r.p[i][i] = 1 / priorRidge
+		r.P[i][i] = 1 / priorRidge
 	}
 	return r
 }
 
-func (r *prior) ready() bool { return r.n >= priorWarm }
+func (r *prior) ready() bool { return r.N >= priorWarm }
 
 func (r *prior) predict(x *vector) (y float64) {
 	for i := range x {
-		y += r.w[i] * x[i]
+		y += r.W[i] * x[i]
 	}
 	return y
 }
 
 func (r *prior) learn(x *vector, y float64, forget bool) {
 	e := y - r.predict(x)
-	if r.n > 0 {
-		r.track.Add(e, forget)
+	if r.N > 0 {
+		r.Track.Add(e, forget)
 	}
 	if r.ready() {
 		e = max(min(e, priorClip), -priorClip)
 	}
-	r.n++
+	r.N++
 	lambda := 1.0
 	if forget {
 		lambda = priorForget
@@ -85,18 +90,18 @@
 	s, trace := lambda, 0.0
 	for i := range dims {
 		for j := range dims {
-			px[i] += r.p[i][j] * x[j]
+			px[i] += r.P[i][j] * x[j]
 		}
 		s += px[i] * x[i]
-		trace += r.p[i][i]
+		trace += r.P[i][i]
 	}
 	if trace > traceMost { // Guards against wind-up: forgetting what no traffic shows any more.
 		lambda = 1
 	}
 	for i := range dims {
-		r.w[i] += px[i] / s * e
+		r.W[i] += px[i] / s * e
 		for j := range dims {
-			r.p[i][j] = (r.p[i][j] - px[i]*px[j]/s) / lambda
+			r.P[i][j] = (r.P[i][j] - px[i]*px[j]/s) / lambda
 		}
 	}
 }
--- a/internal/decide/shape/shape.go
+++ b/internal/decide/shape/shape.go
@@ -2,11 +2,13 @@
 // from what executions of its shape have cost before. It is pure: no clock, no I/O, and
 // the same calls give the same results.
 //
-// Three voices are heard, each with the error that it has been seen to make, and weighed
+// Four voices are heard, each with the error that it has been seen to make, and weighed
 // by the inverse of its square (the best linear combination of independent unbiased
 // estimates):
 //
 //   - the shape's own record, one for each bucket of profiles of its values;
+//   - values like these: how executions with such values have differed from what their
+//     own shapes usually cost, over all shapes;
 //   - the prior, a model over features that learns from all shapes, corrected by how
 //     this shape has differed from it;
 //   - the client's hint, corrected by how right it has been for this shape.
@@ -53,13 +55,22 @@
 // DefaultHysteresis is used where a configuration names none.
 const DefaultHysteresis = 1.3
 
+// likeUntil is how often values must have come to a shape before its own record of them
+// stands alone.
+const likeUntil = 5
+
+// settled is how many until errors on values like these say no more than its own.
+const settled = 10
+
 // mostBuckets bounds the profiles that one shape keeps apart.
 const mostBuckets = 8
 
 // Entry is what is kept of one shape. Its size does not depend on the shape.
 type Entry struct {
 	Seen    uint32 // executions, saturating
+	All     Track  // of the cost, whatever the values
 	Offset  Track  // of the cost against the prior
+	Usual   Track  // of what the prior says of its executions
 	Hint    Track  // of the cost against the hint
 	Memory  Track  // of the memory against its hint
 	Buckets [mostBuckets]Bucket
@@ -99,16 +110,51 @@
 	MemoryMB float64 // 0: not known
 	Class    int     // place among the configured classes; -1: not decided
 
-	Record, Prior, Hint Voice
-	Key                 Voice // of a value that is asked for often and costs otherwise
+	Record, Like, Prior, Hint Voice
+	Key                       Voice // of a value that is asked for often and costs otherwise
 }
 
 // Model learns and decides.
 type Model struct {
 	cfg   Config
 	prior *prior
-	all   [knownClasses]struct{ hint, hintMB, memory Track } // by known class, for shapes without a record
-	heavy heavy
+	state
+	none Track // of no errors at all
+}
+
+// state is what a model has learned, but for its prior.
+type state struct {
+	All   [knownClasses]common // by known class, for shapes without a record
+	Heavy heavy                // values that come often
+	Like  heavy                // values that look alike
+	Fresh [3]fresh             // errors on values new to a shape, by how strange these are
+}
+
+type common struct{ Hint, HintMB, Memory Track }
+
+type fresh struct{ Prior, Hint Track }
+
+// strangeness sorts how far the prior finds an execution from the shape's usual ones.
+func strangeness(unusual float64) int {
+	switch d := math.Abs(unusual); {
+	case d < 0.7:
+		return 0
+	case d < 2:
+		return 1
+	}
+	return 2
+}
+
+// widen has a voice count for no more than its errors of this kind allow.
+func (t *Track) widen(v *Voice, unusual float64) {
+	switch {
+	case v.N == 0:
+	case t.N >= 2:
+		v.Mid += float64(t.Mid)
+		v.Dev = math.Max(v.Dev, math.Sqrt(t.Variance()))
+	default:
+		v.Dev = math.Hypot(v.Dev, unusual)
+	}
 }
 
 // knownClasses is how many classes have a track of their own; the last is for all else.
@@ -122,11 +168,11 @@
 	return &Model{cfg: cfg, prior: newPrior()}
 }
 
-func (m *Model) common(known int) *struct{ hint, hintMB, memory Track } {
+func (m *Model) common(known int) *common {
 	if known < 0 || known >= knownClasses-1 {
 		known = knownClasses - 1
 	}
-	return &m.all[known]
+	return &m.All[known]
 }
 
 func (m *Model) bucketKey(q *Query) uint32 {
@@ -185,12 +231,14 @@
 	if b != nil {
 		est.Record = voice(&b.Work, 0)
 	}
+	unusual := 0.0
 	if !m.cfg.NoPrior && m.prior.ready() {
 		x := m.vector(q)
 		y := m.prior.predict(&x)
-		est.Prior = voice(&m.prior.track, y)
+		est.Prior = voice(&m.prior.Track, y)
 		if q.Entry != nil && q.Entry.Offset.N >= 2 {
 			est.Prior = voice(&q.Entry.Offset, y)
+			unusual = y - float64(q.Entry.Usual.Mid)
 		}
 	}
 	if !m.cfg.NoHint && q.Hint >= leastWork && q.Hint <= mostWork {
@@ -198,18 +246,43 @@
 		switch common := m.common(q.Known); {
 		case q.Entry != nil && q.Entry.Hint.N >= 3:
 			est.Hint = voice(&q.Entry.Hint, y)
-		case common.hint.N >= 3:
-			est.Hint = voice(&common.hint, y)
+		case common.Hint.N >= 3:
+			est.Hint = voice(&common.Hint, y)
 		default:
 			est.Hint = Voice{Mid: y, Dev: 2, N: 1}
 		}
 	}
-	mid, variance, ok := combine(&est.Record, &est.Prior, &est.Hint)
+	var alike *heavyKey
+	if !m.cfg.NoParameters {
+		alike = m.Like.find(likeKey(m.bucketKey(q), q.Profile.Column))
+	}
+	if e := q.Entry; e != nil && e.All.N >= 2 && alike != nil && alike.Offset.N >= 2 {
+		est.Like = voice(&alike.Offset, float64(e.All.Mid))
+	}
+	// How right a voice has been for a shape says little of values that are unlike those
+	// before: what counts then is how right it has been of such values. Guards against a
+	// broad report that passes for the lookup whose shape it has.
+	prior, hint := &m.none, &m.none
+	if q.Entry != nil && (b == nil || b.Work.N < likeUntil) {
+		f := &m.Fresh[strangeness(unusual)]
+		prior, hint = &f.Prior, &f.Hint
+	}
+	if young := b == nil || b.Work.N < settled; young && alike != nil {
+		if alike.Prior.N >= 2 {
+			prior = &alike.Prior
+		}
+		if alike.Hint.N >= 2 {
+			hint = &alike.Hint
+		}
+	}
+	prior.widen(&est.Prior, unusual)
+	hint.widen(&est.Hint, unusual)
+	mid, variance, ok := combine(&est.Record, &est.Like, &est.Prior, &est.Hint)
 	if !ok {
 		return est
 	}
-	if h := m.heavy.find(q.Profile.Key); !m.cfg.NoParameters && h != nil && h.telling() {
-		est.Key = Voice{Mid: float64(h.offset.Mid), Dev: float64(h.offset.Dev), N: float64(h.offset.N), Weight: 1}
+	if h := m.Heavy.find(q.Profile.Key); !m.cfg.NoParameters && h != nil && h.telling() {
+		est.Key = Voice{Mid: float64(h.Offset.Mid), Dev: float64(h.Offset.Dev), N: float64(h.Offset.N), Weight: 1}
 		mid += est.Key.Mid
 	}
 	est.Known = true
@@ -250,16 +323,16 @@
 	switch {
 	case b != nil && b.Memory.N > 0:
 		record = voice(&b.Memory, 0)
-	case common.memory.N >= 3:
-		record = voice(&common.memory, 0)
+	case common.Memory.N >= 3:
+		record = voice(&common.Memory, 0)
 	}
 	if !m.cfg.NoHint && q.HintMB >= leastMemory && q.HintMB <= mostMemory {
 		y := math.Log2(q.HintMB)
 		switch {
 		case q.Entry != nil && q.Entry.Memory.N >= 3:
 			hint = voice(&q.Entry.Memory, y)
-		case common.hintMB.N >= 3:
-			hint = voice(&common.hintMB, y)
+		case common.HintMB.N >= 3:
+			hint = voice(&common.HintMB, y)
 		default:
 			hint = Voice{Mid: y, Dev: 2, N: 1}
 		}
@@ -301,7 +374,12 @@
 }
 
 // Truth is what a finished execution told; 0 where it told nothing.
-type Truth struct{ Work, MemoryMB float64 }
+type Truth struct {
+	Work, MemoryMB float64
+	// AtLeast: it was given up before its end, so the work is a lower bound. Guards
+	// against learning of broad reports from those alone that came to an end.
+	AtLeast bool
+}
 
 // Learn takes what an execution has cost. What is no figure is left out.
 func (m *Model) Learn(q *Query, t Truth) {
@@ -315,11 +393,18 @@
 	}
 	y := math.Log2(t.Work)
 	before := m.Estimate(q)
+	if t.AtLeast && before.Known && before.Work >= t.Work {
+		return
+	}
 	x := m.vector(q)
 	if e != nil {
+		m.learnAlike(q, &x, y, before.Record.N < likeUntil, forget)
 		if m.prior.ready() {
-			e.Offset.Add(y-m.prior.predict(&x), forget)
+			says := m.prior.predict(&x)
+			e.Offset.Add(y-says, forget)
+			e.Usual.Add(says, forget)
 		}
+		e.All.Add(y, forget)
 		b := e.bucket(m.bucketKey(q))
 		b.Used = e.Seen
 		b.Work.Add(y, forget)
@@ -331,23 +416,54 @@
 	common := m.common(q.Known)
 	if q.Hint >= leastWork && q.Hint <= mostWork {
 		d := y - math.Log2(q.Hint)
-		common.hint.Add(d, forget)
+		common.Hint.Add(d, forget)
 		if e != nil {
 			e.Hint.Add(d, forget)
 		}
 	}
 	if t.MemoryMB >= leastMemory && t.MemoryMB <= mostMemory {
 		z := math.Log2(t.MemoryMB)
-		common.memory.Add(z, forget)
+		common.Memory.Add(z, forget)
 		if q.HintMB >= leastMemory && q.HintMB <= mostMemory {
-			common.hintMB.Add(z-math.Log2(q.HintMB), forget)
+			common.HintMB.Add(z-math.Log2(q.HintMB), forget)
 			if e != nil {
 				e.Memory.Add(z-math.Log2(q.HintMB), forget)
 			}
 		}
 	}
 	if before.Known && q.Profile.Key != 0 && !m.cfg.NoParameters {
-		m.heavy.add(q.Profile.Key, y-(math.Log2(before.Work)-before.Key.Mid), forget)
+		m.Heavy.add(q.Profile.Key).Offset.Add(y-(math.Log2(before.Work)-before.Key.Mid), forget)
+	}
+}
+
+// learnAlike takes the errors made on values that look alike, and on values that are new
+// to their shape.
+func (m *Model) learnAlike(q *Query, x *vector, y float64, fresh, forget bool) {
+	e := q.Entry
+	if e.All.N < 2 {
+		return
+	}
+	alike := &heavyKey{}
+	if !m.cfg.NoParameters {
+		alike = m.Like.add(likeKey(m.bucketKey(q), q.Profile.Column))
+		alike.Offset.Add(y-float64(e.All.Mid), forget)
+	}
+	if !m.prior.ready() || e.Offset.N < 2 {
+		return
+	}
+	says := m.prior.predict(x)
+	f := &m.Fresh[strangeness(says-float64(e.Usual.Mid))]
+	miss := y - says - float64(e.Offset.Mid)
+	alike.Prior.Add(miss, forget)
+	if fresh {
+		f.Prior.Add(miss, forget)
+	}
+	if e.Hint.N >= 3 && q.Hint >= leastWork && q.Hint <= mostWork {
+		miss = y - math.Log2(q.Hint) - float64(e.Hint.Mid)
+		alike.Hint.Add(miss, forget)
+		if fresh {
+			f.Hint.Add(miss, forget)
+		}
 	}
 }
 
@@ -360,7 +476,7 @@
 	for _, v := range []struct {
 		name string
 		v    Voice
-	}{{"record of the shape", e.Record}, {"prior over features", e.Prior}, {"hint as it has been right", e.Hint}} {
+	}{{"record of the shape", e.Record}, {"values like these", e.Like}, {"prior over features", e.Prior}, {"hint as it has been right", e.Hint}} {
 		if v.v.N > 0 {
 			parts = append(parts, fmt.Sprintf("%s %.4g ms, within a factor of %.2g, from %.0f values: %.0f %%",
 				v.name, math.Exp2(v.v.Mid), math.Exp2(v.v.Dev), v.v.N, 100*v.v.Weight))
--- a/internal/engine/lines/links.go
+++ b/internal/engine/lines/links.go
@@ -5,7 +5,7 @@
 import (
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"slices"
 	"strconv"
 	"time"
@@ -43,12 +43,12 @@
 	core    *core.Core
 	site    config.Site
 	stats   *stats.Counters
-	log     *log.Logger
+	log     *slog.Logger
 	engines *engine.Pool[*link]
 }
 
 // New returns links that report to the core.
-func New(loop *netio.Loop, c *core.Core, site config.Site, counters *stats.Counters, l *log.Logger) *Links {
+func New(loop *netio.Loop, c *core.Core, site config.Site, counters *stats.Counters, l *slog.Logger) *Links {
 	site.MaxStreams = max(site.MaxStreams, 1)
 	if site.ConnectTimeout <= 0 {
 		site.ConnectTimeout = 250 * time.Millisecond
@@ -126,7 +126,7 @@
 		}
 		end := engine.DialEnd(err)
 		if end != core.EndRefused {
-			ls.log.Printf("engine %s: %v", e.ID, err)
+			ls.log.Warn("engine.unreachable", "engine", e.ID, "error", err)
 		}
 		l.lost(end)
 	})
@@ -282,7 +282,7 @@
 	if l.conn == nil || l.end != core.EndUnknown {
 		return
 	}
-	l.all.log.Printf("engine %s: %v", l.engine.ID, err)
+	l.all.log.Warn("engine.unreadable", "engine", l.engine.ID, "error", err)
 	l.end, l.retired = core.EndGarbage, true
 	l.conn.Abort()
 }
--- a/internal/engine/pg/links.go
+++ b/internal/engine/pg/links.go
@@ -5,7 +5,7 @@
 import (
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"strconv"
 	"time"
 
@@ -46,13 +46,13 @@
 	core    *core.Core
 	opts    Options
 	stats   *stats.Counters
-	log     *log.Logger
+	log     *slog.Logger
 	engines *engine.Pool[*link]
 	size    int // of the rows on their way
 }
 
 // New returns links that report to the core.
-func New(loop *netio.Loop, c *core.Core, opts Options, counters *stats.Counters, l *log.Logger) *Links {
+func New(loop *netio.Loop, c *core.Core, opts Options, counters *stats.Counters, l *slog.Logger) *Links {
 	if opts.ConnectTimeout <= 0 {
 		opts.ConnectTimeout = time.Second
 	}
@@ -268,7 +268,7 @@
 	if l.conn == nil || l.end != core.EndUnknown {
 		return
 	}
-	l.all.log.Printf("engine %s: %v", l.engine.ID, err)
+	l.all.log.Warn("engine.unreadable", "engine", l.engine.ID, "error", err)
 	l.close(core.EndGarbage)
 }
 
--- a/internal/front/pgwire/bind_test.go
+++ b/internal/front/pgwire/bind_test.go
@@ -14,12 +14,12 @@
 	f.Add([]byte{255, 255})
 	fields := append([]byte{0, 1, 'c', 0}, make([]byte, 18)...)
 	f.Fuzz(func(t *testing.T, b []byte) {
-		values, ok := bound(&pgproto.Reader{B: b})
+		binds, ok := bound(&pgproto.Reader{B: b})
 		if !ok {
 			return
 		}
 		size := 0
-		for _, v := range values {
+		for _, v := range binds.Values {
 			size += 4 + len(v)
 		}
 		if size > len(b) {
--- a/internal/front/pgwire/class.go
+++ b/internal/front/pgwire/class.go
@@ -23,6 +23,7 @@
 type sorted struct {
 	class policy.Class
 	key   int
+	shape bool // nobody has named a class for it: its shape may
 }
 
 // sort finds a statement's class: its leading comment goes before the rules, and
@@ -61,7 +62,7 @@
 	}
 	effect := sqltext.EffectOf(query, f.opts.ReadOnly)
 	if effect.Effect == sqltext.Reads || effect.Effect == sqltext.Untold && readOnly {
-		return sorted{class: class, key: key}, nil
+		return sorted{class: class, key: key, shape: !named}, nil
 	}
 	f.stats.Add("pgwire.may-write")
 	if named {
--- a/internal/front/pgwire/extended.go
+++ b/internal/front/pgwire/extended.go
@@ -9,6 +9,7 @@
 
 	"gannetspur/internal/core"
 	"gannetspur/internal/pgproto"
+	"gannetspur/internal/shape"
 	"gannetspur/internal/sqltext"
 	"gannetspur/policy"
 )
@@ -47,6 +48,9 @@
 		if s.sorted, e = k.front.sort(query); e != nil {
 			return nil, e
 		}
+		if shapes := k.front.opts.Shapes; shapes != nil {
+			s.read = shapes.Read(query)
+		}
 	}
 	return s, nil
 }
@@ -54,11 +58,13 @@
 func (k *conn) bind(body []byte) *pgproto.Error {
 	r := pgproto.Reader{B: body}
 	name, from := r.Str(), r.Str()
+	r.B = bytes.Clone(r.B) // the portal keeps it, and the values lie within
 	tail := r.B
-	values, ok := bound(&r)
+	binds, ok := bound(&r)
 	if !ok {
 		return malformed("Bind")
 	}
+	values := binds.Values
 	s := k.statements[from]
 	switch {
 	case s == nil:
@@ -74,7 +80,10 @@
 			return fail("08P01", "bind message supplies %d parameters, but the prepared statement requires %d", len(values), want)
 		}
 	}
-	p := &portal{statement: s, bind: bytes.Clone(tail)}
+	p := &portal{statement: s, bind: tail}
+	if s.read != nil {
+		p.binds = binds
+	}
 	if !s.empty {
 		var e *pgproto.Error
 		if p.token, e = keyOf(s.sorted, values); e != nil {
@@ -90,35 +99,36 @@
 }
 
 // bound reads a Bind past its names: formats, values and result formats.
-func bound(r *pgproto.Reader) (values [][]byte, ok bool) {
+func bound(r *pgproto.Reader) (b sqltext.Binds, ok bool) {
 	formats := r.Count()
+	b.Formats = r.B[:min(2*formats, len(r.B))]
 	for range formats {
 		if f := r.Int16(); f != 0 && f != 1 {
-			return nil, false
+			return b, false
 		}
 	}
 	n := r.Count()
 	if formats > 1 && formats != n || r.Bad {
-		return nil, false
+		return b, false
 	}
 	for range n {
 		var v []byte
 		if size := r.Int32(); size >= 0 {
 			v = r.Bytes(size)
 		} else if size != -1 {
-			return nil, false
+			return b, false
 		}
 		if r.Bad {
-			return nil, false
+			return b, false
 		}
-		values = append(values, v)
+		b.Values = append(b.Values, v)
 	}
 	for range r.Count() {
 		if f := r.Int16(); f != 0 && f != 1 {
-			return nil, false
+			return b, false
 		}
 	}
-	return values, r.End()
+	return b, r.End()
 }
 
 // target reads the message that names a statement or a portal.
@@ -176,7 +186,7 @@
 		return
 	}
 	want := &pgproto.Statement{Query: s.query, Types: s.types, Describe: true}
-	k.ask(s, want, "", func(res *pgproto.Result) {
+	k.ask(s, want, "", nil, func(res *pgproto.Result) {
 		s.known = res
 		then()
 	})
@@ -234,7 +244,8 @@
 	default:
 		s := p.statement
 		want := &pgproto.Statement{Query: s.query, Types: s.types, Bind: p.bind}
-		k.ask(s, want, p.token, func(res *pgproto.Result) {
+		p.binds.Types = s.oids()
+		k.ask(s, want, p.token, &p.binds, func(res *pgproto.Result) {
 			p.result, p.rest = res, res.Rows
 			res.Rows = nil
 			if describe {
@@ -332,7 +343,7 @@
 		return e
 	}
 	want := &pgproto.Statement{Query: query, Types: []byte{0, 0}, Bind: make([]byte, 6)}
-	k.ask(s, want, "", func(res *pgproto.Result) {
+	k.ask(s, want, "", nil, func(res *pgproto.Result) {
 		if res.Fields != nil {
 			k.rowDescription(res.Fields)
 		}
@@ -362,10 +373,28 @@
 	return true, nil
 }
 
+// oids are the types of the statement's parameters: those that an engine told of, else
+// those that the client gave.
+func (s *statement) oids() []byte {
+	if s.known != nil && len(s.known.Params) > 2 {
+		return s.known.Params[2:]
+	}
+	if len(s.types) > 2 {
+		return s.types[2:]
+	}
+	return nil
+}
+
 // ask puts one request to the core. The answer may come before it returns.
-func (k *conn) ask(s *statement, want *pgproto.Statement, token string, served func(*pgproto.Result)) {
+func (k *conn) ask(s *statement, want *pgproto.Statement, token string, binds *sqltext.Binds, served func(*pgproto.Result)) {
 	f := k.front
 	class := s.class
+	var sorted *shape.Execution
+	if f.opts.Shapes != nil && s.read != nil && s.shape && !want.Describe {
+		if c, x, ok := f.opts.Shapes.Sort(s.read, binds); ok {
+			class, sorted = c, x
+		}
+	}
 	if d, ok := f.core.Class(f.opts.DefaultClass); ok && want.Describe && d.Effect == policy.Safe {
 		class = d // a description runs nothing, whatever its statement would do
 	}
@@ -377,7 +406,17 @@
 		ID: fmt.Sprintf("pg%d", k.process), Class: class.Name, Token: token, Statement: want,
 		Deadline: f.core.Now() + wait, Client: k,
 	}
-	r.Set, _ = sqltext.Group(s.query)
+	switch {
+	case s.read == nil || f.opts.Shapes == nil:
+		r.Set, _ = sqltext.Group(s.query)
+	default:
+		r.Set, _ = s.read.Group()
+		if sorted != nil {
+			f.opts.Shapes.Sorted(r, sorted)
+		} else if !want.Describe {
+			f.opts.Shapes.Expect(r, s.read, binds)
+		}
+	}
 	k.request = r
 	k.then = func(a core.Answer) {
 		res, ok := a.Result.(*pgproto.Result)
--- a/internal/front/pgwire/front.go
+++ b/internal/front/pgwire/front.go
@@ -19,6 +19,7 @@
 	"gannetspur/internal/deadline"
 	"gannetspur/internal/netio"
 	"gannetspur/internal/pgproto"
+	"gannetspur/internal/shape"
 	"gannetspur/internal/sqltext"
 	"gannetspur/internal/stats"
 )
@@ -47,8 +48,9 @@
 	WriteClass   string            // of what may write and has no class of its own; "": refused
 	ReadOnly     sqltext.Functions // that the operators know to read only
 	Rules        []Rule
-	MostClients  int // connections at once; 0: no limit of its own
-	MostHeld     int // bytes of rows in all open portals together
+	Shapes       *shape.Service // classes and estimates by the shapes of statements; nil: off
+	MostClients  int            // connections at once; 0: no limit of its own
+	MostHeld     int            // bytes of rows in all open portals together
 }
 
 // Front accepts clients.
@@ -131,12 +133,14 @@
 	query string
 	types []byte // as in Parse
 	empty bool
-	known *pgproto.Result // its description, once an engine gave it
+	read  *shape.Statement // where shapes are read
+	known *pgproto.Result  // its description, once an engine gave it
 }
 
 type portal struct {
 	statement *statement
-	bind      []byte // past the names, as it came
+	bind      []byte        // past the names, as it came
+	binds     sqltext.Binds // the values, within bind
 	token     string
 	result    *pgproto.Result // whole, once it has run
 	given     int             // rows passed on
--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -16,6 +16,7 @@
 	"gannetspur/internal/deadline"
 	"gannetspur/internal/engine/lines"
 	"gannetspur/internal/netio"
+	"gannetspur/internal/shape"
 	"gannetspur/internal/sqltext"
 	"gannetspur/internal/stats"
 	"gannetspur/policy"
@@ -45,9 +46,10 @@
 
 // Options bound what clients may take.
 type Options struct {
-	MostClients int           // connections at once; past that the longest idle ones are closed
-	MostHeld    int           // bytes of results that wait to be fetched
-	CallWithin  time.Duration // a connection's first call, and any that has begun, must be whole
+	MostClients int            // connections at once; past that the longest idle ones are closed
+	MostHeld    int            // bytes of results that wait to be fetched
+	Shapes      *shape.Service // estimates by the shapes of statements; nil: off
+	CallWithin  time.Duration  // a connection's first call, and any that has begun, must be whole
 }
 
 // Front accepts clients.
@@ -351,7 +353,13 @@
 			return bad("Req-Token: missing or not of 1 to 64 letters, digits, - and _")
 		}
 	}
-	r.Set, _ = sqltext.Group(string(c.body))
+	if s := f.opts.Shapes; s != nil {
+		st := s.Read(string(c.body))
+		r.Set, _ = st.Group()
+		s.Expect(r, st, nil)
+	} else {
+		r.Set, _ = sqltext.Group(string(c.body))
+	}
 	k.request, k.good = r, true
 	f.ids[id] = struct{}{}
 	f.core.Take(r)
--- a/examples/toy/main.go
+++ b/internal/lab/emul/lines.go
@@ -1,50 +1,69 @@
-// Command toy is an engine to try ringwood with. It speaks the platform's line
-// protocol and answers each statement, after some notes of progress, with rows that
-// say what it was asked.
-package main
+package emul
 
 import (
 	"bufio"
 	"context"
-	"flag"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"strings"
 	"sync"
 	"time"
 )
 
-func main() {
-	addr := flag.String("listen", "127.0.0.1:9101", "`address` to listen at; give only one on this machine")
-	work := flag.Duration("work", 300*time.Millisecond, "how long a statement takes")
-	flag.Parse()
-	ln, err := net.Listen("tcp", *addr)
-	if err != nil {
-		log.Fatal(err)
-	}
-	log.Printf("toy engine at %s", ln.Addr())
+// mostText bounds a statement, as the front end's own limit does.
+const mostText = 1 << 20
+
+// Lines serves the platform's line protocol on a listener until that is closed: an engine
+// that answers each statement, after notes of progress, with rows that say what it was
+// asked. Nothing waits for anything there but its own work.
+func Lines(ln net.Listener, work Work, log *slog.Logger) {
+	each(ln, func(c net.Conn) {
+		(&session{conn: c, work: work, log: log, running: map[string]context.CancelFunc{}}).serve()
+	})
+}
+
+// each serves every connection of a listener in a goroutine of its own, and ends them with it.
+func each(ln net.Listener, serve func(net.Conn)) {
+	var mu sync.Mutex
+	open := map[net.Conn]bool{}
 	for {
 		c, err := ln.Accept()
 		if err != nil {
-			log.Fatal(err)
+			mu.Lock()
+			for c := range open {
+				_ = c.Close()
+			}
+			mu.Unlock()
+			return
 		}
-		go (&session{conn: c, work: *work, running: map[string]context.CancelFunc{}}).serve()
+		mu.Lock()
+		open[c] = true
+		mu.Unlock()
+		go func() {
+			defer func() {
+				_ = c.Close()
+				mu.Lock()
+				delete(open, c)
+				mu.Unlock()
+			}()
+			serve(c)
+		}()
 	}
 }
 
 // session is one connection of a front end.
 type session struct {
 	conn net.Conn
-	work time.Duration
+	work Work
+	log  *slog.Logger
 
 	mu      sync.Mutex // guards writes and what follows
 	running map[string]context.CancelFunc
 }
 
 func (s *session) serve() {
-	defer s.conn.Close()
 	r := bufio.NewReader(s.conn)
 	for {
 		line, err := r.ReadString('\n')
@@ -56,7 +75,7 @@
 		switch {
 		case len(words) == 4 && words[0] == "want":
 			var length int
-			if _, err := fmt.Sscan(words[3], &length); err != nil || length < 0 || length > 1<<20 {
+			if _, err := fmt.Sscan(words[3], &length); err != nil || length < 0 || length > mostText {
 				return
 			}
 			text := make([]byte, length+2) // CR LF follows
@@ -71,19 +90,20 @@
 }
 
 func (s *session) start(id, fields, statement string) {
-	log.Printf("%s wants %s: %s", id, fields, statement)
+	s.log.Info("asked", "id", id, "fields", fields, "statement", short(statement))
 	ctx, cancel := context.WithCancel(context.Background())
 	s.mu.Lock()
 	s.running[id] = cancel
 	s.mu.Unlock()
+	took, memory := s.work(statement)
 	go func() {
 		defer cancel()
 		for part := 1; part <= 4; part++ {
 			select {
 			case <-ctx.Done():
-				log.Printf("%s given up", id)
+				s.log.Info("given up", "id", id)
 				return
-			case <-time.After(s.work / 4):
+			case <-time.After(took / 4):
 			}
 			if part < 4 {
 				s.write("%s TELL res=p,num=%.2f 0\r\n\r\n", id, float64(part)/4)
@@ -91,8 +111,8 @@
 		}
 		clean := strings.NewReplacer("\t", " ", "\n", " ", "\r", " ").Replace(statement)
 		page := fmt.Sprintf("fields\t%s\ttoy\nstatement\t%s\ttoy\n", fields, clean)
-		s.write("%s DONE batches=1,cpu=%d,used=1,gauges=util:0.1;queue:0;x1:0;x0:0 %d\r\n%s\r\n",
-			id, s.work.Milliseconds(), len(page), page)
+		s.write("%s DONE batches=1,cpu=%d,used=%.0f,gauges=util:0.1;queue:0;x1:0;x0:0 %d\r\n%s\r\n",
+			id, took.Milliseconds(), memory, len(page), page)
 		s.giveUp(id)
 	}()
 }
--- a/examples/pgtoy/main.go
+++ b/internal/lab/emul/pg.go
@@ -1,15 +1,9 @@
-// Command pgtoy lets one try ringwood's PostgreSQL front: it stands in for an engine
-// and for the Consul agent that tells of it. Each statement is answered with one row
-// that says what the engine was asked.
-package main
+package emul
 
 import (
 	"encoding/binary"
-	"flag"
-	"fmt"
-	"log"
+	"log/slog"
 	"net"
-	"net/http"
 	"regexp"
 	"strconv"
 	"time"
@@ -17,59 +11,20 @@
 	"gannetspur/internal/pgproto"
 )
 
-func main() {
-	addr := flag.String("engine", "127.0.0.1:5499", "`address` of the engine; give only one on this machine")
-	agent := flag.String("consul", "127.0.0.1:8500", "`address` of the agent; give only one on this machine")
-	work := flag.Duration("work", 300*time.Millisecond, "how long a statement takes")
-	flag.Parse()
-	ln, err := net.Listen("tcp", *addr)
-	if err != nil {
-		log.Fatal(err)
-	}
-	go func() { log.Fatal(http.ListenAndServe(*agent, consul(ln.Addr().(*net.TCPAddr)))) }()
-	log.Printf("toy engine at %s, toy agent at %s", ln.Addr(), *agent)
-	for {
-		c, err := ln.Accept()
-		if err != nil {
-			log.Fatal(err)
-		}
-		go func() {
-			defer c.Close()
-			if err := serve(c, *work); err != nil {
-				log.Printf("connection: %v", err)
-			}
-		}()
-	}
-}
+var columns = append([]byte{0, 1}, append([]byte("asked\x00"), 0, 0, 0, 0, 0, 0, 0, 0, 0, 25, 255, 255, 255, 255, 255, 255, 0, 0)...)
 
-// consul answers the two queries that ringwood makes. Nothing ever changes, so a
-// query that knows the only index waits until its time is over.
-func consul(engine *net.TCPAddr) http.Handler {
-	answer := func(body string) http.HandlerFunc {
-		return func(w http.ResponseWriter, r *http.Request) {
-			if wait, err := time.ParseDuration(r.URL.Query().Get("wait")); err == nil && r.URL.Query().Get("index") == "1" {
-				select {
-				case <-time.After(wait):
-				case <-r.Context().Done():
-					return
-				}
-			}
-			w.Header().Set("X-Consul-Index", "1")
-			fmt.Fprint(w, body)
+// Postgres serves the PostgreSQL wire protocol on a listener until that is closed, one
+// statement at a time on a connection, with one row that says what was asked.
+func Postgres(ln net.Listener, work Work, log *slog.Logger) {
+	each(ln, func(c net.Conn) {
+		if err := serve(c, work, log); err != nil {
+			log.Warn("connection ended", "error", err)
 		}
-	}
-	mux := http.NewServeMux()
-	mux.Handle("/v1/catalog/service/", answer(fmt.Sprintf(
-		`[{"Node":"toy","Address":%q,"Datacenter":"dc1","ServiceID":"engine-1","ServicePort":%d}]`, engine.IP, engine.Port)))
-	mux.Handle("/v1/health/service/", answer(
-		`[{"Node":{"Node":"toy"},"Service":{"ID":"engine-1"},"Checks":[{"CheckID":"serfHealth","Status":"passing"}]}]`))
-	return mux
+	})
 }
 
-var columns = append([]byte{0, 1}, append([]byte("asked\x00"), 0, 0, 0, 0, 0, 0, 0, 0, 0, 25, 255, 255, 255, 255, 255, 255, 0, 0)...)
-
 // serve answers one connection of the gateway, message by message.
-func serve(c net.Conn, work time.Duration) error {
+func serve(c net.Conn, work Work, log *slog.Logger) error {
 	in, p := []byte{}, make([]byte, 8192)
 	more := func() error {
 		n, err := c.Read(p)
@@ -83,7 +38,7 @@
 		}
 		if in = in[n:]; n > 0 {
 			if code == pgproto.CancelReq {
-				log.Print("a statement was given up")
+				log.Info("given up")
 				return nil
 			}
 			break
@@ -118,7 +73,7 @@
 		case 'P':
 			r.Str()
 			query = r.Str()
-			log.Printf("asked: %s", query)
+			log.Info("asked", "statement", short(query))
 			out = pgproto.Append(out, '1')
 		case 'B':
 			out = pgproto.Append(out, '2')
@@ -128,7 +83,8 @@
 			}
 			out = pgproto.Append(out, 'T', columns)
 		case 'E':
-			time.Sleep(work)
+			took, _ := work(query)
+			time.Sleep(took)
 			out = pgproto.Append(out, 'D', []byte{0, 1}, pgproto.Int32(len(query)), []byte(query))
 			out = pgproto.Append(out, 'C', pgproto.Str("SELECT 1"))
 		case 'S':
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,35 @@
+package logs
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A peer that causes the same event again and again can't fill the log, other events go
+// on, and errors are never left out.
+func TestLimit(t *testing.T) {
+	var out bytes.Buffer
+	h := Limit(slog.NewTextHandler(&out, nil), 1, 3).WithAttrs([]slog.Attr{slog.String("engine", "e1")})
+	at := time.Unix(1000, 0)
+	write := func(level slog.Level, name string, n int) {
+		for range n {
+			if err := h.Handle(context.Background(), slog.NewRecord(at, level, name, 0)); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	write(slog.LevelWarn, "engine.unreadable", 100)
+	write(slog.LevelInfo, "serving", 1)
+	write(slog.LevelError, "stopped", 5)
+	at = at.Add(time.Second)
+	write(slog.LevelWarn, "engine.unreadable", 2)
+	for words, want := range map[string]int{"engine.unreadable": 4, "serving": 1, "stopped": 5, "left_out=97": 1, "engine=e1": 10} {
+		if got := strings.Count(out.String(), words); got != want {
+			t.Errorf("%q stands %d times, want %d:\n%s", words, got, want, out.String())
+		}
+	}
+}
--- a/internal/roster/bus/bus.go
+++ b/internal/roster/bus/bus.go
@@ -6,7 +6,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net/netip"
 	"time"
 
@@ -41,7 +41,7 @@
 	kinds  []string
 	roster Roster
 	stats  *stats.Counters
-	log    *log.Logger
+	log    *slog.Logger
 
 	conn    *netio.Conn
 	dialing func() // gives the latest dial up
@@ -55,7 +55,7 @@
 
 // New returns a follower that goes on after the event numbered last. Zones and
 // kinds are the lists of the settings that records give places in.
-func New(loop *netio.Loop, addr string, last uint64, zones, kinds []string, r Roster, counters *stats.Counters, l *log.Logger) *Follower {
+func New(loop *netio.Loop, addr string, last uint64, zones, kinds []string, r Roster, counters *stats.Counters, l *slog.Logger) *Follower {
 	return &Follower{
 		loop: loop, addr: addr, last: last, zones: zones, kinds: kinds,
 		roster: r, stats: counters, log: l, quiet: maxSilence, pause: firstPause,
@@ -89,7 +89,7 @@
 	if f.stopped || addr == f.addr && f.conn != nil {
 		return
 	}
-	f.log.Printf("event bus: going over from %s to %s after event %d", f.addr, addr, f.last)
+	f.log.Info("bus.moving", "from", f.addr, "to", addr, "after", f.last)
 	f.leave()
 	f.addr, f.pause = addr, firstPause
 	f.Start()
@@ -138,7 +138,7 @@
 		return
 	}
 	f.stats.Add("bus.reconnects")
-	f.log.Printf("event bus %s: %v; trying again in %v", f.addr, err, f.pause)
+	f.log.Warn("bus.lost", "bus", f.addr, "error", err, "again_in", f.pause)
 	f.retry = f.loop.Timers.Add(f.loop.Now()+f.pause, f.Start)
 	f.pause = min(2*f.pause, mostPause)
 }
--- a/internal/roster/bus/bus_test.go
+++ b/internal/roster/bus/bus_test.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/binary"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"testing"
 	"time"
@@ -73,7 +73,7 @@
 		t.Fatal(err)
 	}
 	news := make(recorder, 10)
-	f := New(loop, ln.Addr().String(), 3, []string{"a", "b"}, []string{"std"}, news, stats.New(), log.New(io.Discard, "", 0))
+	f := New(loop, ln.Addr().String(), 3, []string{"a", "b"}, []string{"std"}, news, stats.New(), slog.New(slog.DiscardHandler))
 	loop.Post(f.Start)
 	done := make(chan struct{})
 	go func() { loop.Run(); close(done) }()
@@ -110,7 +110,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := New(loop, ln.Addr().String(), 0, nil, nil, make(recorder, 1), stats.New(), log.New(io.Discard, "", 0))
+	f := New(loop, ln.Addr().String(), 0, nil, nil, make(recorder, 1), stats.New(), slog.New(slog.DiscardHandler))
 	f.quiet = 50 * time.Millisecond
 	loop.Post(f.Start)
 	done := make(chan struct{})
--- a/internal/roster/consul/consul.go
+++ b/internal/roster/consul/consul.go
@@ -7,7 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/url"
@@ -52,7 +52,7 @@
 	post   func(func()) // to the goroutine that owns the roster
 	roster Roster
 	stats  *stats.Counters
-	log    *log.Logger
+	log    *slog.Logger
 	client *http.Client
 
 	// These belong to the roster's goroutine. The lists are nil until told.
@@ -64,7 +64,7 @@
 }
 
 // New returns a follower whose news are told by way of post.
-func New(post func(func()), r Roster, counters *stats.Counters, l *log.Logger) *Follower {
+func New(post func(func()), r Roster, counters *stats.Counters, l *slog.Logger) *Follower {
 	return &Follower{
 		leave: func() {}, post: post, roster: r, stats: counters, log: l,
 		client: &http.Client{Transport: &http.Transport{Proxy: nil}}, known: map[string]core.Engine{},
@@ -106,7 +106,7 @@
 				return
 			}
 			f.post(func() { f.stats.Add("consul.errors") })
-			f.log.Printf("consul %s%s: %v; trying again in %v", opts.Address, path, err, pause)
+			f.log.Warn("consul.failed", "consul", opts.Address, "path", path, "error", err, "again_in", pause)
 			sleep(ctx, pause)
 			pause = min(2*pause, mostPause)
 			index = 0 // what changed meanwhile comes at once
@@ -243,7 +243,7 @@
 	for i := range f.registered {
 		r := &f.registered[i]
 		if r.ServiceID == "" || r.ServicePort < 1 || r.ServicePort > 65535 {
-			f.log.Printf("consul %s: a registration without id or port is passed by", f.opts.Address)
+			f.log.Warn("consul.odd-registration", "consul", f.opts.Address, "why", "it has no id or no port, and is passed by")
 			continue
 		}
 		e := f.engine(r)
--- a/internal/roster/consul/consul_test.go
+++ b/internal/roster/consul/consul_test.go
@@ -3,8 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"log"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -97,7 +96,7 @@
 	var one sync.Mutex
 	post := func(f func()) { one.Lock(); defer one.Unlock(); f() }
 	counters := stats.New()
-	f := New(post, news, counters, log.New(io.Discard, "", 0))
+	f := New(post, news, counters, slog.New(slog.DiscardHandler))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	opts := Options{Address: strings.TrimPrefix(srv.URL, "http://"), Service: "stock", Token: "tok", Zone: "hall-a"}
--- /dev/null
+++ b/internal/shape/cache.go
@@ -0,0 +1,141 @@
+package shape
+
+import (
+	"fmt"
+	"unsafe"
+
+	decide "gannetspur/internal/decide/shape"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/maypok86/otter/v2"
+)
+
+// Print names a shape within this process.
+type Print = [2]uint64
+
+// Kept is what the cache holds of one shape.
+type Kept struct {
+	decide.Entry
+	Norm string // its normal form, or the first MostNorm bytes of it
+	Cut  bool   // the form is longer: it can't be found again after a restart
+}
+
+// MostNorm bounds the normal form that is kept of one shape, in bytes.
+const MostNorm = 1 << 10
+
+// overhead is what a cache takes for one entry beside the entry itself: the node of
+// the policy, the map's slot with its spare room, and the allocator's rounding. It was
+// measured with a million shapes (docs/measurements/shapes.md) and is rounded up.
+const overhead = 240
+
+// Size is what an entry is counted as, in bytes.
+func (k *Kept) Size() int { return int(unsafe.Sizeof(*k)) + len(k.Norm) + overhead }
+
+// Cache holds shapes within a number of bytes.
+type Cache interface {
+	Get(p Print) *Kept // nil: not held
+	Add(p Print, k *Kept)
+	Len() int
+	Bytes() int // as counted by Size
+	Each(yield func(Print, *Kept) bool)
+}
+
+// tinyLFU admits a new shape only where it has come more often than the one that it
+// would push out (Einziger, Friedman, Manes, "TinyLFU: A Highly Efficient Cache
+// Admission Policy", 2017): a flood of one-off shapes passes by those that recur.
+type tinyLFU struct{ *otter.Cache[Print, *Kept] }
+
+// NewTinyLFU returns a cache of W-TinyLFU. Its upkeep runs in the caller's goroutine.
+func NewTinyLFU(bytes int) (Cache, error) {
+	c, err := otter.New(&otter.Options[Print, *Kept]{
+		MaximumWeight: uint64(bytes),
+		Weigher:       func(_ Print, k *Kept) uint32 { return uint32(k.Size()) },
+		Executor:      func(fn func()) { fn() },
+	})
+	if err != nil {
+		return nil, fmt.Errorf("cache of shapes: %w", err)
+	}
+	return tinyLFU{c}, nil
+}
+
+func (c tinyLFU) Get(p Print) *Kept {
+	k, _ := c.GetIfPresent(p)
+	return k
+}
+
+func (c tinyLFU) Add(p Print, k *Kept) { c.Set(p, k) }
+func (c tinyLFU) Len() int             { return c.EstimatedSize() }
+
+func (c tinyLFU) Bytes() int {
+	c.CleanUp()
+	return int(c.WeightedSize())
+}
+
+func (c tinyLFU) Each(yield func(Print, *Kept) bool) {
+	c.CleanUp()
+	for p, k := range c.All() {
+		if !yield(p, k) {
+			return
+		}
+	}
+}
+
+// least is what golang-lru's caches have in common.
+type least interface {
+	Get(Print) (*Kept, bool)
+	Add(Print, *Kept)
+	Keys() []Print
+	Peek(Print) (*Kept, bool)
+	Len() int
+}
+
+type plainLRU struct{ *lru.Cache[Print, *Kept] }
+
+func (c plainLRU) Add(p Print, k *Kept) { c.Cache.Add(p, k) }
+
+// counted is a cache that counts entries, for a number of bytes: the entries of usual
+// statements (usualNorm bytes of normal form) that these hold.
+type counted struct{ least }
+
+const usualNorm = 120
+
+func entriesOf(bytes int) int {
+	k := Kept{}
+	return max(bytes/(k.Size()+usualNorm), 1)
+}
+
+// NewLRU returns a cache that drops what was used longest ago; measured beside W-TinyLFU.
+func NewLRU(bytes int) (Cache, error) {
+	c, err := lru.New[Print, *Kept](entriesOf(bytes))
+	if err != nil {
+		return nil, fmt.Errorf("cache of shapes: %w", err)
+	}
+	return counted{plainLRU{c}}, nil
+}
+
+// New2Q returns a cache of 2Q (Johnson, Shasha, 1994); measured beside W-TinyLFU.
+func New2Q(bytes int) (Cache, error) {
+	c, err := lru.New2Q[Print, *Kept](max(entriesOf(bytes), 2))
+	if err != nil {
+		return nil, fmt.Errorf("cache of shapes: %w", err)
+	}
+	return counted{c}, nil
+}
+
+func (c counted) Get(p Print) *Kept {
+	k, _ := c.least.Get(p)
+	return k
+}
+
+func (c counted) Bytes() (n int) {
+	c.Each(func(_ Print, k *Kept) bool { n += k.Size(); return true })
+	return n
+}
+
+func (c counted) Each(yield func(Print, *Kept) bool) {
+	for _, p := range c.Keys() {
+		if k, ok := c.Peek(p); ok && !yield(p, k) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/shape/service.go
@@ -0,0 +1,191 @@
+package shape
+
+import (
+	"errors"
+	"io/fs"
+	"log/slog"
+	"os"
+	"time"
+
+	"gannetspur/internal/core"
+	decide "gannetspur/internal/decide/shape"
+	"gannetspur/internal/netio"
+	"gannetspur/internal/sqltext"
+	"gannetspur/internal/stats"
+	"gannetspur/policy"
+)
+
+// Settings are those of a deploy file.
+type Settings struct {
+	Decide   decide.Config
+	Bytes    int
+	Correct  bool          // what is expected goes to the decisions in place of the hint
+	Snapshot string        // file; "": none
+	Every    time.Duration // between snapshots
+	WorkTold bool          // engines tell the work; else times stand for it
+}
+
+// Service is a book at work in a gateway: fronts ask it when a request comes, and the
+// core tells it what served ones have cost. It belongs to the loop's goroutine.
+type Service struct {
+	book    *Book
+	set     Settings
+	places  map[string]int // of the classes of the settings
+	reading []policy.Class // that shapes are sorted into
+	threads map[string]float64
+	loop    *netio.Loop
+	stats   *stats.Counters
+	log     *slog.Logger
+	writing bool
+}
+
+// NewService returns a service that goes on from the snapshot, where there is one. One
+// that can't be used is named in the log and put aside as FILE.unusable.
+func NewService(set Settings, classes []policy.Class, loop *netio.Loop, counters *stats.Counters, log *slog.Logger) (*Service, error) {
+	s := &Service{set: set, places: map[string]int{}, threads: map[string]float64{}, loop: loop, stats: counters, log: log}
+	for i, c := range classes {
+		s.places[c.Name] = i
+		s.threads[c.Name] = max(c.Threads, 1)
+	}
+	for _, c := range set.Decide.Classes {
+		s.reading = append(s.reading, classes[s.places[c.Name]])
+	}
+	opts := Options{Decide: set.Decide, Bytes: set.Bytes}
+	if set.Snapshot != "" {
+		snap, err := ReadSnapshot(set.Snapshot)
+		if err == nil {
+			s.book, err = Restore(opts, snap)
+		}
+		switch {
+		case err == nil:
+			log.Info("shapes.restored", "file", set.Snapshot, "shapes", s.book.Len())
+		case errors.Is(err, fs.ErrNotExist):
+		default:
+			counters.Add("shapes.snapshot-unusable")
+			aside := set.Snapshot + ".unusable"
+			log.Warn("shapes.snapshot-unusable", "file", set.Snapshot, "error", err, "aside", aside, "rename", os.Rename(set.Snapshot, aside))
+		}
+	}
+	if s.book == nil {
+		var err error
+		if s.book, err = New(opts); err != nil {
+			return nil, err
+		}
+	}
+	if set.Snapshot != "" {
+		s.later()
+	}
+	return s, nil
+}
+
+func (s *Service) later() {
+	s.loop.Timers.Add(s.loop.Now()+s.set.Every, func() {
+		s.Save(nil)
+		s.later()
+	})
+}
+
+// Save writes a snapshot in the background, and calls done on the loop once it is
+// written or failed. One at a time: a disk that hangs costs one goroutine.
+func (s *Service) Save(done func()) {
+	if s.set.Snapshot == "" || s.writing {
+		if done != nil {
+			done()
+		}
+		return
+	}
+	s.writing = true
+	snap := s.book.Snapshot()
+	go func() {
+		err := snap.Write(s.set.Snapshot)
+		s.loop.Post(func() {
+			s.writing = false
+			if err != nil {
+				s.stats.Add("shapes.snapshot-failed")
+				s.log.Warn("shapes.snapshot-failed", "file", s.set.Snapshot, "error", err)
+			} else {
+				s.stats.Add("shapes.snapshots")
+			}
+			if done != nil {
+				done()
+			}
+		})
+	}()
+}
+
+// Read reads a statement.
+func (s *Service) Read(text string) *Statement { return s.book.Read(text) }
+
+// Expect estimates a request of a class that is already known, and puts the estimate into
+// it where the settings say so.
+func (s *Service) Expect(r *core.Request, st *Statement, binds *sqltext.Binds) {
+	place, ok := s.places[r.Class]
+	if !ok {
+		place = -1
+	}
+	hint := Hint{Work: float64(r.Work) / float64(time.Millisecond), MemoryMB: r.MemoryMB}
+	threads := 1.0
+	if !s.set.WorkTold {
+		threads = s.threads[r.Class]
+	}
+	s.put(r, s.book.Estimate(st, binds, place, hint), threads)
+}
+
+func (s *Service) put(r *core.Request, x *Execution, threads float64) {
+	r.Note = x
+	if !s.set.Correct || !x.Estimate.Known {
+		return
+	}
+	s.stats.Add("shapes.corrected." + r.Class)
+	r.Work = time.Duration(x.Estimate.Work * threads * float64(time.Millisecond))
+	if x.Estimate.MemoryMB > 0 {
+		r.MemoryMB = x.Estimate.MemoryMB
+	}
+}
+
+// Sort finds the class of a reading statement that nobody has named one for.
+func (s *Service) Sort(st *Statement, binds *sqltext.Binds) (class policy.Class, x *Execution, ok bool) {
+	x = s.book.Estimate(st, binds, -1, Hint{})
+	if x.Estimate.Class < 0 {
+		return policy.Class{}, x, false
+	}
+	return s.reading[x.Estimate.Class], x, true
+}
+
+// Sorted puts what Sort found into the request. Where engines tell no work, times stand
+// for it, and the decisions take the work of all threads.
+func (s *Service) Sorted(r *core.Request, x *Execution) { s.put(r, x, s.threads[r.Class]) }
+
+// Served learns what a request has cost. It is the core's Learner.
+func (s *Service) Served(r *core.Request, rep core.Report, elapsed time.Duration) {
+	s.learn(r, decide.Truth{Work: told(rep.Work, elapsed), MemoryMB: rep.MemoryMB})
+}
+
+// GivenUp learns that a request would have cost more than it was let have.
+func (s *Service) GivenUp(r *core.Request, elapsed time.Duration) {
+	if !s.set.WorkTold { // on a crowded engine a time says little of the work
+		s.learn(r, decide.Truth{Work: told(0, elapsed), AtLeast: true})
+	}
+}
+
+func (s *Service) learn(r *core.Request, t decide.Truth) {
+	if x, ok := r.Note.(*Execution); ok {
+		s.book.Learn(x, t)
+	}
+}
+
+func told(work, elapsed time.Duration) float64 {
+	if work <= 0 {
+		work = elapsed
+	}
+	return float64(work) / float64(time.Millisecond)
+}
+
+// Count writes the service's own figures among the counters.
+func (s *Service) Count() {
+	s.stats.Set("shapes.held", int64(s.book.Len()))
+	s.stats.Set("shapes.bytes", int64(s.book.Bytes()))
+	s.stats.Set("shapes.hits", int64(s.book.Stats.Hits))
+	s.stats.Set("shapes.misses", int64(s.book.Stats.Misses))
+	s.stats.Set("shapes.learned", int64(s.book.Stats.Learned))
+}
--- /dev/null
+++ b/internal/shape/shape.go
@@ -0,0 +1,139 @@
+// Package shape keeps what is known of the shapes of statements: it reads statements
+// for the fronts, holds the records of recurring shapes within a number of bytes, asks
+// internal/decide/shape what executions cost and of which class they are, and writes
+// snapshots. What it knows is for estimates and classes alone: what a statement may do
+// is sqltext's word and nothing here softens it.
+package shape
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	decide "gannetspur/internal/decide/shape"
+	"gannetspur/internal/sqltext"
+)
+
+// Options say what a book may use.
+type Options struct {
+	Decide decide.Config
+	Bytes  int   // of records and their upkeep, at most; at least LeastBytes
+	Cache  Cache // in place of W-TinyLFU over Bytes
+}
+
+// LeastBytes is the smallest bound that holds the records of a few dozen shapes.
+const LeastBytes = 64 << 10
+
+// Book belongs to one goroutine.
+type Book struct {
+	reader *sqltext.Reader
+	model  *decide.Model
+	cache  Cache
+	keys   uint64 // seed of the hashes of values
+	bytes  int
+	Stats  Stats
+}
+
+// Stats counts.
+type Stats struct {
+	Hits, Misses uint64 // shapes that were found, or were not, when an execution came
+	Learned      uint64
+}
+
+// New returns a book that knows nothing.
+func New(opts Options) (*Book, error) {
+	if opts.Bytes < LeastBytes && opts.Cache == nil {
+		return nil, fmt.Errorf("shapes: %d bytes are too few, at least %d", opts.Bytes, LeastBytes)
+	}
+	b := &Book{reader: sqltext.NewReader(), model: decide.New(opts.Decide), cache: opts.Cache, keys: rand.Uint64(), bytes: opts.Bytes}
+	if b.cache == nil {
+		var err error
+		if b.cache, err = NewTinyLFU(opts.Bytes); err != nil {
+			return nil, err
+		}
+	}
+	return b, nil
+}
+
+// Statement is a reading of one text, to be used for many executions of it.
+type Statement struct {
+	text    string
+	reading sqltext.Reading // its Norm is not kept
+	slots   [4]sqltext.Slot
+}
+
+// Read reads a text. The statement holds on to it.
+func (b *Book) Read(text string) *Statement {
+	s := &Statement{}
+	b.readInto(s, text)
+	return s
+}
+
+func (b *Book) readInto(s *Statement, text string) {
+	s.text, s.reading = text, *b.reader.Read(text)
+	s.reading.Slots = append(s.slots[:0], s.reading.Slots...)
+	s.reading.Norm = nil
+}
+
+// Group is the statement's group of tables.
+func (s *Statement) Group() (int64, bool) { return s.reading.Group, s.reading.Grouped }
+
+// Execution is one execution whose cost is awaited.
+type Execution struct {
+	statement *Statement
+	query     decide.Query
+	kept      *Kept
+	Estimate  decide.Estimate
+}
+
+// Hint is what the client said of an execution; 0: nothing.
+type Hint struct{ Work, MemoryMB float64 }
+
+// Estimate tells what to expect of an execution. known is the place of its class where
+// that is decided already, else -1. binds may be nil.
+func (b *Book) Estimate(s *Statement, binds *sqltext.Binds, known int, hint Hint) *Execution {
+	if binds == nil {
+		binds = &noBinds
+	}
+	x := &Execution{statement: s}
+	x.query = decide.Query{
+		Features: &s.reading.Features, Profile: s.reading.Profile(s.text, binds, b.keys),
+		Known: known, Hint: hint.Work, HintMB: hint.MemoryMB,
+	}
+	if x.kept = b.cache.Get(s.reading.Print); x.kept != nil {
+		b.Stats.Hits++
+		x.query.Entry = &x.kept.Entry
+	} else {
+		b.Stats.Misses++
+	}
+	x.Estimate = b.model.Estimate(&x.query)
+	return x
+}
+
+var noBinds sqltext.Binds
+
+// Learn takes what an execution has cost. A shape that is not held is put forward to
+// the cache, which may turn it down.
+func (b *Book) Learn(x *Execution, t decide.Truth) {
+	b.Stats.Learned++
+	print := x.statement.reading.Print
+	k := x.kept
+	if k == nil {
+		if k = b.cache.Get(print); k == nil {
+			k = b.keep(x.statement)
+			b.cache.Add(print, k)
+		}
+	}
+	x.query.Entry = &k.Entry
+	b.model.Learn(&x.query, t)
+}
+
+func (b *Book) keep(s *Statement) *Kept {
+	r := b.reader.Read(s.text)
+	k := &Kept{Cut: r.Cut || len(r.Norm) > MostNorm}
+	k.Norm = string(r.Norm[:min(len(r.Norm), MostNorm)])
+	return k
+}
+
+// Len is the number of shapes held, and Bytes what they are counted as.
+func (b *Book) Len() int   { return b.cache.Len() }
+func (b *Book) Bytes() int { return b.cache.Bytes() }
--- a/internal/sqltext/lexer.go
+++ b/internal/sqltext/lexer.go
@@ -37,9 +37,12 @@
 
 // Token is one token: its kind and where it stands, as offsets in bytes.
 type Token struct {
-	Kind       Kind
 	Start, End int
 	hash       uint32 // of an Ident, without regard to case
+	use        use    // of a key word
+	word       word
+	Kind       Kind
+	upper      bool // an Ident has capitals
 }
 
 // Flaw is what makes a text one whose reading can't be relied on.
@@ -219,23 +222,36 @@
 	return len(src), false
 }
 
-// fold hashes one more letter of a name without regard to case (FNV-1a).
-func fold(h uint32, c byte) uint32 {
-	if c >= 'A' && c <= 'Z' {
-		c |= 0x20
+// folded is the small form of each character that may stand in a name, 0 for others.
+var folded = func() (t [256]uint8) {
+	for c := range t {
+		if classes[c]&cWord != 0 {
+			t[c] = uint8(c)
+		}
+		if c >= 'A' && c <= 'Z' {
+			t[c] |= 0x20
+		}
 	}
-	return (h ^ uint32(c)) * 16777619
-}
+	return t
+}()
+
+// fold hashes one more letter of a name without regard to case (FNV-1a).
+func fold(h uint32, c byte) uint32 { return (h ^ uint32(folded[c])) * 16777619 }
 
 const foldStart = 2166136261
 
 func (l *Lexer) word() Token {
 	src, at := l.Src, l.Pos
-	i, h, high := at, uint32(foldStart), byte(0)
-	for i < len(src) && classes[src[i]]&cWord != 0 {
-		h = fold(h, src[i])
-		high |= src[i]
-		i++
+	i, h, high, upper := at, uint32(foldStart), byte(0), byte(0)
+	for ; i < len(src); i++ {
+		c := src[i]
+		small := folded[c]
+		if small == 0 {
+			break
+		}
+		h = (h ^ uint32(small)) * 16777619
+		high |= c
+		upper |= c ^ small
 	}
 	if high >= 0x80 {
 		l.Flaws |= High
@@ -261,7 +277,11 @@
 			return Token{Kind: String, Start: at, End: l.Pos}
 		}
 	}
-	return Token{Kind: Ident, Start: at, End: i, hash: h}
+	t := Token{Kind: Ident, Start: at, End: i, hash: h, upper: upper != 0}
+	if i-at <= longestWord {
+		t.lookup(src)
+	}
+	return t
 }
 
 // quote passes a string from behind its first quote on. A quote doubled stays within
--- a/internal/sqltext/profile.go
+++ b/internal/sqltext/profile.go
@@ -29,6 +29,7 @@
 	Off          int     // restrictions that a null switches off
 	Open         bool    // nothing narrows what is read
 	Rows         int     // to be written
+	Column       uint32  // hash of the name that the longest list, or else the widest range, is of
 	Key          uint64  // hash of the first value compared for equality; 0: none
 }
 
@@ -89,12 +90,9 @@
 			text = stmt[s.From:s.To]
 		}
 		if null {
-			if r.guarded(s.Param) {
+			if s.Role != RoleOther && s.Role != RoleLimit && r.guarded(s.Param) {
 				p.Off++
-				switch s.Role {
-				case RoleEqual, RoleList, RoleLow, RoleHigh, RolePattern:
-					narrowing--
-				}
+				narrowing--
 			}
 			continue
 		}
@@ -111,7 +109,9 @@
 			case s.Param == 0 && s.To > s.From:
 				n = textArrayLen(unquote(text))
 			}
-			p.Alternatives = max(p.Alternatives, n)
+			if n > p.Alternatives {
+				p.Alternatives, p.Column = n, s.Column
+			}
 		case RoleLow, RoleHigh:
 			x, ok := number64(text, v, bin, b.oid(s.Param))
 			if !ok {
@@ -151,7 +151,12 @@
 		for j := range nh {
 			if highs[j] == lows[i] {
 				met = true
-				p.Span = max(p.Span, high[j]-low[i])
+				if d := high[j] - low[i]; d > p.Span {
+					p.Span = d
+					if p.Alternatives == 0 {
+						p.Column = lows[i]
+					}
+				}
 			}
 		}
 		p.HalfOpen = p.HalfOpen || !met
--- a/internal/sqltext/shape.go
+++ b/internal/sqltext/shape.go
@@ -1,5 +1,7 @@
 package sqltext
 
+import "hash/maphash"
+
 // Role is what a value of a statement does there.
 type Role uint8
 
@@ -49,10 +51,16 @@
 
 // Reading is what one pass over a statement tells. It belongs to its Reader.
 type Reading struct {
+	// Print is the fingerprint: two hashes of the normal form with seeds of this process
+	// that nobody outside knows, 128 bits together, so that nobody can write a statement
+	// which shares the place of another. It means nothing to another process.
+	Print [2]uint64
 	// Norm is the statement with its values, comments, case and spacing taken out,
 	// and with lists of alternatives and rows of values as one. The number in the
-	// name of a schema is # there: shapes of all groups are one.
+	// name of a schema is # there: shapes of all groups are one. Of a long one only the
+	// last part is here, and Cut is set; the fingerprint is of all of it.
 	Norm     []byte
+	Cut      bool
 	Features Features
 	Slots    []Slot
 	Group    int64
@@ -67,13 +75,43 @@
 // Reader reads statements. It allocates while its buffer grows and not after; it is
 // for one goroutine.
 type Reader struct {
+	seeds [2]maphash.Seed
+	long  [2]maphash.Hash // of what was cut off
 	norm  []byte
 	slots [MostSlots]Slot
 	out   Reading
 }
 
-// keepNorm is how large a buffer stays with its Reader.
-const keepNorm = 64 << 10
+// NewReader returns a reader whose fingerprints are its own.
+func NewReader() *Reader {
+	return &Reader{seeds: [2]maphash.Seed{maphash.MakeSeed(), maphash.MakeSeed()}}
+}
+
+// keepNorm is how large a buffer stays with its Reader, and cutNorm how long a normal
+// form may become before it is hashed piece by piece.
+const (
+	keepNorm = 64 << 10
+	cutNorm  = 16 << 10
+)
+
+// cut hashes what stands in the buffer and goes on with an empty one.
+func (p *pass) cut() {
+	for i := range p.r.long {
+		if !p.out.Cut {
+			p.r.long[i].SetSeed(p.r.seeds[i])
+		}
+		_, _ = p.r.long[i].Write(p.norm) // it never fails
+	}
+	p.norm, p.out.Cut = p.norm[:0], true
+}
+
+// Print is the fingerprint of a normal form that is not cut.
+func (r *Reader) Print(norm string) (print [2]uint64) {
+	for i, seed := range r.seeds {
+		print[i] = maphash.String(seed, norm)
+	}
+	return print
+}
 
 // listContext is a list whose alternatives are folded into one.
 type listContext struct {
@@ -102,6 +140,14 @@
 	}
 	p.endLists(-1)
 	p.finish()
+	for i, seed := range r.seeds {
+		if r.out.Cut {
+			_, _ = r.long[i].Write(p.norm)
+			r.out.Print[i] = r.long[i].Sum64()
+		} else {
+			r.out.Print[i] = maphash.Bytes(seed, p.norm)
+		}
+	}
 	r.norm = p.norm
 	r.out.Norm = p.norm
 	r.out.Slots = r.slots[:p.slots]
@@ -139,11 +185,17 @@
 
 // token takes one token into the normal form, the slots and the features.
 func (p *pass) token(t Token) {
-	w, use := p.l.lookup(t)
+	w, use := t.word, t.use
 	if p.kind == Dot {
 		w, use = wNone, 0
 	}
-	p.group.token(&p.l, t, use)
+	switch {
+	case p.group.sure:
+	case t.Kind <= Quoted || t.Kind == Dot || t.Kind == Open:
+		p.group.token(&p.l, t)
+	default:
+		p.group.table, p.group.prev = false, t.Kind
+	}
 	if p.open > 0 {
 		p.elements(t, use)
 	}
@@ -176,10 +228,13 @@
 	p.space()
 	p.name = len(p.norm)
 	text := p.l.Src[t.Start:t.End]
-	if t.Kind == Quoted {
+	switch {
+	case t.Kind == Quoted:
 		p.norm = appendQuoted(p.norm, text)
-	} else {
+	case t.upper:
 		p.norm = appendLower(p.norm, text)
+	default:
+		p.norm = append(p.norm, text...)
 	}
 	p.interval = w == wInterval
 	if p.kind != Cast && w != wIs {
@@ -379,7 +434,7 @@
 		p.depth++
 		if p.pending == RoleList && (p.prev == wIn || p.prev == wAny || p.prev == wSome) {
 			next := p.l
-			_, use := next.lookup(next.Next())
+			use := next.Next().use
 			if p.prev == wIn && use&reader == 0 && p.open < mostLists {
 				p.list()
 			}
@@ -397,6 +452,9 @@
 		p.norm = append(p.norm, text...)
 		p.depth--
 	case Comma:
+		if p.open == 0 && len(p.norm) > cutNorm {
+			p.cut()
+		}
 		p.norm = append(p.norm, ',')
 		if p.pending != RoleList {
 			p.pending, p.column = RoleOther, 0
@@ -484,6 +542,9 @@
 	case p.depth > c.depth:
 	case t.Kind == Comma:
 		p.element(c)
+		if !c.rows && c.first == 1 && p.norm[c.start] == '?' {
+			p.skipElements(c)
+		}
 		c.elem = len(p.norm)
 	case t.Kind == Close || t.Kind == Unbracket:
 		p.endLists(p.depth - 1)
@@ -492,6 +553,23 @@
 	}
 }
 
+// skipElements passes the elements of a list that are plain values, as its first one is,
+// but for the last: lists of thousands are the longest statements that there are.
+func (p *pass) skipElements(c *listContext) {
+	for {
+		next := p.l
+		if k := next.Next().Kind; k != String && k != Number {
+			return
+		}
+		if next.Next().Kind != Comma {
+			return
+		}
+		p.out.Features.Values++
+		c.count++
+		p.l = next
+	}
+}
+
 // element ends an element: one that repeats the first is left out.
 func (p *pass) element(c *listContext) {
 	c.count++
@@ -550,10 +628,8 @@
 func appendLower(b []byte, s string) []byte {
 	at := len(b)
 	b = append(b, s...)
-	for i := at; i < len(b); i++ {
-		if c := b[i]; c >= 'A' && c <= 'Z' {
-			b[i] = c | 0x20
-		}
+	for i, c := range b[at:] {
+		b[at+i] = folded[c]
 	}
 	return b
 }
@@ -564,16 +640,8 @@
 		return append(b, s...)
 	}
 	inner := s[1 : len(s)-1]
-	h := uint32(foldStart)
-	for i := range len(inner) {
-		c := inner[i]
-		if classes[c]&cWord == 0 || c >= 'A' && c <= 'Z' {
-			return append(b, s...)
-		}
-		h = fold(h, c)
-	}
 	l := Lexer{Src: inner}
-	if w, use := l.lookup(Token{Kind: Ident, End: len(inner), hash: h}); w != wNone || use != 0 {
+	if t := l.word(); t.End < len(inner) || t.upper || t.word != wNone || t.use != 0 {
 		return append(b, s...)
 	}
 	return append(b, inner...)
--- a/internal/sqltext/shape_test.go
+++ b/internal/sqltext/shape_test.go
@@ -34,7 +34,7 @@
 		"select a from t where b in (select c from u where d = ?)": {"SELECT a FROM t WHERE b IN (SELECT c FROM u WHERE d = 1)"},
 	} {
 		for _, s := range stmts {
-			var r Reader
+			r := NewReader()
 			if diff := cmp.Diff(want, string(r.Read(s).Norm)); diff != "" {
 				t.Errorf("%.80s:\n%s", s, diff)
 			}
@@ -98,7 +98,7 @@
 		{"SELECT a FROM t WHERE b = 1 LIMIT $1", text("1000000"), Profile{Limit: 1e6}},
 		{"SELECT a FROM t WHERE b = 1 LIMIT $1", bin(20, be(50, 8)), Profile{Limit: 50}},
 		{"SELECT a FROM t FETCH FIRST 9 ROWS ONLY", Binds{}, Profile{Limit: 9, Open: true}},
-		{"SELECT a FROM t WHERE $1 IS NULL OR part = $1", text("NULL"), Profile{Off: 2, Open: true}},
+		{"SELECT a FROM t WHERE $1 IS NULL OR part = $1", text("NULL"), Profile{Off: 1, Open: true}},
 		{"SELECT a FROM t WHERE ($1::text IS NULL OR part = $1)", text("p"), Profile{}},
 		{"SELECT a FROM t WHERE part = coalesce($1, part)", text("NULL"), Profile{Off: 1, Open: true}},
 		{"SELECT a FROM t WHERE NULL IS NULL OR part = 'p'", Binds{}, Profile{Open: true}},
@@ -108,9 +108,9 @@
 		{"SELECT a FROM t WHERE part = ANY($1)", bin(1009, be(9, 2)), Profile{}},
 		{"SELECT a FROM t WHERE part = ANY($1)", bin(1009, append(be(6, 4), make([]byte, 60)...)), Profile{}},
 	} {
-		var r Reader
+		r := NewReader()
 		got := r.Read(tt.stmt).Profile(tt.stmt, &tt.binds, 1)
-		got.Key = 0
+		got.Key, got.Column = 0, 0
 		if diff := cmp.Diff(tt.want, got); diff != "" {
 			t.Errorf("%.80s:\n%s", tt.stmt, diff)
 		}
@@ -120,7 +120,7 @@
 // A value is the same key however it is written and bound.
 func TestKeys(t *testing.T) {
 	key := func(stmt string, b Binds) uint64 {
-		var r Reader
+		r := NewReader()
 		p := r.Read(stmt).Profile(stmt, &b, 7)
 		return p.Key
 	}
@@ -143,7 +143,7 @@
 	f.Add("INSERT INTO s_1.t VALUES (1, ARRAY[2,3]), ((4)) ; VALUES IN (VALUES", []byte{})
 	f.Add("ARRAY[IN(ARRAY[IN(1,(2,-", []byte{9})
 	f.Fuzz(func(t *testing.T, stmt string, v []byte) {
-		var r Reader
+		r := NewReader()
 		out := r.Read(stmt)
 		if len(out.Norm) > 2*len(stmt)+16 {
 			t.Fatalf("%d bytes of normal form for %d", len(out.Norm), len(stmt))
@@ -166,8 +166,19 @@
 const usual = "SELECT o.day, count(*), max(o.note) FROM sales_17.orders o JOIN sales_17.parts p ON p.id = o.part " +
 	"WHERE o.tag = $1 AND o.day BETWEEN $2 AND $3 AND o.status IN ('open', 'late') GROUP BY o.day ORDER BY 1 LIMIT 50"
 
+func BenchmarkReadShort(b *testing.B) {
+	r := NewReader()
+	const short = "SELECT day, count(*), max(note) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day"
+	b.ReportAllocs()
+	b.SetBytes(int64(len(short)))
+	for b.Loop() {
+		p := r.Read(short).Profile(short, &Binds{}, 1)
+		_ = p.Bucket()
+	}
+}
+
 func BenchmarkRead(b *testing.B) {
-	var r Reader
+	r := NewReader()
 	binds := Binds{Values: [][]byte{[]byte("3f9c"), be(100, 4), be(130, 4)}, Formats: []byte{0, 0, 0, 1, 0, 1}, Types: append(append(be(25, 4), be(1082, 4)...), be(1082, 4)...)}
 	b.ReportAllocs()
 	b.SetBytes(int64(len(usual)))
@@ -194,7 +205,7 @@
 			if name == "effect" {
 				stmt = "SELECT a FROM stock_1.parts WHERE part IN (" + strings.TrimSuffix(list.String(), ", ") + ")"
 			}
-			var r Reader
+			r := NewReader()
 			b.SetBytes(int64(len(stmt)))
 			for b.Loop() {
 				if name == "effect" {
--- a/internal/sqltext/sqltext.go
+++ b/internal/sqltext/sqltext.go
@@ -13,8 +13,7 @@
 	l := Lexer{Src: stmt}
 	var g groupReader
 	for t := l.Next(); t.Kind != End; t = l.Next() {
-		_, use := l.lookup(t)
-		if g.token(&l, t, use) {
+		if g.token(&l, t) {
 			break
 		}
 	}
@@ -31,13 +30,13 @@
 }
 
 // token takes the next token, and tells whether the group can't change any more.
-func (g *groupReader) token(l *Lexer, t Token, use use) (done bool) {
+func (g *groupReader) token(l *Lexer, t Token) (done bool) {
 	if g.sure {
 		return true
 	}
 	switch t.Kind {
 	case Ident, Quoted:
-		if t.Kind == Ident && g.prev != Dot && use&beforeTable != 0 {
+		if g.prev != Dot && t.use&beforeTable != 0 {
 			g.table, g.prev = true, Op
 			return false
 		}
--- a/internal/sqltext/words.go
+++ b/internal/sqltext/words.go
@@ -162,18 +162,19 @@
 	return t
 }()
 
-// lookup finds a name among the key words; one in quotes is none.
-func (l *Lexer) lookup(t Token) (word, use) {
-	if t.Kind != Ident || t.End-t.Start > 17 {
-		return wNone, 0
-	}
+// longestWord is the length of the longest key word.
+const longestWord = 17
+
+// lookup finds a name among the key words.
+func (t *Token) lookup(src string) {
 	for i := t.hash; ; i++ {
 		e := &words[i%tableSize]
-		if e.text == "" {
-			return wNone, 0
+		if len(e.text) == 0 {
+			return
 		}
-		if len(e.text) == t.End-t.Start && same(l.Src[t.Start:t.End], e.text) {
-			return e.word, e.use
+		if len(e.text) == t.End-t.Start && (src[t.Start:t.End] == e.text || t.upper && same(src[t.Start:t.End], e.text)) {
+			t.word, t.use = e.word, e.use
+			return
 		}
 	}
 }
@@ -181,11 +182,7 @@
 // same compares a text without regard to case with one in small letters.
 func same(s, small string) bool {
 	for i := range len(small) {
-		c := s[i]
-		if c >= 'A' && c <= 'Z' {
-			c |= 0x20
-		}
-		if c != small[i] {
+		if folded[s[i]] != small[i] {
 			return false
 		}
 	}
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -17,6 +17,9 @@
 // Add counts one, under a name of words joined by dots: stage, then detail.
 func (c *Counters) Add(name string) { c.n[name]++ }
 
+// Set gives a figure that is kept elsewhere a name here.
+func (c *Counters) Set(name string, n int64) { c.n[name] = n }
+
 // Get is the count under a name.
 func (c *Counters) Get(name string) int64 { return c.n[name] }
 
--- a/internal/stories/peers_test.go
+++ b/internal/stories/peers_test.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"os"
 	"strings"
@@ -36,7 +36,7 @@
 	core    *core.Core
 	stats   *stats.Counters
 	site    config.Site
-	log     *log.Logger
+	log     *slog.Logger
 	addr    string
 	rest    *rest.Front
 	options rest.Options
@@ -50,7 +50,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &gateway{t: t, stats: stats.New(), log: log.New(io.Discard, "", 0)}
+	g := &gateway{t: t, stats: stats.New(), log: slog.New(slog.DiscardHandler)}
 	if err := json.Unmarshal(raw, &g.site); err != nil {
 		t.Fatal(err)
 	}
