--- a/cmd/ringlab/traffic.go
+++ b/cmd/ringlab/traffic.go
@@ -70,6 +70,9 @@
 	if e := f.Close(); err == nil {
 		err = e
 	}
+	if err == nil {
+		fmt.Printf("%d statements of seed %d in %s\n", c.Number, c.Seed, c.File)
+	}
 	return err
 }
 
--- /dev/null
+++ b/cmd/ringlab/try_test.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gannetspur/internal/pgproto"
+)
+
+// free is an address that nobody listens at.
+func free(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// Both fronts come up with one command, answer what the page says to paste, and all of it
+// ends when told.
+func TestTry(t *testing.T) {
+	if os.Getenv("RINGLAB_TRY") != "" {
+		c := tryCommand{Engines: 2, HTTP: os.Getenv("HTTP"), Postgres: os.Getenv("POSTGRES"), For: time.Minute}
+		if err := os.Chdir("../.."); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Run(); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	web, pg := free(t), free(t)
+	p := exec.Command(os.Args[0], "-test.run=^TestTry$", "-test.v")
+	p.Env = append(os.Environ(), "RINGLAB_TRY=1", "HTTP="+web, "POSTGRES="+pg)
+	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Stdout, p.Stderr = log, log
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 90*time.Second)
+	defer cancel()
+	defer p.Process.Kill()
+	for _, addr := range []string{web, pg} {
+		if err := up(ctx, addr); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// The PostgreSQL front hears of its engines a moment after it listens.
+	for {
+		req, err := http.NewRequestWithContext(ctx, "POST", "http://"+web+"/rpc/lookup", strings.NewReader("SELECT day FROM sales_17.orders WHERE tag = '3f9c'"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Req-Id", "9b1f03aa5c7e2d41")
+		req.Header.Set("Req-Wait-Ms", "1500")
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(res.Body)
+		res.Body.Close()
+		if res.StatusCode == 200 && strings.Contains(string(body), "3f9c") {
+			break
+		}
+		if ctx.Err() != nil {
+			t.Fatalf("%d %s", res.StatusCode, body)
+		}
+	}
+	for !asked(t, pg) {
+		if ctx.Err() != nil {
+			t.Fatal("the PostgreSQL front serves nothing")
+		}
+	}
+	if err := p.Process.Signal(syscall.SIGINT); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Wait(); err != nil {
+		b, _ := os.ReadFile(log.Name())
+		t.Fatalf("%v\n%s", err, b)
+	}
+	for _, addr := range []string{web, pg} {
+		if c, err := net.Dial("tcp", addr); err == nil {
+			c.Close()
+			t.Errorf("somebody still listens at %s", addr)
+		}
+	}
+}
+
+// asked tells whether one statement was served.
+func asked(t *testing.T, addr string) bool {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	start := append(append(pgproto.Str("user"), pgproto.Str("desk")...), 0)
+	b := pgproto.AppendStartup(nil, pgproto.Version, start)
+	b = pgproto.Append(b, 'Q', pgproto.Str("SELECT day FROM stock_17.orders"))
+	b = pgproto.Append(b, 'X')
+	if _, err := c.Write(b); err != nil {
+		t.Fatal(err)
+	}
+	all, _ := io.ReadAll(c)
+	return strings.Contains(string(all), "SELECT 1")
+}
--- a/internal/lab/traffic/traffic.go
+++ b/internal/lab/traffic/traffic.go
@@ -198,7 +198,7 @@
 	length, sum := int(binary.BigEndian.Uint32(h)), binary.BigEndian.Uint64(h[4:])
 	t.left = binary.BigEndian.Uint32(h[12:])
 	if length == 0 {
-		if sum != t.number {
+		if sum != t.number || t.left != 0 {
 			return fmt.Errorf("%w: it tells of %d records and holds %d", ErrDamaged, sum, t.number)
 		}
 		t.done = true
