--- a/cmd/ringlab/shapes.go
+++ b/cmd/ringlab/shapes.go
@@ -2,13 +2,16 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
+	"time"
 
 	"gannetspur/internal/lab/register"
 	"gannetspur/internal/lab/report"
+	"gannetspur/internal/lab/rig"
 	"gannetspur/internal/lab/shapes"
 	"gannetspur/internal/lab/traffic"
 
@@ -18,6 +21,7 @@
 type shapesCommand struct {
 	Evaluate evaluateCommand `cmd:"" help:"Judge classes and estimates on recorded traffic, with each part switched off in turn."`
 	Flood    floodCommand    `cmd:"" help:"Flood the cache with shapes that come once while others recur."`
+	Cost     costCommand     `cmd:"" help:"Measure the CPU that reading shapes adds to a request through the PostgreSQL front."`
 }
 
 type evaluateCommand struct {
@@ -164,3 +168,58 @@
 	}
 	return keep(c.Out, "shapes-flood", &t, &raw, chart.SVG)
 }
+
+type costCommand struct {
+	Ringwood string `placeholder:"FILE" help:"The gateway's program; without it, it is built from this folder."`
+	Clients  int    `default:"8" help:"Connections."`
+	Requests int    `default:"40000" help:"Of each round."`
+	Rounds   int    `default:"5" help:"Pairs of rounds, without and with."`
+	Seed     uint64 `default:"1" help:"Of the statements."`
+	Out      string `placeholder:"FOLDER" help:"Keep table, figures and chart there, as shapes-cost.*."`
+}
+
+func (c *costCommand) Run() error {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Minute)
+	defer cancel()
+	program := c.Ringwood
+	if program == "" {
+		dir, err := os.MkdirTemp("", "ringlab-")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+		if program, err = rig.Build(ctx, ".", dir); err != nil {
+			return err
+		}
+	}
+	without, with, err := shapes.Cost(ctx, shapes.CostOptions{
+		Root: ".", Program: program, Clients: c.Clients, Requests: c.Requests, Rounds: c.Rounds, Seed: c.Seed,
+	})
+	if err != nil {
+		return err
+	}
+	t := report.Table{Columns: []string{"", "CPU a request, us", "requests a second", "resident"}}
+	raw := report.Table{Columns: []string{"shapes", "round", "cpu_us", "rate", "kb"}}
+	chart := report.Bars{Title: "CPU of the gateway a request", Axis: "us", Series: []string{"without", "with shapes"}, Values: make([][]float64, 2)}
+	var ratios []float64
+	for i := range with {
+		ratios = append(ratios, with[i].CPU/without[i].CPU)
+		chart.Groups = append(chart.Groups, fmt.Sprintf("pair %d", i+1))
+	}
+	for i, rounds := range [][]shapes.CostRound{without, with} {
+		var cpu, rate, kb []float64
+		for j, r := range rounds {
+			raw.Add(chart.Series[i], j+1, fmt.Sprintf("%.2f", r.CPU), fmt.Sprintf("%.0f", r.Rate), r.KB)
+			chart.Values[i] = append(chart.Values[i], r.CPU)
+			cpu, rate, kb = append(cpu, r.CPU), append(rate, r.Rate), append(kb, float64(r.KB))
+		}
+		for _, x := range [][]float64{cpu, rate, kb} {
+			slices.Sort(x)
+		}
+		mid := func(x []float64) float64 { return stat.Quantile(0.5, stat.Empirical, x, nil) }
+		t.Add(chart.Series[i], fmt.Sprintf("%.1f (%.1f to %.1f)", mid(cpu), cpu[0], cpu[len(cpu)-1]), fmt.Sprintf("%.0f", mid(rate)), fmt.Sprintf("%.1f MB", mid(kb)/1024))
+	}
+	slices.Sort(ratios)
+	t.Add("with / without, by pairs", fmt.Sprintf("%.3f (%.3f to %.3f)", stat.Quantile(0.5, stat.Empirical, ratios, nil), ratios[0], ratios[len(ratios)-1]), "", "")
+	return keep(c.Out, "shapes-cost", &t, &raw, chart.SVG)
+}
--- a/cmd/ringlab/try.go
+++ b/cmd/ringlab/try.go
@@ -2,20 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
-	"net/http"
 	"os"
-	"os/exec"
 	"os/signal"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"time"
 
 	"gannetspur/internal/lab/emul"
+	"gannetspur/internal/lab/rig"
 	"gannetspur/internal/logs"
 )
 
@@ -43,37 +39,28 @@
 	defer os.RemoveAll(dir)
 	program := c.Ringwood
 	if program == "" {
-		program = filepath.Join(dir, "ringwood")
-		build := exec.CommandContext(ctx, "go", "build", "-o", program, "./cmd/ringwood")
-		build.Stderr = os.Stderr
-		if err := build.Run(); err != nil {
-			return fmt.Errorf("build of ringwood (start this from the repository's root, or give --ringwood): %w", err)
+		if program, err = rig.Build(ctx, ".", dir); err != nil {
+			return err
 		}
 	}
-	config, deploy, err := c.surroundings(dir)
+	r, err := rig.New(rig.Options{
+		Root: ".", Dir: dir, Engines: c.Engines, Work: emul.Plain, HTTP: c.HTTP, Postgres: c.Postgres, Shapes: true, Log: logs.Plain(os.Stdout),
+	})
 	if err != nil {
 		return err
 	}
-	ended := make(chan error, 2)
-	for _, args := range [][]string{{"serve", "--config", config, "--shapes", filepath.Join(dir, "shapes.toml")}, {"serve", "--postgres", deploy}} {
-		p := exec.Command(program, append([]string{"--log-format=text"}, args...)...)
-		p.Stdout, p.Stderr = os.Stdout, os.Stderr
-		p.Env = append(os.Environ(), "LB_CONFIG=", "LB_LISTEN=")
-		if err := p.Start(); err != nil {
+	defer r.Close()
+	var ended [2]chan error
+	for i, args := range [][]string{{"serve", "--config", r.Config, "--shapes", r.Shapes}, {"serve", "--postgres", r.Deploy}} {
+		g, err := rig.Start(program, os.Stdout, append([]string{"--log-format=text"}, args...)...)
+		if err != nil {
 			return err
 		}
-		defer func() {
-			_ = p.Process.Signal(syscall.SIGTERM) // one that has ended needs none
-			select {
-			case <-ended:
-			case <-time.After(5 * time.Second):
-				_ = p.Process.Kill()
-			}
-		}()
-		go func() { ended <- p.Wait() }()
+		defer g.Stop()
+		ended[i] = g.Ended
 	}
 	for _, addr := range []string{c.HTTP, c.Postgres} {
-		if err := up(ctx, addr); err != nil {
+		if err := rig.Up(ctx, addr); err != nil {
 			return err
 		}
 	}
@@ -90,93 +77,10 @@
 	select {
 	case <-ctx.Done():
 		return nil
-	case err := <-ended:
-		ended <- err
-		return errors.New("a gateway has ended; its log says why")
-	}
-}
-
-// up waits until somebody listens.
-func up(ctx context.Context, addr string) error {
-	for {
-		conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", addr)
-		if err == nil {
-			return conn.Close()
-		}
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("nothing listens at %s: %w", addr, err)
-		case <-time.After(50 * time.Millisecond):
-		}
-	}
-}
-
-// surroundings starts engines, bus and catalogue, and writes the gateways' files.
-func (c *tryCommand) surroundings(dir string) (config, deploy string, err error) {
-	log := logs.Plain(os.Stdout)
-	type target struct {
-		UID      string `json:"uid"`
-		Endpoint string `json:"endpoint"`
-		AZ       string `json:"az"`
-		Model    string `json:"model"`
-		State    string `json:"state"`
-	}
-	var targets []target
-	var instances []emul.Instance
-	for i := range c.Engines {
-		ln, err := emul.Listen("127.0.0.1:0")
-		if err != nil {
-			return "", "", err
-		}
-		name := fmt.Sprintf("s-%08x", i+1)
-		go emul.Lines(ln, emul.Plain, log.With("engine", name))
-		targets = append(targets, target{name, ln.Addr().String(), "hall-a", "std-8", "in_service"})
-		if ln, err = emul.Listen("127.0.0.1:0"); err != nil {
-			return "", "", err
-		}
-		name = fmt.Sprintf("engine-%d", i+1)
-		go emul.Postgres(ln, emul.Plain, log.With("engine", name))
-		instances = append(instances, emul.Instance{ID: name, Addr: ln.Addr().(*net.TCPAddr)})
-	}
-	bus, err := emul.Listen("127.0.0.1:0")
-	if err != nil {
-		return "", "", err
-	}
-	go emul.Bus(bus, 1)
-	agent, err := emul.Listen("127.0.0.1:0")
-	if err != nil {
-		return "", "", err
-	}
-	go func() { _ = http.Serve(agent, emul.Consul("stock-engine", instances)) }() // it ends with the program
-
-	raw, err := os.ReadFile("examples/toy/config.json")
-	if err != nil {
-		return "", "", fmt.Errorf("start this from the repository's root: %w", err)
-	}
-	var file map[string]any
-	if err := json.Unmarshal(raw, &file); err != nil {
-		return "", "", err
-	}
-	file["listen"], file["bus"] = c.HTTP, bus.Addr().String()
-	file["known"] = map[string]any{"offset": 1, "batch": []any{map[string]any{"offset": 1, "topology": map[string]any{"rev": 1, "all": true, "targets": targets}}}}
-	if raw, err = json.MarshalIndent(file, "", " "); err != nil {
-		return "", "", err
-	}
-	config, deploy = filepath.Join(dir, "config.json"), filepath.Join(dir, "postgres.toml")
-	if err := os.WriteFile(config, raw, 0o600); err != nil {
-		return "", "", err
-	}
-	for _, name := range []string{"postgres.toml", "postgres-settings.json", "shapes.toml"} {
-		text, err := os.ReadFile(filepath.Join("deploy", name))
-		if err != nil {
-			return "", "", err
-		}
-		s := strings.Replace(string(text), `"127.0.0.1:5433"`, fmt.Sprintf("%q", c.Postgres), 1)
-		s = strings.Replace(s, `"127.0.0.1:8500"`, fmt.Sprintf("%q", agent.Addr()), 1)
-		s = strings.Replace(s, "enabled = false", "enabled = true", 1)
-		if err := os.WriteFile(filepath.Join(dir, name), []byte(s), 0o600); err != nil {
-			return "", "", err
-		}
+	case err = <-ended[0]:
+		ended[0] <- err
+	case err = <-ended[1]:
+		ended[1] <- err
 	}
-	return config, deploy, nil
+	return errors.Join(errors.New("a gateway has ended; its log says why"), err)
 }
--- a/cmd/ringlab/try_test.go
+++ b/cmd/ringlab/try_test.go
@@ -13,20 +13,10 @@
 	"testing"
 	"time"
 
+	"gannetspur/internal/lab/rig"
 	"gannetspur/internal/pgproto"
 )
 
-// free is an address that nobody listens at.
-func free(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 // Both fronts come up with one command, answer what the page says to paste, and all of it
 // ends when told.
 func TestTry(t *testing.T) {
@@ -40,7 +30,14 @@
 		}
 		return
 	}
-	web, pg := free(t), free(t)
+	web, err := rig.Free()
+	if err != nil {
+		t.Fatal(err)
+	}
+	pg, err := rig.Free()
+	if err != nil {
+		t.Fatal(err)
+	}
 	p := exec.Command(os.Args[0], "-test.run=^TestTry$", "-test.v")
 	p.Env = append(os.Environ(), "RINGLAB_TRY=1", "HTTP="+web, "POSTGRES="+pg)
 	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
@@ -55,7 +52,7 @@
 	defer cancel()
 	defer p.Process.Kill()
 	for _, addr := range []string{web, pg} {
-		if err := up(ctx, addr); err != nil {
+		if err := rig.Up(ctx, addr); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/cmd/ringwood/stop.go
+++ b/cmd/ringwood/stop.go
@@ -22,6 +22,9 @@
 	at := g.loop.Now()
 	waiting := min(g.core.LongestDeadline(), longestHeld) + stopExtra - beforeKill
 	g.log.Info("stopping")
+	if g.shapes != nil {
+		g.shapes.Save() // now, as the end waits for nothing; what is learned until then is lost
+	}
 	g.loop.Timers.Add(at+stopListening, g.front.CloseListener)
 	g.loop.Timers.Add(at+stopReading, g.front.Drain)
 	g.loop.Timers.Add(at+waiting, g.core.FailAll)
@@ -30,9 +33,6 @@
 		now := g.loop.Now()
 		done := now >= at+stopReading && g.front.Idle() && g.core.Unanswered() == 0
 		if done || now >= at+waiting+lastWrites {
-			if g.shapes != nil {
-				g.shapes.Save(nil) // the last word; the process waits for it no longer than for its last writes
-			}
 			g.loop.Timers.Add(now+lastWrites, g.loop.Stop)
 			return
 		}
--- a/internal/lab/emul/pg.go
+++ b/internal/lab/emul/pg.go
@@ -50,7 +50,7 @@
 	out := pgproto.Append(nil, 'R', pgproto.Int32(0))
 	out = pgproto.Append(out, 'K', pgproto.Int32(1), pgproto.Int32(1))
 	out = pgproto.Append(out, 'Z', []byte("I"))
-	query := ""
+	query, named := "", map[string]string{}
 	for {
 		if len(out) > 0 {
 			if _, err := c.Write(out); err != nil {
@@ -71,14 +71,18 @@
 		r := pgproto.Reader{B: body}
 		switch kind {
 		case 'P':
-			r.Str()
-			query = r.Str()
+			name := r.Str()
+			named[name] = r.Str()
+			query = named[name]
 			log.Info("asked", "statement", short(query))
 			out = pgproto.Append(out, '1')
 		case 'B':
+			r.Str()
+			query = named[r.Str()]
 			out = pgproto.Append(out, '2')
 		case 'D':
 			if r.Byte() == 'S' {
+				query = named[r.Str()]
 				out = pgproto.Append(out, 't', parameters(query))
 			}
 			out = pgproto.Append(out, 'T', columns)
--- /dev/null
+++ b/internal/lab/link/link_test.go
@@ -0,0 +1,154 @@
+package link
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// echo answers each byte that it is sent, and reports what it saw.
+func echo(t *testing.T) (addr string, seen chan byte) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	seen = make(chan byte, 100)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				b := make([]byte, 1)
+				for {
+					if _, err := c.Read(b); err != nil {
+						return
+					}
+					seen <- b[0]
+					if _, err := c.Write(b); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String(), seen
+}
+
+func open(t *testing.T, opts Options) (*Link, net.Conn, chan byte) {
+	t.Helper()
+	addr, seen := echo(t)
+	l, err := Listen(addr, opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	c, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	return l, c, seen
+}
+
+func ask(c net.Conn, b byte) (byte, error) {
+	if _, err := c.Write([]byte{b}); err != nil {
+		return 0, err
+	}
+	got := make([]byte, 1)
+	_, err := io.ReadFull(c, got)
+	return got[0], err
+}
+
+// A link delays both ways at least so long, and keeps the order whatever the jitter.
+func TestDelay(t *testing.T) {
+	_, c, _ := open(t, Options{Delay: 20 * time.Millisecond, Jitter: 10 * time.Millisecond, Seed: 1})
+	start := time.Now()
+	if got, err := ask(c, 'a'); err != nil || got != 'a' || time.Since(start) < 40*time.Millisecond {
+		t.Errorf("%q, %v after %v", got, err, time.Since(start))
+	}
+	want := []byte("the order is kept")
+	for _, b := range want {
+		if _, err := c.Write([]byte{b}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got := make([]byte, len(want))
+	if _, err := io.ReadFull(c, got); err != nil || !bytes.Equal(got, want) {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
+// Each fault does what it says, and no more.
+func TestFaults(t *testing.T) {
+	for _, kind := range []Kind{Lost, Garbage, Cut, Reset, HalfClose, Silence} {
+		t.Run(string(kind), func(t *testing.T) {
+			l, c, seen := open(t, Options{Faults: []Fault{{Kind: kind, From: 100 * time.Millisecond, For: 200 * time.Millisecond}}, Seed: 1})
+			if got, err := ask(c, 'a'); err != nil || got != 'a' {
+				t.Fatalf("before the fault: %q, %v", got, err)
+			}
+			<-seen
+			change := l.waiter()
+			if !l.on(kind) {
+				<-change // it has begun
+			}
+			switch kind {
+			case Lost:
+				_, _ = c.Write([]byte{'b'})
+				if got := <-seen; got != 'b' {
+					t.Errorf("the server saw %q", got)
+				}
+				for l.on(kind) {
+					<-l.waiter()
+				}
+				if got, err := ask(c, 'c'); err != nil || got != 'c' {
+					t.Errorf("after it: %q, %v", got, err)
+				}
+			case Garbage:
+				if got, err := ask(c, 'b'); err != nil || got == 'b' {
+					t.Errorf("%q, %v: it came unchanged", got, err)
+				}
+			case Silence:
+				start := time.Now()
+				if got, err := ask(c, 'b'); err != nil || got != 'b' || time.Since(start) < 20*time.Millisecond {
+					t.Errorf("%q, %v after %v: it was not held back", got, err, time.Since(start))
+				}
+			case Reset:
+				if _, err := c.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+					t.Errorf("read: %v, want a reset", err)
+				}
+			case Cut:
+				if _, err := c.Read(make([]byte, 1)); err == nil {
+					t.Error("the connection goes on")
+				}
+				n, err := net.Dial("tcp", l.Addr())
+				if err == nil {
+					defer n.Close()
+					_, err = n.Read(make([]byte, 1))
+				}
+				if err == nil {
+					t.Error("a new one is taken")
+				}
+			case HalfClose:
+				if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+					t.Errorf("read: %v, want the end of the replies", err)
+				}
+			}
+		})
+	}
+	if _, err := Listen("127.0.0.1:1", Options{Faults: []Fault{{Kind: "odd"}}}); err == nil {
+		t.Error("an unknown kind was taken")
+	}
+	if _, err := Listen("10.0.0.1:1", Options{}); err == nil {
+		t.Error("an address that is no loopback was taken")
+	}
+}
--- /dev/null
+++ b/internal/lab/rig/rig.go
@@ -0,0 +1,204 @@
+// Package rig sets up ringwood with emulated surroundings on loopback addresses: engines,
+// event bus, catalogue, the files that name them, and the gateway's own processes.
+package rig
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"gannetspur/internal/lab/emul"
+)
+
+// Options say what to set up.
+type Options struct {
+	Root     string // the repository, whose deploy files are taken
+	Dir      string // for files
+	Engines  int    // of each wire
+	Work     emul.Work
+	HTTP     string // where the platform's front listens
+	Postgres string // where the PostgreSQL front listens
+	Shapes   bool   // in the PostgreSQL front's file
+	Log      *slog.Logger
+}
+
+// Rig is what was set up. The emulated systems end with Close.
+type Rig struct {
+	Config, Deploy, Shapes string // the gateways' files
+	listeners              []net.Listener
+}
+
+// Close ends the emulated systems.
+func (r *Rig) Close() {
+	for _, ln := range r.listeners {
+		_ = ln.Close()
+	}
+}
+
+func (r *Rig) listen() (net.Listener, error) {
+	ln, err := emul.Listen("127.0.0.1:0")
+	if err == nil {
+		r.listeners = append(r.listeners, ln)
+	}
+	return ln, err
+}
+
+// target is an engine as a platform configuration names it.
+type target struct {
+	UID      string `json:"uid"`
+	Endpoint string `json:"endpoint"`
+	AZ       string `json:"az"`
+	Model    string `json:"model"`
+	State    string `json:"state"`
+}
+
+// New starts the emulated systems and writes the files.
+func New(opts Options) (r *Rig, err error) {
+	r = &Rig{Config: filepath.Join(opts.Dir, "config.json"), Deploy: filepath.Join(opts.Dir, "postgres.toml"), Shapes: filepath.Join(opts.Dir, "shapes.toml")}
+	defer func() {
+		if err != nil {
+			r.Close()
+		}
+	}()
+	var targets []target
+	var instances []emul.Instance
+	for i := range opts.Engines {
+		ln, err := r.listen()
+		if err != nil {
+			return nil, err
+		}
+		name := fmt.Sprintf("s-%08x", i+1)
+		go emul.Lines(ln, opts.Work, opts.Log.With("engine", name))
+		targets = append(targets, target{name, ln.Addr().String(), "hall-a", "std-8", "in_service"})
+		if ln, err = r.listen(); err != nil {
+			return nil, err
+		}
+		name = fmt.Sprintf("engine-%d", i+1)
+		go emul.Postgres(ln, opts.Work, opts.Log.With("engine", name))
+		instances = append(instances, emul.Instance{ID: name, Addr: ln.Addr().(*net.TCPAddr)})
+	}
+	bus, err := r.listen()
+	if err != nil {
+		return nil, err
+	}
+	go emul.Bus(bus, 1)
+	agent, err := r.listen()
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = http.Serve(agent, emul.Consul("stock-engine", instances)) }() // it ends with its listener
+	return r, r.write(opts, targets, bus.Addr().String(), agent.Addr().String())
+}
+
+func (r *Rig) write(opts Options, targets []target, bus, agent string) error {
+	raw, err := os.ReadFile(filepath.Join(opts.Root, "examples/toy/config.json"))
+	if err != nil {
+		return fmt.Errorf("start this from the repository's root: %w", err)
+	}
+	var file map[string]any
+	if err := json.Unmarshal(raw, &file); err != nil {
+		return fmt.Errorf("rig: %w", err)
+	}
+	file["listen"], file["bus"] = opts.HTTP, bus
+	file["known"] = map[string]any{"offset": 1, "batch": []any{
+		map[string]any{"offset": 1, "topology": map[string]any{"rev": 1, "all": true, "targets": targets}},
+	}}
+	if raw, err = json.MarshalIndent(file, "", " "); err != nil {
+		return fmt.Errorf("rig: %w", err)
+	}
+	if err := os.WriteFile(r.Config, raw, 0o600); err != nil {
+		return fmt.Errorf("rig: %w", err)
+	}
+	for _, name := range []string{"postgres.toml", "postgres-settings.json", "shapes.toml"} {
+		text, err := os.ReadFile(filepath.Join(opts.Root, "deploy", name))
+		if err != nil {
+			return fmt.Errorf("rig: %w", err)
+		}
+		s := strings.Replace(string(text), `"127.0.0.1:5433"`, fmt.Sprintf("%q", opts.Postgres), 1)
+		s = strings.Replace(s, `"127.0.0.1:8500"`, fmt.Sprintf("%q", agent), 1)
+		if opts.Shapes {
+			s = strings.Replace(s, "enabled = false", "enabled = true", 1)
+		}
+		if err := os.WriteFile(filepath.Join(opts.Dir, name), []byte(s), 0o600); err != nil {
+			return fmt.Errorf("rig: %w", err)
+		}
+	}
+	return nil
+}
+
+// Build builds ringwood into a folder and returns its path.
+func Build(ctx context.Context, root, dir string) (string, error) {
+	program := filepath.Join(dir, "ringwood")
+	build := exec.CommandContext(ctx, "go", "build", "-o", program, "./cmd/ringwood")
+	build.Dir, build.Stderr = root, os.Stderr
+	if err := build.Run(); err != nil {
+		return "", fmt.Errorf("build of ringwood (start this from the repository's root, or name a program): %w", err)
+	}
+	return program, nil
+}
+
+// Gateway is one process of ringwood.
+type Gateway struct {
+	Process *os.Process
+	Ended   chan error // gets the process's end, once
+}
+
+// Start starts ringwood.
+func Start(program string, out io.Writer, args ...string) (*Gateway, error) {
+	p := exec.Command(program, args...)
+	p.Stdout, p.Stderr = out, out
+	p.Env = append(os.Environ(), "LB_CONFIG=", "LB_LISTEN=")
+	if err := p.Start(); err != nil {
+		return nil, fmt.Errorf("gateway: %w", err)
+	}
+	g := &Gateway{Process: p.Process, Ended: make(chan error, 1)}
+	go func() { g.Ended <- p.Wait() }()
+	return g, nil
+}
+
+// Stop ends the process by a planned stop, and by force where that takes too long.
+func (g *Gateway) Stop() {
+	_ = g.Process.Signal(syscall.SIGTERM) // one that has ended needs none
+	select {
+	case <-g.Ended:
+	case <-time.After(8 * time.Second):
+		_ = g.Process.Kill()
+		<-g.Ended
+	}
+}
+
+// Up waits until somebody listens.
+func Up(ctx context.Context, addr string) error {
+	for {
+		conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", addr)
+		if err == nil {
+			return conn.Close()
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(fmt.Errorf("nothing listens at %s", addr), ctx.Err())
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// Free is a loopback address that nobody listens at just now.
+func Free() (string, error) {
+	ln, err := emul.Listen("127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
--- /dev/null
+++ b/internal/lab/shapes/cost.go
@@ -0,0 +1,234 @@
+package shapes
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"gannetspur/internal/lab/register"
+	"gannetspur/internal/lab/rig"
+	"gannetspur/internal/pgproto"
+)
+
+// CostOptions say how to measure what reading shapes costs the gateway.
+type CostOptions struct {
+	Root, Program string
+	Clients       int
+	Requests      int // a round
+	Rounds        int // pairs of one without and one with
+	Seed          uint64
+}
+
+// CostRound is the CPU time of the gateway's process a request, in microseconds, and the
+// requests that it served a second.
+type CostRound struct {
+	CPU, Rate float64
+	KB        int // resident at the end
+}
+
+// Cost measures pairs of rounds, without shapes and with them, one after the other, each
+// with a gateway of its own between the same clients and emulated engines without work.
+func Cost(ctx context.Context, opts CostOptions) (without, with []CostRound, err error) {
+	texts := lookups(opts.Seed, 2000)
+	for i := range 2 * opts.Rounds {
+		on := (i+i/2)%2 == 1 // off on, on off, off on: what drifts meets both
+		r, err := costRound(ctx, opts, texts, on)
+		if err != nil {
+			return nil, nil, err
+		}
+		if on {
+			with = append(with, r)
+		} else {
+			without = append(without, r)
+		}
+	}
+	return without, with, nil
+}
+
+// lookups are reading statements of the model, with their values written out.
+func lookups(seed uint64, n int) []string {
+	w := register.New(register.Options{Seed: seed, Templates: 200}, n)
+	var texts []string
+	for len(texts) < n {
+		if a := w.Next(); a.Class == "lookup" && len(a.Values) == 0 {
+			texts = append(texts, a.Statement)
+		}
+	}
+	return texts
+}
+
+func costRound(ctx context.Context, opts CostOptions, texts []string, on bool) (res CostRound, err error) {
+	dir, err := os.MkdirTemp("", "ringlab-cost-")
+	if err != nil {
+		return res, err
+	}
+	defer os.RemoveAll(dir)
+	addr, err := rig.Free()
+	if err != nil {
+		return res, err
+	}
+	r, err := rig.New(rig.Options{
+		Root: opts.Root, Dir: dir, Engines: 2, HTTP: "127.0.0.1:0", Postgres: addr, Shapes: on, Log: slog.New(slog.DiscardHandler),
+		Work: func(string) (time.Duration, float64) { return 0, 1 },
+	})
+	if err != nil {
+		return res, err
+	}
+	defer r.Close()
+	log, err := os.Create(filepath.Join(dir, "log"))
+	if err != nil {
+		return res, err
+	}
+	defer log.Close()
+	g, err := rig.Start(opts.Program, log, "serve", "--postgres", r.Deploy)
+	if err != nil {
+		return res, err
+	}
+	defer g.Stop()
+	if err := rig.Up(ctx, addr); err != nil {
+		return res, err
+	}
+	if err := ask(ctx, addr, texts, opts.Clients, opts.Requests/5); err != nil { // warm
+		return res, err
+	}
+	before, err := cpu(g.Process.Pid)
+	if err != nil {
+		return res, err
+	}
+	start := time.Now()
+	if err := ask(ctx, addr, texts, opts.Clients, opts.Requests); err != nil {
+		return res, err
+	}
+	took := time.Since(start)
+	after, err := cpu(g.Process.Pid)
+	if err != nil {
+		return res, err
+	}
+	res.CPU = float64((after - before).Microseconds()) / float64(opts.Requests)
+	res.Rate = float64(opts.Requests) / took.Seconds()
+	res.KB = residentKB(g.Process.Pid)
+	return res, nil
+}
+
+// ask has clients send statements one after the other. Refusals are waited out at the
+// start, while no engine is known yet.
+func ask(ctx context.Context, addr string, texts []string, clients, requests int) error {
+	var wg sync.WaitGroup
+	errs := make(chan error, clients)
+	for i := range clients {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			errs <- askOne(ctx, addr, texts, i*97, requests/clients)
+		}()
+	}
+	wg.Wait()
+	close(errs)
+	var all error
+	for err := range errs {
+		all = errors.Join(all, err)
+	}
+	return all
+}
+
+func askOne(ctx context.Context, addr string, texts []string, from, requests int) error {
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if d, ok := ctx.Deadline(); ok {
+		_ = c.SetDeadline(d)
+	}
+	in := bufio.NewReader(c)
+	if _, err := c.Write(pgproto.AppendStartup(nil, pgproto.Version, append(append(pgproto.Str("user"), pgproto.Str("lab")...), 0))); err != nil {
+		return err
+	}
+	if _, err := untilReady(in); err != nil {
+		return err
+	}
+	var out []byte
+	for done := 0; done < requests; {
+		out = pgproto.Append(out[:0], 'Q', pgproto.Str(texts[(from+done)%len(texts)]))
+		if _, err := c.Write(out); err != nil {
+			return err
+		}
+		refused, err := untilReady(in)
+		switch {
+		case err != nil:
+			return err
+		case refused: // no engine is known yet, or the module holds back
+			time.Sleep(2 * time.Millisecond)
+		default:
+			done++
+		}
+	}
+	return nil
+}
+
+// untilReady reads an answer, and tells whether it was a refusal.
+func untilReady(in *bufio.Reader) (refused bool, err error) {
+	head := make([]byte, 5)
+	for {
+		if _, err := io.ReadFull(in, head); err != nil {
+			return false, err
+		}
+		body := make([]byte, int(binary.BigEndian.Uint32(head[1:]))-4)
+		if _, err := io.ReadFull(in, body); err != nil {
+			return false, err
+		}
+		switch head[0] {
+		case 'E':
+			e, err := pgproto.ReadError(body)
+			if err != nil {
+				return false, err
+			}
+			if e.Code != "53000" {
+				return false, e
+			}
+			refused = true
+		case 'Z':
+			return refused, nil
+		}
+	}
+}
+
+// cpu is the CPU time that a process has used, from proc(5).
+func cpu(pid int) (time.Duration, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, ok := strings.Cut(string(b), ") ")
+	f := strings.Fields(rest)
+	if !ok || len(f) < 13 {
+		return 0, fmt.Errorf("proc: can't read the times of %d", pid)
+	}
+	user, err1 := strconv.ParseInt(f[11], 10, 64)
+	system, err2 := strconv.ParseInt(f[12], 10, 64)
+	const tick = 10 * time.Millisecond // USER_HZ is 100 on all that Go runs on
+	return time.Duration(user+system) * tick, errors.Join(err1, err2)
+}
+
+func residentKB(pid int) int {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	if f := strings.Fields(string(b)); len(f) > 1 {
+		n, _ := strconv.Atoi(f[1])
+		return n * os.Getpagesize() >> 10
+	}
+	return 0
+}
--- a/internal/shape/service.go
+++ b/internal/shape/service.go
@@ -80,18 +80,15 @@
 
 func (s *Service) later() {
 	s.loop.Timers.Add(s.loop.Now()+s.set.Every, func() {
-		s.Save(nil)
+		s.Save()
 		s.later()
 	})
 }
 
-// Save writes a snapshot in the background, and calls done on the loop once it is
-// written or failed. One at a time: a disk that hangs costs one goroutine.
-func (s *Service) Save(done func()) {
+// Save writes a snapshot in the background, where the settings name a file. One at a
+// time: a disk that hangs costs one goroutine.
+func (s *Service) Save() {
 	if s.set.Snapshot == "" || s.writing {
-		if done != nil {
-			done()
-		}
 		return
 	}
 	s.writing = true
@@ -106,9 +103,6 @@
 			} else {
 				s.stats.Add("shapes.snapshots")
 			}
-			if done != nil {
-				done()
-			}
 		})
 	}()
 }
--- a/internal/sqltext/effect_test.go
+++ b/internal/sqltext/effect_test.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"testing"
+
+	"pgregory.net/rapid"
 )
 
 // What may write is never taken for a reading statement, however it is written.
@@ -119,3 +121,31 @@
 		}
 	})
 }
+
+// A write stays one whatever comments, spaces and capitals stand between its words, and
+// whatever harmless text is wrapped round it.
+func TestWritesInDisguise(t *testing.T) {
+	writes := []string{
+		"DELETE FROM t", "UPDATE t SET a = 1", "INSERT INTO t VALUES ( 1 )", "SELECT a INTO x FROM t", "SELECT setval ( 's' , 1 )",
+		"SELECT a FROM t FOR NO KEY UPDATE", "CALL f ( )", "SELECT public . lower ( 'a' )", "SELECT \"Count\" ( a ) FROM t",
+		"SELECT a FROM t , LATERAL evil ( t . b ) x", "SELECT CASE WHEN evil ( a ) THEN 1 END FROM t", "SELECT a [ evil ( 1 ) ] FROM t",
+		"SELECT DISTINCT ON ( a ) evil ( b ) FROM t", "SELECT a FROM t ORDER BY evil ( a )", "SELECT a FROM t WHERE a IN ( evil ( 1 ) )",
+	}
+	separators := []string{" ", "\n", "\t", "/**/", "/* a /* b */ 'c */", "--x\n", "-- '\r", " /* ; */ ", "\f"}
+	wraps := []string{"%s", "WITH q AS ( %s ) SELECT 1", "EXPLAIN ANALYZE %s", "EXPLAIN ( ANALYZE , COSTS off ) %s", "explain analyse verbose %s",
+		"SELECT 1 FROM ( %s ) z", "( %s )", "WITH a ( b ) AS ( SELECT 1 ) , q AS MATERIALIZED ( %s ) SELECT 2"}
+	rapid.Check(t, func(t *rapid.T) {
+		text := strings.Replace(rapid.SampledFrom(wraps).Draw(t, "wrap"), "%s", rapid.SampledFrom(writes).Draw(t, "write"), 1)
+		var b strings.Builder
+		for _, word := range strings.Fields(text) {
+			if !strings.ContainsAny(word, "'\"") && rapid.Bool().Draw(t, "small") {
+				word = strings.ToLower(word)
+			}
+			b.WriteString(word)
+			b.WriteString(rapid.SampledFrom(separators).Draw(t, "separator"))
+		}
+		if got := EffectOf(b.String(), nil); got.Effect == Reads {
+			t.Fatalf("%q is taken as reading", b.String())
+		}
+	})
+}
--- a/internal/sqltext/lexer.go
+++ b/internal/sqltext/lexer.go
@@ -79,6 +79,8 @@
 	cDigit
 	cOp
 	cWord // may go on in a name
+	cUpper
+	cHigh // no ASCII
 )
 
 var classes = func() (t [256]uint8) {
@@ -95,6 +97,12 @@
 			t[c] |= cWord
 		}
 	}
+	for c := 'A'; c <= 'Z'; c++ {
+		t[c] |= cUpper
+	}
+	for c := 0x80; c < 256; c++ {
+		t[c] |= cHigh
+	}
 	for _, c := range "~!@#^&|`?+-*/%<>=" {
 		t[c] |= cOp
 	}
@@ -106,8 +114,15 @@
 
 // Next reads one token. Space and comments before it are passed by.
 func (l *Lexer) Next() Token {
-	l.skip()
 	src, at := l.Src, l.Pos
+	if at < len(src) && src[at] == ' ' { // most tokens stand one space apart
+		at++
+		l.Pos = at
+	}
+	if at < len(src) && (classes[src[at]]&cSpace != 0 || src[at] == '-' || src[at] == '/') {
+		l.skip()
+		at = l.Pos
+	}
 	if at >= len(src) {
 		return Token{Kind: End, Start: at, End: at}
 	}
@@ -235,25 +250,37 @@
 	return t
 }()
 
-// fold hashes one more letter of a name without regard to case (FNV-1a).
-func fold(h uint32, c byte) uint32 { return (h ^ uint32(folded[c])) * 16777619 }
-
-const foldStart = 2166136261
+// nameHash hashes a name without regard to case, eight letters at a time. It finds key
+// words and columns; nothing relies on two names having two hashes.
+func nameHash(s string) uint32 {
+	const mul, small = 0x9e3779b97f4a7c15, 0x2020202020202020
+	h := uint64(len(s)) * mul
+	for len(s) >= 8 {
+		x := uint64(s[0]) | uint64(s[1])<<8 | uint64(s[2])<<16 | uint64(s[3])<<24 |
+			uint64(s[4])<<32 | uint64(s[5])<<40 | uint64(s[6])<<48 | uint64(s[7])<<56
+		h = (h ^ (x | small)) * mul
+		h ^= h >> 32
+		s = s[8:]
+	}
+	var x uint64
+	for i := range len(s) {
+		x = x<<8 | uint64(s[i]|0x20)
+	}
+	h = (h ^ x) * mul
+	return uint32(h >> 32)
+}
 
 func (l *Lexer) word() Token {
 	src, at := l.Src, l.Pos
-	i, h, high, upper := at, uint32(foldStart), byte(0), byte(0)
+	i, seen := at, uint8(0)
 	for ; i < len(src); i++ {
-		c := src[i]
-		small := folded[c]
-		if small == 0 {
+		class := classes[src[i]]
+		if class&cWord == 0 {
 			break
 		}
-		h = (h ^ uint32(small)) * 16777619
-		high |= c
-		upper |= c ^ small
+		seen |= class
 	}
-	if high >= 0x80 {
+	if seen&cHigh != 0 {
 		l.Flaws |= High
 	}
 	l.Pos = i
@@ -277,7 +304,7 @@
 			return Token{Kind: String, Start: at, End: l.Pos}
 		}
 	}
-	t := Token{Kind: Ident, Start: at, End: i, hash: h, upper: upper != 0}
+	t := Token{Kind: Ident, Start: at, End: i, hash: nameHash(src[at:i]), upper: seen&cUpper != 0}
 	if i-at <= longestWord {
 		t.lookup(src)
 	}
--- a/internal/sqltext/shape.go
+++ b/internal/sqltext/shape.go
@@ -79,6 +79,7 @@
 	long  [2]maphash.Hash // of what was cut off
 	norm  []byte
 	slots [MostSlots]Slot
+	lists [mostLists]listContext
 	out   Reading
 }
 
@@ -179,8 +180,7 @@
 	param    int    // the last parameter's number, while nothing but a cast is behind it
 	interval bool   // the last token is the word interval
 
-	lists [mostLists]listContext
-	open  int
+	open int // lists that are open, of the Reader's
 }
 
 // token takes one token into the normal form, the slots and the features.
@@ -214,11 +214,12 @@
 	p.kind = t.Kind
 }
 
+// joins are the kinds of token that no space follows in the normal form.
+var joins = [Odd + 1]bool{End: true, Dot: true, Open: true, Bracket: true, Cast: true}
+
 // space parts two words.
 func (p *pass) space() {
-	switch p.kind {
-	case End, Dot, Open, Bracket, Cast:
-	default:
+	if !joins[p.kind] {
 		p.norm = append(p.norm, ' ')
 	}
 }
@@ -297,17 +298,22 @@
 // operand takes a name that is no key word.
 func (p *pass) operand(t Token, text string) {
 	f := &p.out.Features
-	if t.Kind == Ident && len(text) <= 12 && aggregate(text) {
-		next := p.l
-		if next.Next().Kind == Open {
-			f.Aggregates++
-		}
-	}
 	p.column = t.hash
 	if t.Kind == Quoted {
 		p.column = hashName(text)
 	}
-	if same2(text, "date") || same2(text, "timestamptz") {
+	if at := p.l.Pos; at < len(p.l.Src) && len(text) <= 12 { // what follows at once tells most names apart
+		switch p.l.Src[at] {
+		case '(', ' ', '/', '\n', '\t', '\r':
+			if t.Kind == Ident && aggregate(text) {
+				next := p.l
+				if next.Next().Kind == Open {
+					f.Aggregates++
+				}
+			}
+		}
+	}
+	if p.pending != RoleOther && (same2(text, "date") || same2(text, "timestamptz")) {
 		return // the type of a literal to come
 	}
 	p.pending = RoleOther
@@ -373,7 +379,7 @@
 	}
 	p.interval = false
 	if p.open > 0 && role == RoleList {
-		if c := &p.lists[p.open-1]; !c.rows && c.depth == p.depth {
+		if c := &p.r.lists[p.open-1]; !c.rows && c.depth == p.depth {
 			return // one of a list, whose slot counts it
 		}
 	}
@@ -529,13 +535,13 @@
 }
 
 func (p *pass) push(c listContext) {
-	p.lists[p.open] = c
+	p.r.lists[p.open] = c
 	p.open++
 }
 
 // elements ends an element, or the list, where this token does.
 func (p *pass) elements(t Token, use use) {
-	c := &p.lists[p.open-1]
+	c := &p.r.lists[p.open-1]
 	switch {
 	case p.depth < c.depth:
 		p.endLists(p.depth)
@@ -605,8 +611,8 @@
 
 // endLists ends the lists deeper than a depth.
 func (p *pass) endLists(depth int) {
-	for p.open > 0 && p.lists[p.open-1].depth > depth {
-		c := &p.lists[p.open-1]
+	for p.open > 0 && p.r.lists[p.open-1].depth > depth {
+		c := &p.r.lists[p.open-1]
 		p.element(c)
 		if c.rows {
 			p.out.Features.Rows += c.count
@@ -647,15 +653,7 @@
 	return append(b, inner...)
 }
 
-func hashName(s string) uint32 {
-	h := uint32(foldStart)
-	for i := range len(s) {
-		if s[i] != '"' {
-			h = fold(h, s[i])
-		}
-	}
-	return h
-}
+func hashName(s string) uint32 { return nameHash(bare(s)) }
 
 // aggregate tells whether a function of this name reads many rows into one.
 func aggregate(s string) bool {
--- a/internal/sqltext/words.go
+++ b/internal/sqltext/words.go
@@ -148,11 +148,7 @@
 // words finds key words by the hash that the lexer makes while it reads a name.
 var words = func() (t [tableSize]entry) {
 	for _, e := range lexicon {
-		h := uint32(foldStart)
-		for _, c := range []byte(e.text) {
-			h = fold(h, c)
-		}
-		for i := h; ; i++ {
+		for i := nameHash(e.text); ; i++ {
 			if p := &t[i%tableSize]; p.text == "" {
 				*p = e
 				break
--- /dev/null
+++ b/internal/stories/shapes_test.go
@@ -0,0 +1,122 @@
+package stories
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	decide "gannetspur/internal/decide/shape"
+	"gannetspur/internal/front/pgwire"
+	"gannetspur/internal/shape"
+)
+
+// withShapes has a gateway learn shapes, before it serves.
+func withShapes(t *testing.T, g *gateway, set shape.Settings) *shape.Service {
+	t.Helper()
+	set.Bytes = 256 << 10
+	set.Decide = decide.Config{Classes: []decide.Class{{Name: "lookup", UpTo: 60}, {Name: "report"}}}
+	s, err := shape.NewService(set, g.site.Policy.Classes, g.loop, g.stats, g.log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.core.SetLearner(s)
+	g.pgwire = pgwire.Options{DefaultClass: "lookup", WriteClass: "write", Shapes: s, Rules: []pgwire.Rule{{Starts: "insert into", Class: "load", Key: 1}}}
+	return s
+}
+
+// One shape, a lookup with a short list and a report with a long one: the values bound
+// tell, once a few have run. A comment goes before the shape, and what may write is
+// never sorted by it.
+func TestClassByShape(t *testing.T) {
+	addr, _ := pgEngine(t, func(c pgCall) []byte {
+		if strings.Count(c.bind, ",") > 50 {
+			time.Sleep(150 * time.Millisecond) // it works
+		}
+		return pgRows("a")
+	})
+	g := newGateway(t, nil)
+	withShapes(t, g, shape.Settings{})
+	g.postgres(addr)
+	k := connect(t, g.addr)
+	const text = "SELECT part FROM stock_4.parts WHERE district = ANY($1)"
+	k.send(parse("s", text), sync)
+	k.until('Z')
+	ask := func(list string) {
+		t.Helper()
+		k.send(bind("", "s", list), execute("", 0), sync)
+		same(t, "answer", k.until('Z'), "2 D(a) C(SELECT 1) Z")
+	}
+	long := "{" + strings.Repeat("d,", 77) + "d}"
+	for range 8 {
+		ask("{d1,d2}")
+		ask(long)
+	}
+	before := g.count("taken.report")
+	for range 4 {
+		ask(long)
+		ask("{d3}")
+	}
+	if n := g.count("taken.report") - before; n != 4 {
+		t.Errorf("%d of 4 long lists were taken as reports", n)
+	}
+	before = g.count("taken.lookup")
+	k.send(query("/* class=lookup */ "+strings.Replace(text, "$1", "'"+long+"'", 1)), sync)
+	k.until('Z')
+	if n := g.count("taken.lookup") - before; n != 1 {
+		t.Errorf("%d taken as lookups by their comment, want 1", n)
+	}
+	k = connect(t, g.addr)
+	k.send(query("SELECT part FROM stock_4.parts WHERE district = ANY('{d1}') FOR UPDATE"))
+	k.until('Z')
+	if n := g.count("taken.write"); n != 1 {
+		t.Errorf("%d taken as writes, want 1", n)
+	}
+}
+
+// A damaged snapshot is put aside and named, the gateway starts without it, and the next
+// one is whole.
+func TestSnapshotOfService(t *testing.T) {
+	path := t.TempDir() + "/shapes"
+	damaged := []byte("RWSHAPES no longer")
+	write(t, path, damaged)
+	addr, _ := pgEngine(t, func(pgCall) []byte { return pgRows("a") })
+	g := newGateway(t, nil)
+	s := withShapes(t, g, shape.Settings{Snapshot: path, Every: time.Hour})
+	if n := g.stats.Get("shapes.snapshot-unusable"); n != 1 {
+		t.Errorf("%d snapshots found unusable, want 1", n)
+	}
+	if got := read(t, path+".unusable"); got != string(damaged) {
+		t.Errorf("put aside: %q", got)
+	}
+	g.postgres(addr)
+	k := connect(t, g.addr)
+	for i := range 5 {
+		k.send(query(fmt.Sprintf("SELECT part FROM stock_4.parts WHERE id = %d", i)))
+		k.until('Z')
+	}
+	g.do(s.Save)
+	for g.count("shapes.snapshots") == 0 {
+	}
+	snap, err := shape.ReadSnapshot(path)
+	if err != nil || len(snap.Shapes) != 1 || snap.Shapes[0].Entry.Seen != 5 {
+		t.Errorf("%+v, %v", snap, err)
+	}
+}
+
+func write(t *testing.T, path string, b []byte) {
+	t.Helper()
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func read(t *testing.T, path string) string {
+	t.Helper()
+	b, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
