--- a/cmd/ringlab/shapes.go
+++ b/cmd/ringlab/shapes.go
@@ -174,8 +174,9 @@
 	Clients  int    `default:"8" help:"Connections."`
 	Requests int    `default:"40000" help:"Of each round."`
 	Rounds   int    `default:"5" help:"Pairs of rounds, without and with."`
+	Prepared bool   `help:"Statements are prepared once and bound again, in place of a Query each."`
 	Seed     uint64 `default:"1" help:"Of the statements."`
-	Out      string `placeholder:"FOLDER" help:"Keep table, figures and chart there, as shapes-cost.*."`
+	Out      string `placeholder:"FOLDER" help:"Keep table, figures and chart there, as shapes-cost-query.* or shapes-cost-prepared.*."`
 }
 
 func (c *costCommand) Run() error {
@@ -193,7 +194,7 @@
 		}
 	}
 	without, with, err := shapes.Cost(ctx, shapes.CostOptions{
-		Root: ".", Program: program, Clients: c.Clients, Requests: c.Requests, Rounds: c.Rounds, Seed: c.Seed,
+		Root: ".", Program: program, Clients: c.Clients, Requests: c.Requests, Rounds: c.Rounds, Seed: c.Seed, Prepared: c.Prepared,
 	})
 	if err != nil {
 		return err
@@ -221,5 +222,9 @@
 	}
 	slices.Sort(ratios)
 	t.Add("with / without, by pairs", fmt.Sprintf("%.3f (%.3f to %.3f)", stat.Quantile(0.5, stat.Empirical, ratios, nil), ratios[0], ratios[len(ratios)-1]), "", "")
-	return keep(c.Out, "shapes-cost", &t, &raw, chart.SVG)
+	name := "shapes-cost-query"
+	if c.Prepared {
+		name = "shapes-cost-prepared"
+	}
+	return keep(c.Out, name, &t, &raw, chart.SVG)
 }
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -62,6 +62,9 @@
 	case c.busy:
 		c.over = append(c.over, r)
 	default:
+		if _, ok := c.requests[r.query]; ok && c.learner != nil && r.Note != nil {
+			c.learner.Over(r)
+		}
 		delete(c.requests, r.query)
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -91,6 +91,8 @@
 type Learner interface {
 	Served(r *Request, rep Report, elapsed time.Duration)
 	GivenUp(r *Request, elapsed time.Duration)
+	// Over tells that nothing more will be heard of a request: its Note is free.
+	Over(r *Request)
 }
 
 // Report is what came with the end of an attempt.
--- a/internal/decide/shape/shape.go
+++ b/internal/decide/shape/shape.go
@@ -62,6 +62,21 @@
 // settled is how many until errors on values like these say no more than its own.
 const settled = 10
 
+// The prior serves shapes and values that are new, and learning costs it some microseconds:
+// it takes each of the first executions of a shape, and a share of the others.
+const (
+	priorEach  = 24
+	priorShare = 16
+)
+
+// wellKnown is how often a bucket must have run until its own record and the hint say all,
+// and until no more than a share of its executions is learned from, as long as these go on
+// as expected. Most traffic is of such shapes; the rest of the machinery is for others.
+const (
+	wellKnown  = 200
+	learnShare = 4
+)
+
 // mostBuckets bounds the profiles that one shape keeps apart.
 const mostBuckets = 8
 
@@ -93,6 +108,11 @@
 	Known    int     // place of the class that is already known, or -1
 	Hint     float64 // the client's estimate of the work; 0: none
 	HintMB   float64 // and of the memory
+
+	// What Estimate worked out, for Learn: an execution is read once.
+	x    vector
+	read bool
+	said Estimate
 }
 
 // Voice is one part of an estimate.
@@ -182,11 +202,15 @@
 	return q.Profile.Bucket()
 }
 
-func (m *Model) vector(q *Query) vector {
-	if m.cfg.NoParameters {
-		return features(q.Features, &sqltext.Profile{}, q.Known)
+func (m *Model) vector(q *Query) *vector {
+	if !q.read {
+		p := &q.Profile
+		if m.cfg.NoParameters {
+			p = &sqltext.Profile{}
+		}
+		q.x, q.read = features(q.Features, p, q.Known), true
 	}
-	return features(q.Features, &q.Profile, q.Known)
+	return &q.x
 }
 
 // find is the bucket of the profile, or nil.
@@ -223,6 +247,11 @@
 // Estimate tells what to expect of an execution. It changes nothing but the class that
 // the bucket holds on to.
 func (m *Model) Estimate(q *Query) Estimate {
+	q.said = m.estimate(q)
+	return q.said
+}
+
+func (m *Model) estimate(q *Query) Estimate {
 	est := Estimate{Class: -1}
 	var b *Bucket
 	if q.Entry != nil {
@@ -231,10 +260,10 @@
 	if b != nil {
 		est.Record = voice(&b.Work, 0)
 	}
+	known := b != nil && b.Work.N >= wellKnown
 	unusual := 0.0
-	if !m.cfg.NoPrior && m.prior.ready() {
-		x := m.vector(q)
-		y := m.prior.predict(&x)
+	if !known && !m.cfg.NoPrior && m.prior.ready() {
+		y := m.prior.predict(m.vector(q))
 		est.Prior = voice(&m.prior.Track, y)
 		if q.Entry != nil && q.Entry.Offset.N >= 2 {
 			est.Prior = voice(&q.Entry.Offset, y)
@@ -275,8 +304,10 @@
 			hint = &alike.Hint
 		}
 	}
-	prior.widen(&est.Prior, unusual)
-	hint.widen(&est.Hint, unusual)
+	if !known {
+		prior.widen(&est.Prior, unusual)
+		hint.widen(&est.Hint, unusual)
+	}
 	mid, variance, ok := combine(&est.Record, &est.Like, &est.Prior, &est.Hint)
 	if !ok {
 		return est
@@ -391,16 +422,24 @@
 	if !(t.Work >= leastWork && t.Work <= mostWork) {
 		return
 	}
+	if e != nil && e.Seen%learnShare != 0 {
+		if b := e.find(m.bucketKey(q)); b != nil && b.Work.N >= wellKnown && b.Work.Run > -2 && b.Work.Run < 2 {
+			return
+		}
+	}
 	y := math.Log2(t.Work)
-	before := m.Estimate(q)
+	before := q.said
+	if !before.Known {
+		before = m.estimate(q)
+	}
 	if t.AtLeast && before.Known && before.Work >= t.Work {
 		return
 	}
 	x := m.vector(q)
 	if e != nil {
-		m.learnAlike(q, &x, y, before.Record.N < likeUntil, forget)
+		m.learnAlike(q, x, y, before.Record.N < likeUntil, forget)
 		if m.prior.ready() {
-			says := m.prior.predict(&x)
+			says := m.prior.predict(x)
 			e.Offset.Add(y-says, forget)
 			e.Usual.Add(says, forget)
 		}
@@ -412,7 +451,9 @@
 			b.Memory.Add(math.Log2(t.MemoryMB), forget)
 		}
 	}
-	m.prior.learn(&x, y, forget)
+	if e == nil || e.Seen < priorEach || e.Seen%priorShare == 0 {
+		m.prior.learn(x, y, forget)
+	}
 	common := m.common(q.Known)
 	if q.Hint >= leastWork && q.Hint <= mostWork {
 		d := y - math.Log2(q.Hint)
--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -328,8 +328,9 @@
 	if !utf8.Valid(c.body) || bytes.IndexByte(c.body, 0) >= 0 {
 		return bad("the statement is no text in UTF-8")
 	}
+	text := string(c.body)
 	r := &core.Request{
-		ID: id, Class: name, Statement: string(c.body), Repeat: c.head["req-retry"] == "1", Client: k,
+		ID: id, Class: name, Statement: text, Repeat: c.head["req-retry"] == "1", Client: k,
 		Deadline: f.core.Now() + config.FromMS(wait),
 	}
 	var cost float64
@@ -354,11 +355,9 @@
 		}
 	}
 	if s := f.opts.Shapes; s != nil {
-		st := s.Read(string(c.body))
-		r.Set, _ = st.Group()
-		s.Expect(r, st, nil)
+		s.ExpectText(r, text)
 	} else {
-		r.Set, _ = sqltext.Group(string(c.body))
+		r.Set, _ = sqltext.Group(text)
 	}
 	k.request, k.good = r, true
 	f.ids[id] = struct{}{}
--- a/internal/lab/shapes/cost.go
+++ b/internal/lab/shapes/cost.go
@@ -28,6 +28,7 @@
 	Requests      int // a round
 	Rounds        int // pairs of one without and one with
 	Seed          uint64
+	Prepared      bool // statements are prepared once and bound again and again; else each is a Query with its values
 }
 
 // CostRound is the CPU time of the gateway's process a request, in microseconds, and the
@@ -40,7 +41,7 @@
 // Cost measures pairs of rounds, without shapes and with them, one after the other, each
 // with a gateway of its own between the same clients and emulated engines without work.
 func Cost(ctx context.Context, opts CostOptions) (without, with []CostRound, err error) {
-	texts := lookups(opts.Seed, 2000)
+	texts := lookups(opts.Seed, 2000, opts.Prepared)
 	for i := range 2 * opts.Rounds {
 		on := (i+i/2)%2 == 1 // off on, on off, off on: what drifts meets both
 		r, err := costRound(ctx, opts, texts, on)
@@ -56,19 +57,52 @@
 	return without, with, nil
 }
 
-// lookups are reading statements of the model, with their values written out.
-func lookups(seed uint64, n int) []string {
+// mostPrepared is how many statements a client keeps prepared.
+const mostPrepared = 200
+
+// lookups are reading statements of the model, with their values written out or bound.
+func lookups(seed uint64, n int, bound bool) []register.Asked {
 	w := register.New(register.Options{Seed: seed, Templates: 200}, n)
-	var texts []string
+	var texts []register.Asked
+	distinct := map[string]bool{}
 	for len(texts) < n {
-		if a := w.Next(); a.Class == "lookup" && len(a.Values) == 0 {
-			texts = append(texts, a.Statement)
+		a := w.Next()
+		if a.Class != "lookup" || (len(a.Values) > 0) != bound || bound && !distinct[a.Statement] && len(distinct) == mostPrepared {
+			continue
 		}
+		distinct[a.Statement] = true
+		texts = append(texts, a)
 	}
 	return texts
 }
 
-func costRound(ctx context.Context, opts CostOptions, texts []string, on bool) (res CostRound, err error) {
+// messages are what a client sends for one statement: a Query, or a Bind of a statement
+// that it prepares where it has not yet.
+func messages(out []byte, a *register.Asked, named map[string]string) []byte {
+	if len(a.Values) == 0 {
+		return pgproto.Append(out, 'Q', pgproto.Str(a.Statement))
+	}
+	name, ok := named[a.Statement]
+	if !ok {
+		name = fmt.Sprintf("s%d", len(named))
+		named[a.Statement] = name
+		types := append(binary.BigEndian.AppendUint16(nil, uint16(len(a.Types)/4)), a.Types...)
+		out = pgproto.Append(out, 'P', pgproto.Str(name), pgproto.Str(a.Statement), types)
+	}
+	body := binary.BigEndian.AppendUint16(nil, uint16(len(a.Formats)/2))
+	body = binary.BigEndian.AppendUint16(append(body, a.Formats...), uint16(len(a.Values)))
+	for _, v := range a.Values {
+		if v == nil {
+			body = append(body, pgproto.Int32(-1)...)
+			continue
+		}
+		body = append(append(body, pgproto.Int32(len(v))...), v...)
+	}
+	out = pgproto.Append(out, 'B', []byte{0}, pgproto.Str(name), append(body, 0, 0))
+	return pgproto.Append(pgproto.Append(out, 'E', []byte{0}, pgproto.Int32(0)), 'S')
+}
+
+func costRound(ctx context.Context, opts CostOptions, texts []register.Asked, on bool) (res CostRound, err error) {
 	dir, err := os.MkdirTemp("", "ringlab-cost-")
 	if err != nil {
 		return res, err
@@ -123,7 +157,7 @@
 
 // ask has clients send statements one after the other. Refusals are waited out at the
 // start, while no engine is known yet.
-func ask(ctx context.Context, addr string, texts []string, clients, requests int) error {
+func ask(ctx context.Context, addr string, texts []register.Asked, clients, requests int) error {
 	var wg sync.WaitGroup
 	errs := make(chan error, clients)
 	for i := range clients {
@@ -142,7 +176,7 @@
 	return all
 }
 
-func askOne(ctx context.Context, addr string, texts []string, from, requests int) error {
+func askOne(ctx context.Context, addr string, texts []register.Asked, from, requests int) error {
 	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return err
@@ -159,8 +193,9 @@
 		return err
 	}
 	var out []byte
+	named := map[string]string{}
 	for done := 0; done < requests; {
-		out = pgproto.Append(out[:0], 'Q', pgproto.Str(texts[(from+done)%len(texts)]))
+		out = messages(out[:0], &texts[(from+done)%len(texts)], named)
 		if _, err := c.Write(out); err != nil {
 			return err
 		}
--- a/internal/shape/service.go
+++ b/internal/shape/service.go
@@ -37,6 +37,36 @@
 	stats   *stats.Counters
 	log     *slog.Logger
 	writing bool
+
+	corrected int64
+	free      []*Execution // to be used again
+}
+
+// mostFree bounds the executions that are kept to be used again; as many requests are
+// seldom open at once, and the collector has the others.
+const mostFree = 512
+
+// execution is one to be filled.
+func (s *Service) execution() *Execution {
+	if n := len(s.free); n > 0 {
+		x := s.free[n-1]
+		s.free = s.free[:n-1]
+		return x
+	}
+	return &Execution{}
+}
+
+// Over takes a request's execution back.
+func (s *Service) Over(r *core.Request) {
+	x, ok := r.Note.(*Execution)
+	if !ok {
+		return
+	}
+	r.Note = nil
+	if len(s.free) < mostFree {
+		*x = Execution{}
+		s.free = append(s.free, x)
+	}
 }
 
 // NewService returns a service that goes on from the snapshot, where there is one. One
@@ -113,6 +143,18 @@
 // Expect estimates a request of a class that is already known, and puts the estimate into
 // it where the settings say so.
 func (s *Service) Expect(r *core.Request, st *Statement, binds *sqltext.Binds) {
+	s.expect(r, s.execution(), st, binds)
+}
+
+// ExpectText reads a text for one request of a class that is already known.
+func (s *Service) ExpectText(r *core.Request, text string) {
+	x := s.execution()
+	s.book.readInto(&x.own, text)
+	r.Set, _ = x.own.Group()
+	s.expect(r, x, &x.own, nil)
+}
+
+func (s *Service) expect(r *core.Request, x *Execution, st *Statement, binds *sqltext.Binds) {
 	place, ok := s.places[r.Class]
 	if !ok {
 		place = -1
@@ -122,7 +164,8 @@
 	if !s.set.WorkTold {
 		threads = s.threads[r.Class]
 	}
-	s.put(r, s.book.Estimate(st, binds, place, hint), threads)
+	s.book.estimate(x, st, binds, place, hint)
+	s.put(r, x, threads)
 }
 
 func (s *Service) put(r *core.Request, x *Execution, threads float64) {
@@ -130,7 +173,7 @@
 	if !s.set.Correct || !x.Estimate.Known {
 		return
 	}
-	s.stats.Add("shapes.corrected." + r.Class)
+	s.corrected++
 	r.Work = time.Duration(x.Estimate.Work * threads * float64(time.Millisecond))
 	if x.Estimate.MemoryMB > 0 {
 		r.MemoryMB = x.Estimate.MemoryMB
@@ -139,7 +182,8 @@
 
 // Sort finds the class of a reading statement that nobody has named one for.
 func (s *Service) Sort(st *Statement, binds *sqltext.Binds) (class policy.Class, x *Execution, ok bool) {
-	x = s.book.Estimate(st, binds, -1, Hint{})
+	x = s.execution()
+	s.book.estimate(x, st, binds, -1, Hint{})
 	if x.Estimate.Class < 0 {
 		return policy.Class{}, x, false
 	}
@@ -177,6 +221,7 @@
 
 // Count writes the service's own figures among the counters.
 func (s *Service) Count() {
+	s.stats.Set("shapes.corrected", s.corrected)
 	s.stats.Set("shapes.held", int64(s.book.Len()))
 	s.stats.Set("shapes.bytes", int64(s.book.Bytes()))
 	s.stats.Set("shapes.hits", int64(s.book.Stats.Hits))
--- a/internal/shape/shape.go
+++ b/internal/shape/shape.go
@@ -80,6 +80,7 @@
 // Execution is one execution whose cost is awaited.
 type Execution struct {
 	statement *Statement
+	own       Statement // where the text is read for this execution alone
 	query     decide.Query
 	kept      *Kept
 	Estimate  decide.Estimate
@@ -91,10 +92,16 @@
 // Estimate tells what to expect of an execution. known is the place of its class where
 // that is decided already, else -1. binds may be nil.
 func (b *Book) Estimate(s *Statement, binds *sqltext.Binds, known int, hint Hint) *Execution {
+	x := &Execution{}
+	b.estimate(x, s, binds, known, hint)
+	return x
+}
+
+func (b *Book) estimate(x *Execution, s *Statement, binds *sqltext.Binds, known int, hint Hint) {
 	if binds == nil {
 		binds = &noBinds
 	}
-	x := &Execution{statement: s}
+	x.statement = s
 	x.query = decide.Query{
 		Features: &s.reading.Features, Profile: s.reading.Profile(s.text, binds, b.keys),
 		Known: known, Hint: hint.Work, HintMB: hint.MemoryMB,
@@ -106,7 +113,6 @@
 		b.Stats.Misses++
 	}
 	x.Estimate = b.model.Estimate(&x.query)
-	return x
 }
 
 var noBinds sqltext.Binds
--- a/internal/shape/shape_test.go
+++ b/internal/shape/shape_test.go
@@ -134,3 +134,24 @@
 		}
 	})
 }
+
+// What one request costs in all: read, estimated and learned.
+func BenchmarkRequest(b *testing.B) {
+	book, err := New(Options{Bytes: 2 << 20})
+	if err != nil {
+		b.Fatal(err)
+	}
+	texts := make([]string, 200)
+	for i := range texts {
+		texts[i] = fmt.Sprintf("SELECT part, c%d FROM stock_%d.stock WHERE part = 'p-%05d'", i%40, i%30, i)
+	}
+	for i := range 20000 {
+		book.Learn(book.Estimate(book.Read(texts[i%200]), nil, -1, Hint{Work: 50}), decide.Truth{Work: 100 + float64(i%7)})
+	}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		book.Learn(book.Estimate(book.Read(texts[i%200]), nil, -1, Hint{Work: 50}), decide.Truth{Work: 100 + float64(i%7)})
+	}
+}
--- a/internal/sqltext/profile.go
+++ b/internal/sqltext/profile.go
@@ -40,7 +40,8 @@
 	Types   []byte   // object ids of four bytes each, as Parse or an engine tells them; may be short
 }
 
-func (b *Binds) value(n int) (v []byte, binaryForm, ok bool) {
+func (b *Binds) value(param int32) (v []byte, binaryForm, ok bool) {
+	n := int(param)
 	if n < 1 || n > len(b.Values) {
 		return nil, false, false
 	}
@@ -53,7 +54,8 @@
 	return b.Values[n-1], binaryForm, true
 }
 
-func (b *Binds) oid(n int) uint32 {
+func (b *Binds) oid(param int32) uint32 {
+	n := int(param)
 	if n < 1 || len(b.Types) < 4*n {
 		return 0
 	}
@@ -74,7 +76,7 @@
 
 // Profile reads what the values tell: those in the text, and those bound.
 func (r *Reading) Profile(stmt string, b *Binds, seed uint64) Profile {
-	p := Profile{Rows: r.Features.Rows}
+	p := Profile{Rows: int(r.Features.Rows)}
 	var low, high [MostSlots]float64
 	var lows, highs [MostSlots]uint32
 	nl, nh := 0, 0
@@ -102,7 +104,7 @@
 				p.Key = keyHash(text, v, bin, b.oid(s.Param), seed)
 			}
 		case RoleList:
-			n := s.Count
+			n := int(s.Count)
 			switch {
 			case s.Param > 0 && known:
 				n = arrayLen(v, bin)
@@ -170,7 +172,7 @@
 }
 
 // guarded tells whether a null in the parameter switches its restriction off.
-func (r *Reading) guarded(param int) bool {
+func (r *Reading) guarded(param int32) bool {
 	for i := range r.Slots {
 		if r.Slots[i].Param == param && r.Slots[i].Guard {
 			return true
--- a/internal/sqltext/shape.go
+++ b/internal/sqltext/shape.go
@@ -22,10 +22,10 @@
 	Role   Role
 	Guard  bool   // the statement asks whether it is null, as in $1 IS NULL OR a = $1
 	Column uint32 // hash of the name that it is compared with; 0: none
-	Param  int    // its number from 1; 0: a literal, which stands at From
-	From   int
-	To     int
-	Count  int // of alternatives in a list that is written out
+	Param  int32  // its number from 1; 0: a literal, which stands at From
+	From   int32
+	To     int32
+	Count  int32 // of alternatives in a list that is written out
 }
 
 // MostSlots bounds the values of one statement that are looked at; of the others only
@@ -34,17 +34,17 @@
 
 // Features are what the words of a statement tell of its work.
 type Features struct {
-	Verb       byte // s: it selects; i, u, d, m: it writes so; e: EXPLAIN; 0: something else
-	Tables     int  // names behind FROM and JOIN
-	Joins      int
-	Aggregates int // calls of aggregate functions
-	Windows    int
-	Groups     int // GROUP BY
-	Sorts      int // ORDER BY
-	Distincts  int
-	Selects    int // SELECT, those of subqueries and unions among them
-	Rows       int // of VALUES
-	Values     int // literals and parameters
+	Verb       byte  // s: it selects; i, u, d, m: it writes so; e: EXPLAIN; 0: something else
+	Tables     int32 // names behind FROM and JOIN
+	Joins      int32
+	Aggregates int32 // calls of aggregate functions
+	Windows    int32
+	Groups     int32 // GROUP BY
+	Sorts      int32 // ORDER BY
+	Distincts  int32
+	Selects    int32 // SELECT, those of subqueries and unions among them
+	Rows       int32 // of VALUES
+	Values     int32 // literals and parameters
 	Where      bool
 	Limited    bool
 }
@@ -123,6 +123,7 @@
 	elem  int  // start of the element being read
 	count int
 	slot  int // that counts its alternatives; -1: none
+	plain int // values of the first row, where it holds nothing else; 0: it does
 }
 
 // mostLists is how deep lists are folded within each other.
@@ -353,7 +354,7 @@
 	case wArray:
 	case wIs:
 		for i := range p.slots {
-			if s := &p.r.slots[i]; p.param > 0 && s.Param == p.param {
+			if s := &p.r.slots[i]; p.param > 0 && s.Param == int32(p.param) {
 				s.Guard = true
 			}
 		}
@@ -410,9 +411,9 @@
 	}
 	s := Slot{Role: role, Guard: guard, Column: p.compared, Count: 1}
 	if t.Kind == Param {
-		s.Param = p.param
-	} else if s.From, s.To = t.Start, t.End; at > 0 {
-		s.From = p.signAt
+		s.Param = int32(p.param)
+	} else if s.From, s.To = int32(t.Start), int32(t.End); at > 0 {
+		s.From = int32(p.signAt)
 	}
 	p.r.slots[p.slots] = s
 	p.slots++
@@ -553,7 +554,10 @@
 	case p.depth > c.depth:
 	case t.Kind == Comma:
 		p.element(c)
-		if !c.rows && c.first == 1 && p.norm[c.start] == '?' {
+		switch {
+		case c.rows && c.plain > 0:
+			p.skipRows(c)
+		case !c.rows && c.first == 1 && p.norm[c.start] == '?':
 			p.skipElements(c)
 		}
 		c.elem = len(p.norm)
@@ -581,12 +585,57 @@
 	}
 }
 
+// plainRow is the number of values of a row that is nothing but values: (?, ?, ?).
+func plainRow(b []byte) int {
+	const one = "(?, ?, "
+	if len(b) < 3 || len(b)%3 != 0 || b[0] != '(' || b[len(b)-1] != ')' {
+		return 0
+	}
+	for i := 1; i < len(b)-1; i++ {
+		if b[i] != one[1+(i-1)%3] {
+			return 0
+		}
+	}
+	return len(b) / 3
+}
+
+// skipRows passes rows of plain values, as the first one is, but for the last.
+func (p *pass) skipRows(c *listContext) {
+	for {
+		next := p.l
+		if next.Next().Kind != Open {
+			return
+		}
+		for n := 1; ; n++ {
+			if k := next.Next().Kind; k != String && k != Number {
+				return
+			}
+			k := next.Next().Kind
+			if k == Close && n == c.plain {
+				break
+			}
+			if k != Comma || n >= c.plain {
+				return
+			}
+		}
+		if next.Next().Kind != Comma {
+			return
+		}
+		p.out.Features.Values += int32(c.plain)
+		c.count++
+		p.l = next
+	}
+}
+
 // element ends an element: one that repeats the first is left out.
 func (p *pass) element(c *listContext) {
 	c.count++
 	switch {
 	case c.first < 0:
 		c.first = len(p.norm) - c.start
+		if c.rows {
+			c.plain = plainRow(trimElement(p.norm[c.start:]))
+		}
 	case sameElement(p.norm[c.elem:], p.norm[c.start:c.start+c.first]):
 		p.norm = p.norm[:c.elem]
 	}
@@ -620,9 +669,9 @@
 		c := &p.r.lists[p.open-1]
 		p.element(c)
 		if c.rows {
-			p.out.Features.Rows += c.count
+			p.out.Features.Rows += int32(c.count)
 		} else if c.slot >= 0 {
-			p.r.slots[c.slot].Count = c.count
+			p.r.slots[c.slot].Count = int32(c.count)
 		}
 		p.open--
 		p.pending = RoleOther
--- a/internal/sqltext/shape_test.go
+++ b/internal/sqltext/shape_test.go
@@ -149,7 +149,7 @@
 			t.Fatalf("%d bytes of normal form for %d", len(out.Norm), len(stmt))
 		}
 		for _, s := range out.Slots {
-			if s.From < 0 || s.To < s.From || s.To > len(stmt) || s.Count < 0 {
+			if s.From < 0 || s.To < s.From || int(s.To) > len(stmt) || s.Count < 0 {
 				t.Fatalf("slot %+v of %d bytes", s, len(stmt))
 			}
 		}
