--- a/internal/front/pgwire/class.go
+++ b/internal/front/pgwire/class.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"gannetspur/internal/pgproto"
+	"gannetspur/internal/shape"
 	"gannetspur/internal/sqltext"
 	"gannetspur/policy"
 )
@@ -30,7 +31,7 @@
 // these before the default. What the statement may do goes before all three: one that
 // may write is never given a class that is safe to repeat. Unless it is a keyed load it
 // has the class for writes, of which one attempt is made.
-func (f *Front) sort(query string) (sorted, *pgproto.Error) {
+func (f *Front) sort(query string, read *shape.Statement) (sorted, *pgproto.Error) {
 	name, key, readOnly, named := f.opts.DefaultClass, 0, false, false
 	for _, r := range f.opts.Rules {
 		if sqltext.Begins(query, r.Starts) {
@@ -60,7 +61,12 @@
 	if class.Effect != policy.Safe {
 		return sorted{class: class, key: key}, nil
 	}
-	effect := sqltext.EffectOf(query, f.opts.ReadOnly)
+	var effect sqltext.Verdict
+	if read != nil {
+		effect = read.Effect()
+	} else {
+		effect = sqltext.EffectOf(query, f.opts.ReadOnly)
+	}
 	if effect.Effect == sqltext.Reads || effect.Effect == sqltext.Untold && readOnly {
 		return sorted{class: class, key: key, shape: !named}, nil
 	}
@@ -104,8 +110,14 @@
 }
 
 // check refuses what is not supported, and tells whether the text is empty.
-func check(query string) (empty bool, e *pgproto.Error) {
-	word, more := sqltext.FirstWord(query)
+func check(query string, read *shape.Statement) (empty bool, e *pgproto.Error) {
+	var word string
+	var more bool
+	if read != nil {
+		word, more = strings.ToUpper(read.First()), read.Several()
+	} else {
+		word, more = sqltext.FirstWord(query)
+	}
 	switch {
 	case more:
 		return false, fail("0A000", "only one statement at a time is supported")
--- a/internal/front/pgwire/extended.go
+++ b/internal/front/pgwire/extended.go
@@ -39,18 +39,20 @@
 }
 
 func (k *conn) prepare(query string, types []byte) (*statement, *pgproto.Error) {
-	empty, e := check(query)
+	var read *shape.Statement
+	if shapes := k.front.opts.Shapes; shapes != nil {
+		read = shapes.Read(query, k.front.opts.ReadOnly)
+	}
+	empty, e := check(query, read)
 	if e != nil {
 		return nil, e
 	}
 	s := &statement{query: query, types: bytes.Clone(types), empty: empty}
 	if !empty {
-		if s.sorted, e = k.front.sort(query); e != nil {
+		if s.sorted, e = k.front.sort(query, read); e != nil {
 			return nil, e
 		}
-		if shapes := k.front.opts.Shapes; shapes != nil {
-			s.read = shapes.Read(query)
-		}
+		s.read = read
 	}
 	return s, nil
 }
--- a/internal/shape/service.go
+++ b/internal/shape/service.go
@@ -137,8 +137,12 @@
 	}()
 }
 
-// Read reads a statement.
-func (s *Service) Read(text string) *Statement { return s.book.Read(text) }
+// Read reads a statement. more are functions that the operators know to read only.
+func (s *Service) Read(text string, more sqltext.Functions) *Statement {
+	s.book.reader.Judge, s.book.reader.Functions = true, more
+	defer func() { s.book.reader.Judge = false }()
+	return s.book.Read(text)
+}
 
 // Expect estimates a request of a class that is already known, and puts the estimate into
 // it where the settings say so.
--- a/internal/shape/shape.go
+++ b/internal/shape/shape.go
@@ -74,6 +74,12 @@
 	s.reading.Norm = nil
 }
 
+// Effect is what the statement may do, First its first word ("(" for what is none) and
+// Several whether a second statement follows, as sqltext tells.
+func (s *Statement) Effect() sqltext.Verdict { return s.reading.Effect }
+func (s *Statement) First() string           { return s.reading.First }
+func (s *Statement) Several() bool           { return s.reading.Several }
+
 // Group is the statement's group of tables.
 func (s *Statement) Group() (int64, bool) { return s.reading.Group, s.reading.Grouped }
 
--- a/internal/sqltext/effect.go
+++ b/internal/sqltext/effect.go
@@ -51,13 +51,16 @@
 	r := effectReader{more: more}
 	for t := l.Next(); t.Kind != End; t = l.Next() {
 		r.token(&l, t)
-		if r.worst.Why != "" && r.worst.Effect == Writes {
+		if r.sure() {
 			return r.worst
 		}
 	}
 	return r.verdict(&l)
 }
 
+// sure tells that nothing more can change the verdict.
+func (r *effectReader) sure() bool { return r.worst.Why != "" && r.worst.Effect == Writes }
+
 // effectReader judges a run of tokens.
 type effectReader struct {
 	more  Functions
--- a/internal/sqltext/effect_test.go
+++ b/internal/sqltext/effect_test.go
@@ -78,9 +78,15 @@
 		"SELECT substring(a FROM 1 FOR 3), position('a' IN b) FROM t":                                   Reads,
 		"SELECT percentile_cont(0.5) WITHIN GROUP (ORDER BY a) FROM t GROUP BY GROUPING SETS ((a), ())": Reads,
 	} {
-		if got := EffectOf(stmt, more); got.Effect != want {
+		got := EffectOf(stmt, more)
+		if got.Effect != want {
 			t.Errorf("%s: %v (%v), want %v", stmt, got.Effect, got, want)
 		}
+		r := NewReader()
+		r.Judge, r.Functions = true, more
+		if also := r.Read(stmt).Effect; also != got {
+			t.Errorf("%s: %v on the way, %v by itself", stmt, also, got)
+		}
 	}
 }
 
--- a/internal/sqltext/shape.go
+++ b/internal/sqltext/shape.go
@@ -66,6 +66,11 @@
 	Group    int64
 	Grouped  bool
 	Flaws    Flaw
+	// Effect is what EffectOf says, First and Several what FirstWord does, read on the way
+	// where the Reader judges. Else Effect is Untold, the most cautious.
+	Effect  Verdict
+	First   string // as it stands in the text; "(" for what is no word
+	Several bool
 	// Restrictions counts the comparisons of a name with a value, which can narrow what
 	// is read. Open: one is written so that it holds for all rows (NULL IS NULL OR).
 	Restrictions int
@@ -75,12 +80,19 @@
 // Reader reads statements. It allocates while its buffer grows and not after; it is
 // for one goroutine.
 type Reader struct {
+	// Judge has the effect read too. Functions are known to read only, beside
+	// PostgreSQL's own.
+	Judge     bool
+	Functions Functions
+
 	seeds [2]maphash.Seed
 	long  [2]maphash.Hash // of what was cut off
 	norm  []byte
 	slots [MostSlots]Slot
 	lists [mostLists]listContext
-	out   Reading
+	// Apart from the pass, which is cleared for each statement.
+	effect effectReader
+	out    Reading
 }
 
 // NewReader returns a reader whose fingerprints are its own.
@@ -137,9 +149,21 @@
 	r.norm = r.norm[:0]
 	r.out = Reading{}
 	p := pass{l: Lexer{Src: stmt}, r: r, out: &r.out, norm: r.norm}
+	if r.Judge {
+		r.effect = effectReader{more: r.Functions}
+	}
 	for t := p.l.Next(); t.Kind != End; t = p.l.Next() {
+		if r.Judge {
+			p.first(t)
+			if !r.effect.sure() {
+				r.effect.token(&p.l, t)
+			}
+		}
 		p.token(t)
 	}
+	if r.Judge {
+		r.out.Effect = r.effect.verdict(&p.l)
+	}
 	p.endLists(-1)
 	p.finish()
 	for i, seed := range r.seeds {
@@ -182,6 +206,23 @@
 	interval bool   // the last token is the word interval
 
 	open int // lists that are open, of the Reader's
+
+	ended bool // a statement was ended by a semicolon
+}
+
+// first finds the first word, and whether a second statement follows.
+func (p *pass) first(t Token) {
+	switch {
+	case t.Kind == Semicolon:
+		p.ended = p.out.First != ""
+	case p.ended:
+		p.out.Several = true
+	case p.out.First != "":
+	case t.Kind == Ident:
+		p.out.First = p.l.Text(t)
+	default:
+		p.out.First = "("
+	}
 }
 
 // token takes one token into the normal form, the slots and the features.
--- a/internal/sqltext/shape_test.go
+++ b/internal/sqltext/shape_test.go
@@ -144,7 +144,15 @@
 	f.Add("ARRAY[IN(ARRAY[IN(1,(2,-", []byte{9})
 	f.Fuzz(func(t *testing.T, stmt string, v []byte) {
 		r := NewReader()
+		r.Judge = true
 		out := r.Read(stmt)
+		if want := EffectOf(stmt, nil); out.Effect != want {
+			t.Fatalf("%q: %v on the way, %v by itself", stmt, out.Effect, want)
+		}
+		first, several := FirstWord(stmt)
+		if strings.ToUpper(out.First) != first || out.Several != several {
+			t.Fatalf("%q: first %q, several %v; by itself %q, %v", stmt, out.First, out.Several, first, several)
+		}
 		if len(out.Norm) > 2*len(stmt)+16 {
 			t.Fatalf("%d bytes of normal form for %d", len(out.Norm), len(stmt))
 		}
