--- a/cmd/ringwood/shapes.go
+++ b/cmd/ringwood/shapes.go
@@ -62,13 +62,14 @@
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	reader := sqltext.NewReader()
+	reader.Judge, reader.Functions = true, readers
 	r := reader.Read(c.SQL)
 	fmt.Fprintf(w, "tokens\t%s\n", tokens(c.SQL))
 	fmt.Fprintf(w, "shape\t%s\n", r.Norm)
 	if r.Grouped {
 		fmt.Fprintf(w, "group\t%d\n", r.Group)
 	}
-	fmt.Fprintf(w, "may do\t%v (%v)\n", sqltext.EffectOf(c.SQL, readers).Effect, sqltext.EffectOf(c.SQL, readers))
+	fmt.Fprintf(w, "may do\t%v (%v)\n", r.Effect.Effect, r.Effect)
 	fmt.Fprintf(w, "features\t%+v\n", r.Features)
 	p := r.Profile(c.SQL, &binds, 0)
 	fmt.Fprintf(w, "profile\t%s\n", profile(&p))
@@ -80,7 +81,7 @@
 		if e.MemoryMB > 0 {
 			fmt.Fprintf(w, "memory\t%.3g MB\n", e.MemoryMB)
 		}
-		if sqltext.EffectOf(c.SQL, readers).Effect == sqltext.Reads && e.Class >= 0 {
+		if r.Effect.Effect == sqltext.Reads && e.Class >= 0 {
 			fmt.Fprintf(w, "class\t%s\n", cfg.Classes[e.Class].Name)
 		}
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -89,13 +89,9 @@
 	k := &checker{file: path, locate: func(field string) int { return jsonLine(raw, field) }}
 	var f file
 	if err := json.Unmarshal(raw, &f); err != nil {
-		field, what, ok := strings.Cut(fieldError(err).Error(), ": ")
-		if !ok || strings.Contains(field, " ") {
-			field, what = "", fieldError(err).Error()
-		} else if f.Settings != nil || !strings.HasPrefix(field, "known") {
-			if line := jsonLine(raw, "settings."+field); line > jsonLine(raw, "settings") {
-				field = "settings." + field
-			}
+		field, what := splitField(err)
+		if line := jsonLine(raw, "settings."+field); field != "" && line > jsonLine(raw, "settings") {
+			field = "settings." + field
 		}
 		k.add(field, "%s", what)
 		var syntax *json.SyntaxError
@@ -157,13 +153,19 @@
 	if err == nil {
 		return true
 	}
-	what := fieldError(err).Error()
-	field, rest, ok := strings.Cut(what, ": ")
+	field, what := splitField(err)
+	c.add(field, "%s", what)
+	return false
+}
+
+// splitField parts the field that an error of JSON names from what is wrong with it.
+func splitField(err error) (field, what string) {
+	text := fieldError(err).Error()
+	field, what, ok := strings.Cut(text, ": ")
 	if !ok || strings.Contains(field, " ") {
-		field, rest = "", what
+		return "", text
 	}
-	c.add(field, "%s", rest)
-	return false
+	return field, what
 }
 
 // checkAddr tells what is wrong with an address of the form host:port.
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -21,7 +21,7 @@
 	c.stats.Add("ended." + end.String())
 	// Of what may have run and is not safe to repeat, the word of an attempt that never
 	// ran says nothing: it must not stand for the one in doubt.
-	if !a.neverRan || rep.Detail != nil && !c.doubt(r) {
+	if !a.neverRan || rep.Detail != nil && !c.Doubt(r) {
 		r.detail = rep.Detail
 	}
 	if c.learner != nil && r.Note != nil {
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -39,7 +39,7 @@
 		return
 	}
 	a.Late = a.Verdict != Served && c.clock.Now() >= r.Deadline-c.round
-	a.Doubt = c.doubt(r)
+	a.Doubt = c.Doubt(r)
 	a.Sent, a.Detail = len(r.tries) > 0, r.detail
 	c.stats.Add("answered." + a.Verdict.String() + "." + r.Class)
 	if a.Late {
@@ -51,9 +51,7 @@
 }
 
 // Doubt tells whether a request that is open may have run and is not safe to repeat.
-func (c *Core) Doubt(r *Request) bool { return c.doubt(r) }
-
-func (c *Core) doubt(r *Request) bool {
+func (c *Core) Doubt(r *Request) bool {
 	return c.classes[r.Class].Effect != policy.Safe &&
 		slices.ContainsFunc(r.tries, func(a *Attempt) bool { return !a.neverRan })
 }
--- a/internal/lab/shapes/cost.go
+++ b/internal/lab/shapes/cost.go
@@ -151,7 +151,7 @@
 	}
 	res.CPU = float64((after - before).Microseconds()) / float64(opts.Requests)
 	res.Rate = float64(opts.Requests) / took.Seconds()
-	res.KB = residentKB(g.Process.Pid)
+	res.KB = resident(strconv.Itoa(g.Process.Pid)) >> 10
 	return res, nil
 }
 
@@ -255,15 +255,3 @@
 	const tick = 10 * time.Millisecond // USER_HZ is 100 on all that Go runs on
 	return time.Duration(user+system) * tick, errors.Join(err1, err2)
 }
-
-func residentKB(pid int) int {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
-	if err != nil {
-		return 0
-	}
-	if f := strings.Fields(string(b)); len(f) > 1 {
-		n, _ := strconv.Atoi(f[1])
-		return n * os.Getpagesize() >> 10
-	}
-	return 0
-}
--- a/internal/lab/shapes/flood.go
+++ b/internal/lab/shapes/flood.go
@@ -80,7 +80,7 @@
 	res.Held, res.Counted = book.Len(), book.Bytes()
 	res.HeapBytes = heap() - before
 	debug.FreeOSMemory()
-	res.RSSBytes = rss()
+	res.RSSBytes = resident("self")
 	runtime.KeepAlive(book)
 	return res, nil
 }
@@ -98,9 +98,9 @@
 	return int(m.HeapAlloc)
 }
 
-// rss is the resident memory of this process.
-func rss() int {
-	b, err := os.ReadFile("/proc/self/statm")
+// resident is the resident memory of a process in bytes, from proc(5); 0: not known.
+func resident(pid string) int {
+	b, err := os.ReadFile("/proc/" + pid + "/statm")
 	if err != nil {
 		return 0
 	}
--- a/internal/sqltext/effect.go
+++ b/internal/sqltext/effect.go
@@ -253,7 +253,7 @@
 	}
 	if qualified {
 		schema := bare(l.Text(r.schema))
-		if !same2(schema, "pg_catalog") {
+		if !equal(schema, "pg_catalog") {
 			full := schema + "." + name
 			if r.more.has(full) {
 				return
@@ -267,8 +267,6 @@
 	}
 }
 
-func same2(s, small string) bool { return len(s) == len(small) && same(s, small) }
-
 func (r *effectReader) verdict(l *Lexer) Verdict {
 	switch {
 	case r.worst.Why != "":
--- a/internal/sqltext/profile.go
+++ b/internal/sqltext/profile.go
@@ -133,7 +133,7 @@
 			}
 		case RolePattern:
 			if s.Param > 0 {
-				text = string2(v)
+				text = string(v[:min(len(v), mostPattern)])
 			} else {
 				text = unquote(text)
 			}
@@ -213,13 +213,8 @@
 	return min(uint32(bits.Len64(uint64(x))), most)
 }
 
-// string2 views bytes as text without a copy where the compiler can; patterns are short.
-func string2(b []byte) string {
-	if len(b) > 64 {
-		b = b[:64]
-	}
-	return string(b)
-}
+// mostPattern is how much of a bound pattern is looked at for its first wildcard.
+const mostPattern = 64
 
 // unquote takes the marks of a string off; doubled quotes stay as they are.
 func unquote(s string) string {
--- a/internal/sqltext/shape.go
+++ b/internal/sqltext/shape.go
@@ -360,7 +360,7 @@
 			}
 		}
 	}
-	if p.pending != RoleOther && (same2(text, "date") || same2(text, "timestamptz")) {
+	if p.pending != RoleOther && (equal(text, "date") || equal(text, "timestamptz")) {
 		return // the type of a literal to come
 	}
 	p.pending = RoleOther
@@ -757,17 +757,17 @@
 func aggregate(s string) bool {
 	switch s[0] | 0x20 {
 	case 'c':
-		return same2(s, "count")
+		return equal(s, "count")
 	case 's':
-		return same2(s, "sum") || same2(s, "string_agg") || same2(s, "stddev")
+		return equal(s, "sum") || equal(s, "string_agg") || equal(s, "stddev")
 	case 'm':
-		return same2(s, "max") || same2(s, "min")
+		return equal(s, "max") || equal(s, "min")
 	case 'a':
-		return same2(s, "avg") || same2(s, "array_agg")
+		return equal(s, "avg") || equal(s, "array_agg")
 	case 'j':
-		return same2(s, "json_agg") || same2(s, "jsonb_agg")
+		return equal(s, "json_agg") || equal(s, "jsonb_agg")
 	case 'v':
-		return same2(s, "variance")
+		return equal(s, "variance")
 	}
 	return false
 }
--- a/internal/sqltext/words.go
+++ b/internal/sqltext/words.go
@@ -19,7 +19,8 @@
 	reader
 )
 
-// word is a key word's number; 0: none.
+// word is a key word's number; 0: none. A word has one also where no reader asks for it
+// by name, as the normal form sets a space behind any that has.
 type word uint8
 
 const (
@@ -174,6 +175,9 @@
 	}
 }
 
+// equal is same for texts whose lengths may differ.
+func equal(s, small string) bool { return len(s) == len(small) && same(s, small) }
+
 // same compares a text without regard to case with one in small letters.
 func same(s, small string) bool {
 	for i := range len(small) {
