--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,6 +7,8 @@
 
 import (
 	"log/slog"
+	"slices"
+	"strings"
 	"time"
 
 	"gannetspur/internal/deadline"
@@ -52,6 +54,9 @@
 	Repeat    bool
 	Client    Client
 	Note      any // the front's own, for the Learner
+	// Prior is when another process, which has died, first sent the request to an engine;
+	// 0: none did. It may have run since.
+	Prior time.Duration
 
 	query    uint64
 	tries    []*Attempt
@@ -104,13 +109,22 @@
 	Detail   any // of an error, for fronts of the same wire
 }
 
+// Left is what is known of a request that a process which has died left behind, beside its
+// bytes.
+type Left struct {
+	Came   time.Duration // when its last byte came, or a little later
+	Sent   time.Duration // when it first went to an engine; 0: never
+	Settle bool          // it may not go out any more: Settle, not Take
+}
+
 // Core is the front end without its wires.
 type Core struct {
 	gateway *policy.Gateway
 	clock   Clock
 	timers  *deadline.Queue
 	links   Links
-	learner Learner // nil: nobody
+	learner Learner                       // nil: nobody
+	sending func(*Request, time.Duration) // hears of first sends before they are made; may be nil
 	stats   *stats.Counters
 	log     *slog.Logger
 	round   time.Duration
@@ -148,6 +162,34 @@
 // SetLearner names who hears what requests have cost.
 func (c *Core) SetLearner(l Learner) { c.learner = l }
 
+// SetSending names who hears of each request's first send, with its time, before it is made:
+// whoever must be able to tell later that it may have run.
+func (c *Core) SetSending(f func(r *Request, at time.Duration)) { c.sending = f }
+
+// Known is what the core knows beside its requests, to be handed to another of the same
+// settings.
+type Known struct {
+	Engines []Engine
+	Learned policy.Learned
+}
+
+// Known is a copy of what the core knows.
+func (c *Core) Known() Known {
+	k := Known{Learned: c.gateway.Learned()}
+	for _, e := range c.engines {
+		k.Engines = append(k.Engines, e)
+	}
+	slices.SortFunc(k.Engines, func(a, b Engine) int { return strings.Compare(a.ID, b.ID) })
+	return k
+}
+
+// Learn takes what another core knows, in place of the roster so far. No request may have
+// been taken yet.
+func (c *Core) Learn(k Known) {
+	c.gateway.Learn(c.clock.Now(), k.Learned)
+	c.Roster(policy.ListFull, k.Engines)
+}
+
 // Class looks a class up by name.
 func (c *Core) Class(name string) (policy.Class, bool) {
 	class, ok := c.classes[name]
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -40,7 +40,7 @@
 	}
 	a.Late = a.Verdict != Served && c.clock.Now() >= r.Deadline-c.round
 	a.Doubt = c.Doubt(r)
-	a.Sent, a.Detail = len(r.tries) > 0, r.detail
+	a.Sent, a.Detail = r.Prior > 0 || len(r.tries) > 0, r.detail
 	c.stats.Add("answered." + a.Verdict.String() + "." + r.Class)
 	if a.Late {
 		c.stats.Add("answered-late." + r.Class)
@@ -53,7 +53,7 @@
 // Doubt tells whether a request that is open may have run and is not safe to repeat.
 func (c *Core) Doubt(r *Request) bool {
 	return c.classes[r.Class].Effect != policy.Safe &&
-		slices.ContainsFunc(r.tries, func(a *Attempt) bool { return !a.neverRan })
+		(r.Prior > 0 || slices.ContainsFunc(r.tries, func(a *Attempt) bool { return !a.neverRan }))
 }
 
 // FailAll gives every open request its final answer. For the very end of a stop,
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -31,6 +31,9 @@
 		c.links.Drop(a)
 		c.End(a, EndTimeout, Report{})
 	})
+	if c.sending != nil && a.n == 0 {
+		c.sending(r, a.Sent)
+	}
 	c.links.Send(a)
 }
 
@@ -42,6 +45,9 @@
 	if class.Effect != policy.Keyed {
 		return 0
 	}
+	if r.Prior > 0 {
+		return max(r.Prior+class.Window-windowMargin, 1)
+	}
 	for _, a := range r.tries {
 		if !a.neverRan {
 			return max(a.Sent+class.Window-windowMargin, 1)
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -3,13 +3,24 @@
 // Take accepts a request whose last byte has come. From here on one final answer
 // is owed. The answer may be given before Take returns.
 func (c *Core) Take(r *Request) {
+	c.enter(r)
+	c.admit(r)
+}
+
+// Settle takes a request that a process which has died left behind, and that may not go out
+// any more. Its client is told so at once.
+func (c *Core) Settle(r *Request) {
+	c.enter(r)
+	c.final(r.query, Answer{Verdict: Failed})
+}
+
+func (c *Core) enter(r *Request) {
 	c.last++
 	r.query = c.last // the client's own id may come twice
 	r.priority = 1
 	c.requests[r.query] = r
 	c.unended++
 	c.stats.Add("taken." + r.Class)
-	c.admit(r)
 }
 
 // Gone tells that the client has stopped waiting: nothing is owed any more.
@@ -27,3 +38,18 @@
 	r.answered = true
 	c.unended--
 }
+
+// TakeLeft takes a request whose bytes may come from a process that has died: left is what
+// is known of that, or nil.
+func (c *Core) TakeLeft(r *Request, left *Left) {
+	switch {
+	case left == nil:
+		c.Take(r)
+	case left.Settle:
+		r.Prior = left.Sent
+		c.Settle(r)
+	default:
+		r.Prior = left.Sent
+		c.Take(r)
+	}
+}
--- a/internal/decide/handover/handover.go
+++ b/internal/decide/handover/handover.go
@@ -16,7 +16,9 @@
 //
 // So no acknowledgement is needed: a connection belongs to the new process from the moment
 // the old one has sent it, and never to both. Requests in flight stay where they are until
-// they are answered; their connection is moved then.
+// they are answered; their connection is moved then. Until the new process is the owner for
+// good the old one goes on accepting and hands each connection over at once, so that there
+// is none that it does not hold a duplicate of.
 package handover
 
 import "time"
@@ -29,7 +31,7 @@
 	Idle      Phase = iota // no upgrade
 	Greeting               // the new process was started, and has not said what it is
 	Warming                // it takes what is known, and has not said that it is ready
-	Probation              // it accepts and serves; everything can still be taken back
+	Probation              // it serves; everything can still be taken back
 	Finishing              // it is the owner for good; what is in flight here ends here
 	Returning              // it is being ended; nothing is taken back before it is dead
 	Gone                   // nothing is left here
@@ -92,6 +94,7 @@
 	Window    time.Duration // in which engines drop a repeat, of Keyed
 	Deadline  time.Duration // when its client gives up
 	Answering int           // length of the answer that is being written; 0: none yet
+	Kept      bool          // the record holds that answer
 }
 
 // Recovery is what becomes of a request whose process died.
@@ -104,6 +107,7 @@
 	TellDoubt                 // it may have run and may not be repeated: its client is told so at once
 	TellLate                  // its time is over
 	Break                     // a part of its answer was written: the connection ends, so that its client can tell
+	SendRest                  // its answer is known: what was not written of it is written
 )
 
 // margin is kept to the end of a key's window, for the way to the engine.
@@ -118,6 +122,8 @@
 		return Nothing
 	case r.Answering > 0 && written >= r.Answering:
 		return Nothing
+	case r.Answering > 0 && r.Kept:
+		return SendRest
 	case written > 0:
 		return Break
 	case now >= r.Deadline:
--- a/internal/decide/handover/model_test.go
+++ b/internal/decide/handover/model_test.go
@@ -150,6 +150,9 @@
 	case TellDoubt, TellLate:
 		c.answers++
 		c.at = 'd'
+	case SendRest:
+		c.answers++
+		c.at = 'd'
 	case SendAgain:
 		w.run(c)
 		c.answers++
@@ -193,7 +196,7 @@
 	}
 	r := Request{Open: true, Effect: w.conns[i].effect, Window: 5 * limit, Deadline: 100 * limit, Sent: stage >= 2}
 	if stage >= 4 {
-		r.Answering = 1
+		r.Answering, r.Kept = 1, true
 	}
 	w.toOld = append(w.toOld, Recorded{ConnID(i), r})
 }
--- a/internal/decide/handover/new.go
+++ b/internal/decide/handover/new.go
@@ -7,7 +7,7 @@
 	version Version
 	taking  bool // it takes what is known
 	warm    bool // and has taken it
-	going   bool // it accepts
+	going   bool // it serves what it is given
 	owner   bool // for good
 	orphan  bool // the old process is dead
 }
@@ -18,7 +18,7 @@
 // Owner tells whether the process is the owner for good.
 func (n *New) Owner() bool { return n.owner }
 
-// Serving tells whether the process accepts and serves.
+// Serving tells whether the process serves what it is given.
 func (n *New) Serving() bool { return n.going }
 
 // Inputs of the new process.
@@ -29,7 +29,7 @@
 	// State is what the old process knows; Warm tells that it was taken.
 	State struct{}
 	Warm  struct{}
-	// Go tells it to accept.
+	// Go tells it to serve what it is given from here on.
 	Go struct{}
 	// Given is a connection with its state.
 	Given struct{ Conn ConnID }
@@ -75,16 +75,12 @@
 		}
 		return []any{SendReady{}}
 	case Go:
-		if n.warm && !n.going {
-			n.going = true
-			return []any{StartAccepting{}}
-		}
+		n.going = n.going || n.warm
 	case Given:
 		return []any{Adopt(in)}
 	case Commit:
 		if n.going && !n.owner {
-			n.owner = true
-			return []any{StopRecording{}}
+			return n.own()
 		}
 	case Ended:
 		n.orphan = true
@@ -95,12 +91,9 @@
 	return nil
 }
 
-// own makes the process the owner: the old one died, and what was given is its own.
+// own makes the process the owner: it was told so, or the old one died and what was given is
+// its own.
 func (n *New) own() []any {
-	n.owner = true
-	if n.going {
-		return []any{StopRecording{}}
-	}
-	n.going = true
+	n.owner, n.going = true, true
 	return []any{StopRecording{}, StartAccepting{}}
 }
--- a/internal/decide/handover/old.go
+++ b/internal/decide/handover/old.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -8,7 +9,7 @@
 // holding is what the old process has of a connection.
 type holding struct {
 	id      ConnID
-	theirs  bool // it was sent, or accepted there; a duplicate of its descriptor is kept
+	theirs  bool // it was sent; a duplicate of its descriptor is kept
 	busy    bool // mine: a request is in flight, or a part of a message was read or is to be written
 	request Request
 }
@@ -39,7 +40,7 @@
 	Upgrade struct{}
 	// Stop asks for a planned stop.
 	Stop struct{}
-	// Accepted tells of a new connection here.
+	// Accepted tells of a new connection here. Numbers rise.
 	Accepted struct{ Conn ConnID }
 	// Busy tells that a connection here can't be moved, Free that it can.
 	Busy struct{ Conn ConnID }
@@ -66,8 +67,6 @@
 	Ready struct{}
 	// Alive says that it lives, and how its answers were since the last.
 	Alive struct{ Good, Bad int }
-	// TheyAccepted brings the duplicate of a connection that it accepted.
-	TheyAccepted struct{ Conn ConnID }
 	// Recorded is its record of the request of a connection.
 	Recorded struct {
 		Conn    ConnID
@@ -113,16 +112,21 @@
 func (o *Old) enter(p Phase, now time.Duration) { o.phase, o.since = p, now }
 
 func (o *Old) find(id ConnID) *holding {
-	for i := range o.conns {
-		if o.conns[i].id == id {
-			return &o.conns[i]
-		}
+	if i, ok := o.at(id); ok {
+		return &o.conns[i]
 	}
 	return nil
 }
 
+// at is the place of a connection: they are in order, as their numbers only rise.
+func (o *Old) at(id ConnID) (int, bool) {
+	return slices.BinarySearchFunc(o.conns, id, func(h holding, id ConnID) int { return cmp.Compare(h.id, id) })
+}
+
 func (o *Old) drop(id ConnID) {
-	o.conns = slices.DeleteFunc(o.conns, func(h holding) bool { return h.id == id })
+	if i, ok := o.at(id); ok {
+		o.conns = slices.Delete(o.conns, i, i+1)
+	}
 }
 
 // Step takes one input and returns what to do, in order.
@@ -182,12 +186,6 @@
 func (o *Old) message(now time.Duration, in any) []any {
 	o.heard = now
 	switch in := in.(type) {
-	case TheyAccepted:
-		if o.phase == Probation || o.phase == Returning {
-			o.conns = append(o.conns, holding{id: in.Conn, theirs: true})
-		} else {
-			return []any{Forget(in)}
-		}
 	case Recorded:
 		if h := o.find(in.Conn); h != nil && h.theirs {
 			h.request = in.Request
@@ -224,14 +222,14 @@
 	return nil
 }
 
-// hand begins the transfer: from here on the new process accepts, and every connection
-// that is free goes over.
+// hand begins the transfer: every connection that is free goes over, and so does each that
+// is accepted from here on.
 func (o *Old) hand(now time.Duration) []any {
 	o.enter(Probation, now)
-	out := []any{StopAccepting{}, SendGo{}}
-	for _, h := range o.conns {
-		if !h.busy {
-			out = append(out, o.give(h.id)...)
+	out := []any{SendGo{}}
+	for i := range o.conns {
+		if !o.conns[i].busy {
+			out = append(out, o.give(o.conns[i].id)...)
 		}
 	}
 	return out
@@ -257,7 +255,7 @@
 		return o.fail(now, "none of its answers was good")
 	}
 	o.enter(Finishing, now)
-	out := []any{SendCommit{}}
+	out := []any{StopAccepting{}, SendCommit{}}
 	for _, h := range o.conns {
 		if h.theirs {
 			out = append(out, Forget{h.id})
@@ -303,15 +301,19 @@
 	return []any{Kill{}}
 }
 
-// died takes everything back, whenever the new process died before it was the owner.
+// died takes everything back, whenever the new process died before it was the owner. One
+// that dies later leaves what it still has: while this process lives, it serves again.
 func (o *Old) died(now time.Duration) []any {
-	if o.phase == Idle || o.phase == Finishing || o.phase == Gone {
+	switch o.phase {
+	case Idle, Gone:
 		return nil
-	}
-	if o.phase != Returning {
+	case Finishing:
+		o.enter(Idle, now)
+		return []any{StartAccepting{}, Report{"it died after it was the owner; what it had was lost"}}
+	case Returning:
+	default:
 		o.why = "it died"
 	}
-	accepting := o.phase == Greeting || o.phase == Warming
 	o.enter(Idle, now)
 	var out []any
 	for i := range o.conns {
@@ -320,9 +322,6 @@
 			h.theirs, h.busy, h.request = false, h.request.Open, Request{}
 		}
 	}
-	if !accepting {
-		out = append(out, StartAccepting{})
-	}
 	out = append(out, Report{o.why})
 	if o.stop {
 		out = append(out, BeginStop{})
--- a/internal/front/pgwire/extended.go
+++ b/internal/front/pgwire/extended.go
@@ -19,7 +19,7 @@
 func (k *conn) parse(body []byte) *pgproto.Error {
 	r := pgproto.Reader{B: body}
 	name, query := r.Str(), r.Str()
-	types := r.B
+	types := bytes.Clone(r.B) // the statement keeps them
 	if r.Bytes(4 * r.Count()); !r.End() {
 		return malformed("Parse")
 	}
@@ -29,7 +29,7 @@
 	if len(k.statements) >= maxNamed {
 		return fail("54000", "more than %d prepared statements", maxNamed)
 	}
-	s, e := k.prepare(query, types)
+	s, e := k.prepare(query, types, false)
 	if e != nil {
 		return e
 	}
@@ -38,16 +38,21 @@
 	return nil
 }
 
-func (k *conn) prepare(query string, types []byte) (*statement, *pgproto.Error) {
+// prepare reads a statement; once tells that it runs no more than one time.
+func (k *conn) prepare(query string, types []byte, once bool) (*statement, *pgproto.Error) {
 	var read *shape.Statement
-	if shapes := k.front.opts.Shapes; shapes != nil {
+	switch shapes := k.front.opts.Shapes; {
+	case shapes == nil:
+	case once:
+		read = shapes.ReadOnce(query, k.front.opts.ReadOnly)
+	default:
 		read = shapes.Read(query, k.front.opts.ReadOnly)
 	}
 	empty, e := check(query, read)
 	if e != nil {
 		return nil, e
 	}
-	s := &statement{query: query, types: bytes.Clone(types), empty: empty}
+	s := &statement{query: query, types: types, empty: empty}
 	if !empty {
 		if s.sorted, e = k.front.sort(query, read); e != nil {
 			return nil, e
@@ -320,6 +325,10 @@
 	return nil
 }
 
+// noTypes and noValues are what a Query has of a Parse and a Bind: counts of zero. Nobody
+// writes to them.
+var noTypes, noValues = make([]byte, 2), make([]byte, 6)
+
 // query answers a Query of one statement.
 func (k *conn) query(body []byte) *pgproto.Error {
 	k.simple = true
@@ -331,7 +340,7 @@
 	if done, e := k.setting(query); done || e != nil {
 		return e
 	}
-	s, e := k.prepare(query, []byte{0, 0})
+	s, e := k.prepare(query, noTypes, true)
 	if e != nil {
 		return e
 	}
@@ -344,7 +353,7 @@
 	if _, e = keyOf(s.sorted, nil); e != nil {
 		return e
 	}
-	want := &pgproto.Statement{Query: query, Types: []byte{0, 0}, Bind: make([]byte, 6)}
+	want := &pgproto.Statement{Query: query, Types: noTypes, Bind: noValues}
 	k.ask(s, want, "", nil, func(res *pgproto.Result) {
 		if res.Fields != nil {
 			k.rowDescription(res.Fields)
@@ -358,7 +367,11 @@
 
 // setting carries out the one SET that is this gateway's own.
 func (k *conn) setting(query string) (done bool, e *pgproto.Error) {
-	words := strings.Fields(strings.ReplaceAll(strings.TrimRight(sqltext.SkipComments(query), "; \t\r\n"), "=", " = "))
+	text := sqltext.SkipComments(query)
+	if len(text) < 3 || !strings.EqualFold(text[:3], "SET") { // nearly all
+		return false, nil
+	}
+	words := strings.Fields(strings.ReplaceAll(strings.TrimRight(text, "; \t\r\n"), "=", " = "))
 	if len(words) > 1 && strings.EqualFold(words[1], "SESSION") {
 		words = append(words[:1], words[2:]...)
 	}
@@ -404,9 +417,13 @@
 	if k.timeout > 0 {
 		wait = k.timeout
 	}
+	left, came := k.left, f.core.Now()
+	if k.left = nil; left != nil && left.Came > 0 {
+		came = left.Came
+	}
 	r := &core.Request{
 		ID: fmt.Sprintf("pg%d", k.process), Class: class.Name, Token: token, Statement: want,
-		Deadline: f.core.Now() + wait, Client: k,
+		Deadline: came + wait, Client: k,
 	}
 	switch {
 	case s.read == nil || f.opts.Shapes == nil:
@@ -428,7 +445,7 @@
 		}
 		k.failed(answerError(a))
 	}
-	f.core.Take(r)
+	f.core.TakeLeft(r, left)
 }
 
 // Answer takes the core's final answer.
--- a/internal/front/pgwire/front.go
+++ b/internal/front/pgwire/front.go
@@ -9,7 +9,6 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"net"
 	"slices"
 	"strconv"
 	"strings"
@@ -59,11 +58,13 @@
 	core     *core.Core
 	opts     Options
 	stats    *stats.Counters
-	listener net.Listener
+	listener *netio.Listener
 	conns    map[uint32]*conn // by the process number that each was told
 	last     uint32
 	held     int // bytes of rows in open portals
 	draining bool
+	accepted func(*netio.Conn)
+	stray    func([]byte)
 }
 
 // New returns a front that puts its requests to the core.
@@ -79,18 +80,7 @@
 	if most > 0 {
 		most += spareClients
 	}
-	ln, err := f.loop.Listen(addr, maxBuffer, most, func(c *netio.Conn) netio.Handler {
-		f.stats.Add("pgwire.connections")
-		f.last++
-		k := &conn{front: f, conn: c, process: f.last, statements: map[string]*statement{}, portals: map[string]*portal{}}
-		f.conns[k.process] = k
-		f.loop.Timers.Add(f.loop.Now()+startupMost, func() {
-			if !k.started && !k.ended {
-				c.Close()
-			}
-		})
-		return k
-	})
+	ln, err := f.loop.Listen(addr, maxBuffer, most, f.accept)
 	if err != nil {
 		return fmt.Errorf("listen for PostgreSQL clients: %w", err)
 	}
@@ -98,6 +88,40 @@
 	return nil
 }
 
+// ListenOn accepts from a listener that another process opened.
+func (f *Front) ListenOn(ln *netio.Listener) {
+	most := f.opts.MostClients
+	if most > 0 {
+		most += spareClients
+	}
+	f.listener = f.loop.Serve(ln, maxBuffer, most, f.accept)
+}
+
+// Listener is where it accepts.
+func (f *Front) Listener() *netio.Listener { return f.listener }
+
+func (f *Front) accept(c *netio.Conn) netio.Handler {
+	f.stats.Add("pgwire.connections")
+	f.last++
+	k := f.enter(c, f.last)
+	if f.accepted != nil {
+		f.accepted(c)
+	}
+	return k
+}
+
+// enter makes a connection that has not started.
+func (f *Front) enter(c *netio.Conn, process uint32) *conn {
+	k := &conn{front: f, conn: c, process: process, statements: map[string]*statement{}, portals: map[string]*portal{}}
+	f.conns[k.process] = k
+	f.loop.Timers.Add(f.loop.Now()+startupMost, func() {
+		if !k.started && !k.ended {
+			c.Close()
+		}
+	})
+	return k
+}
+
 // SetOptions changes the options, for statements prepared and clients that connect
 // from now on.
 func (f *Front) SetOptions(opts Options) {
@@ -168,6 +192,8 @@
 	stall      *deadline.Entry // ends a connection in the middle of a message
 	request    *core.Request
 	then       func(core.Answer)
+	ending     bool       // its last words are being written
+	left       *core.Left // of the request that comes first, where a process that died had it
 }
 
 // Data reads messages until one waits for its answer.
@@ -205,6 +231,7 @@
 		})
 	}
 	k.conn.Hold(k.request != nil)
+	k.left = nil
 	k.flush()
 }
 
@@ -236,6 +263,7 @@
 		return
 	}
 	e.Severity = "FATAL"
+	k.ending = true
 	k.out = pgproto.Append(k.out, 'E', e.Body())
 	k.flush()
 	k.ended = true
@@ -250,7 +278,7 @@
 	}
 	switch {
 	case code == pgproto.SSLReq || code == pgproto.GSSReq:
-		k.conn.Write([]byte{'N'})
+		k.out = append(k.out, 'N')
 	case code == pgproto.CancelReq:
 		k.front.cancel(body)
 		k.ended = true
@@ -373,6 +401,9 @@
 		return
 	}
 	k := f.conns[binary.BigEndian.Uint32(body)]
+	if k == nil && f.stray != nil {
+		f.stray(append([]byte(nil), body...))
+	}
 	if k == nil || k.request == nil || subtle.ConstantTimeCompare(k.secret[:], body[4:]) != 1 {
 		return
 	}
@@ -438,6 +469,9 @@
 	if err != nil || n == 0 {
 		return 0, err
 	}
+	if k.conn.Journaled() {
+		k.flush() // before this message is consumed: what is written stands for those before it alone
+	}
 	if k.describe {
 		if again := k.described(kind, body); again { // this message comes again after the description
 			return 0, nil
--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -60,7 +59,7 @@
 	stats *stats.Counters
 	boot  string // tells paths of this start from those of others
 
-	listener net.Listener
+	listener *netio.Listener
 	conns    map[*conn]struct{}
 	ids      map[string]struct{} // of open requests
 	held     map[string]*held
@@ -68,6 +67,8 @@
 	seq      uint64
 	draining bool
 	crowded  bool // makeRoom comes again
+	accepted func(*netio.Conn)
+	shared   func([]byte)
 }
 
 // held is a result of more than one page that the client has not fetched whole.
@@ -96,16 +97,7 @@
 
 // Listen accepts at the address.
 func (f *Front) Listen(addr string) error {
-	ln, err := f.loop.Listen(addr, maxCall, f.opts.MostClients+spareClients, func(c *netio.Conn) netio.Handler {
-		f.stats.Add("rest.connections")
-		k := &conn{front: f, conn: c, used: f.loop.Now()}
-		f.conns[k] = struct{}{}
-		if len(f.conns) > f.opts.MostClients {
-			f.makeRoom()
-		}
-		k.await()
-		return k
-	})
+	ln, err := f.loop.Listen(addr, maxCall, f.opts.MostClients+spareClients, f.accept)
 	if err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
 	}
@@ -114,6 +106,29 @@
 	return nil
 }
 
+// ListenOn accepts from a listener that another process opened.
+func (f *Front) ListenOn(ln *netio.Listener) {
+	f.listener = f.loop.Serve(ln, maxCall, f.opts.MostClients+spareClients, f.accept)
+	f.sweepIdle()
+}
+
+// Listener is where it accepts.
+func (f *Front) Listener() *netio.Listener { return f.listener }
+
+func (f *Front) accept(c *netio.Conn) netio.Handler {
+	f.stats.Add("rest.connections")
+	k := &conn{front: f, conn: c, used: f.loop.Now()}
+	f.conns[k] = struct{}{}
+	if len(f.conns) > f.opts.MostClients {
+		f.makeRoom()
+	}
+	k.await()
+	if f.accepted != nil {
+		f.accepted(c)
+	}
+	return k
+}
+
 func (f *Front) sweepIdle() {
 	now := f.loop.Now()
 	for k := range f.conns {
@@ -197,6 +212,7 @@
 	good    bool            // it has made a good call
 	due     *deadline.Entry // by when its call must be whole
 	further bool            // its latest answer named a further part
+	left    *core.Left      // of the call that comes first, where a process that died had it
 	close   bool            // after the answer
 	ended   bool            // nothing more is read
 }
@@ -222,9 +238,10 @@
 		k.due.Stop()
 		k.due = nil
 		k.close, k.further, k.used = c.close, false, k.front.loop.Now()
+		in.Consume(n) // before the call, whose bytes stay where they are: an answer at once stands behind it
 		k.call(c)
-		in.Consume(n)
 	}
+	k.left = nil
 	switch {
 	case k.ended:
 		in.Consume(in.Len())
@@ -331,7 +348,7 @@
 	text := string(c.body)
 	r := &core.Request{
 		ID: id, Class: name, Statement: text, Repeat: c.head["req-retry"] == "1", Client: k,
-		Deadline: f.core.Now() + config.FromMS(wait),
+		Deadline: k.came() + config.FromMS(wait),
 	}
 	var cost float64
 	for _, v := range []struct {
@@ -361,10 +378,20 @@
 	}
 	k.request, k.good = r, true
 	f.ids[id] = struct{}{}
-	f.core.Take(r)
+	left := k.left
+	k.left = nil
+	f.core.TakeLeft(r, left)
 	return nil
 }
 
+// came is when the call that is being read came.
+func (k *conn) came() time.Duration {
+	if k.left != nil && k.left.Came > 0 {
+		return k.left.Came
+	}
+	return k.front.core.Now()
+}
+
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func isToken(s string) bool {
@@ -409,10 +436,10 @@
 		return
 	}
 	f.seq++
-	path := fmt.Sprintf("/more/%s-%d", f.boot, f.seq)
-	f.held[path] = &held{pages: parts, size: size}
-	f.heldSize += size
-	f.loop.Timers.Add(r.Deadline+heldOver, func() { f.release(path) })
+	h := heldState{Path: fmt.Sprintf("/more/%s-%d", f.boot, f.seq), Parts: parts, Until: r.Deadline + heldOver}
+	f.hold(h)
+	f.share(h)
+	path := h.Path
 	k.further = true
 	k.write(200, 0, encode(parts[0], path+"/1"))
 }
--- a/internal/netio/buffer.go
+++ b/internal/netio/buffer.go
@@ -3,8 +3,9 @@
 // Buffer holds what was received and not yet parsed. It grows as needed and is
 // compacted in place, so that a connection needs no second one.
 type Buffer struct {
-	b    []byte
-	from int
+	b     []byte
+	from  int
+	taken int64 // bytes consumed of it in all
 }
 
 // Bytes is what has not been consumed. It is valid until the next call.
@@ -16,6 +17,7 @@
 // Consume drops the first n bytes.
 func (b *Buffer) Consume(n int) {
 	b.from += n
+	b.taken += int64(n)
 	if b.from < len(b.b) {
 		return
 	}
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -68,6 +69,7 @@
 	origin time.Time
 	unix   time.Duration
 	engine *nbio.Engine
+	polls  []int  // epoll descriptors of the process
 	buf    []byte // for reads from the loop
 	filled atomic.Int64
 
@@ -115,6 +117,7 @@
 	if err := l.engine.Start(); err != nil {
 		return nil, fmt.Errorf("start the poller: %w", err)
 	}
+	l.polls = pollers()
 	return l, nil
 }
 
@@ -122,6 +125,10 @@
 // system's at the start, and monotonic from there.
 func (l *Loop) Now() time.Duration { return l.unix + time.Since(l.origin) }
 
+// SetNow has the clock tell a moment, which must not lie before the present one: two
+// processes of one machine then share theirs.
+func (l *Loop) SetNow(now time.Duration) { l.origin, l.unix = time.Now(), max(now, l.Now()) }
+
 // Post has f called on the loop's goroutine. It may be called from anywhere.
 func (l *Loop) Post(f func()) {
 	l.mu.Lock()
@@ -178,14 +185,84 @@
 // Open is the number of open connections.
 func (l *Loop) Open() int { return len(l.open) }
 
+// Listener accepts connections for a loop. It can pause, with its socket open: who connects
+// meanwhile waits unaccepted.
+type Listener struct {
+	tcp    *net.TCPListener
+	mu     sync.Mutex
+	paused chan struct{} // closed to go on; nil: it accepts
+}
+
+// Addr is where it listens.
+func (l *Listener) Addr() net.Addr { return l.tcp.Addr() }
+
+// Close ends it.
+func (l *Listener) Close() error {
+	l.Resume()
+	return l.tcp.Close()
+}
+
+// File is a duplicate of its socket.
+func (l *Listener) File() (*os.File, error) { return l.tcp.File() }
+
+// Pause stops accepting.
+func (l *Listener) Pause() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.paused == nil {
+		l.paused = make(chan struct{})
+		_ = l.tcp.SetDeadline(time.Unix(1, 0)) // fails only once it is closed
+	}
+}
+
+// Resume accepts again.
+func (l *Listener) Resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.paused != nil {
+		_ = l.tcp.SetDeadline(time.Time{})
+		close(l.paused)
+		l.paused = nil
+	}
+}
+
+func (l *Listener) pausing() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.paused
+}
+
 // Listen accepts connections at the address until the returned listener is closed.
 // While most of them are open (0: no such limit) the next ones wait unaccepted.
 // Guards against clients that leave no descriptor for the engines.
-func (l *Loop) Listen(addr string, limit, most int, accept func(*Conn) Handler) (net.Listener, error) {
+func (l *Loop) Listen(addr string, limit, most int, accept func(*Conn) Handler) (*Listener, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
+	return l.Serve(&Listener{tcp: ln.(*net.TCPListener)}, limit, most, accept), nil // of "tcp"
+}
+
+// Inherited is a listener over a socket that another process opened; it accepts nothing
+// before Resume. It takes the file.
+func Inherited(f *os.File) (*Listener, error) {
+	defer f.Close()
+	ln, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("inherited listener: %w", err)
+	}
+	tcp, ok := ln.(*net.TCPListener)
+	if !ok {
+		_ = ln.Close()
+		return nil, fmt.Errorf("inherited listener: %s is no TCP address", ln.Addr())
+	}
+	in := &Listener{tcp: tcp}
+	in.Pause()
+	return in, nil
+}
+
+// Serve accepts from a listener as Listen does.
+func (l *Loop) Serve(ln *Listener, limit, most int, accept func(*Conn) Handler) *Listener {
 	room := make(chan struct{}, most)
 	done := func() {
 		if most > 0 {
@@ -194,13 +271,18 @@
 	}
 	go func() {
 		for {
+			if p := ln.pausing(); p != nil {
+				<-p
+			}
 			if most > 0 {
 				room <- struct{}{}
 			}
-			std, err := ln.Accept()
+			std, err := ln.tcp.Accept()
 			switch {
 			case errors.Is(err, net.ErrClosed):
 				return
+			case errors.Is(err, os.ErrDeadlineExceeded): // told to pause
+				done()
 			case err != nil:
 				done()
 				time.Sleep(acceptPause)
@@ -210,11 +292,11 @@
 					done()
 					continue
 				}
-				l.Post(func() { _, _ = l.adopt(nc, limit, accept, done) })
+				l.Post(func() { _, _ = l.adopt(nc, limit, nil, accept, done) })
 			}
 		}
 	}()
-	return ln, nil
+	return ln
 }
 
 // convert makes an accepted connection nbio's, for which it takes a second
@@ -238,10 +320,16 @@
 
 // adopt hands a connected socket to the poller. The function done is called once
 // the connection has ended.
-func (l *Loop) adopt(nc *nbio.Conn, limit int, accept func(*Conn) Handler, done func()) (*Conn, error) {
+func (l *Loop) adopt(nc *nbio.Conn, limit int, unread []byte, accept func(*Conn) Handler, done func()) (*Conn, error) {
 	c := new(Conn)
 	c.mu.Lock() // the poller goes through the same lock before it reads a field
 	c.loop, c.nc, c.limit, c.done = l, nc, limit, done
+	if len(unread) > 0 {
+		c.in.append(unread)
+		l.filled.Add(int64(len(unread)))
+		c.told = true
+		l.Post(c.data)
+	}
 	c.mu.Unlock()
 	c.handler = accept(c)
 	nc.SetSession(c)
@@ -274,7 +362,7 @@
 				done(nil, err)
 				return
 			}
-			done(l.adopt(nc, limit, func(*Conn) Handler { return h }, func() {}))
+			done(l.adopt(nc, limit, nil, func(*Conn) Handler { return h }, func() {}))
 		})
 	}()
 	return cancel
@@ -303,11 +391,15 @@
 	pending atomic.Int64 // bytes not yet written
 	waiting atomic.Bool  // the loop wants to know when there are none
 
-	mu     sync.Mutex
-	in     Buffer
-	told   bool // a call of Data is on its way
-	paused bool // there may be more to read, and no room
-	held   atomic.Bool
+	mu      sync.Mutex
+	journal Journal // nil: none
+	readAt  int64   // place of what is read next, while there is a journal
+	base    int64   // place of the buffer's first byte of all
+	wroteAt int64   // and of what is written next
+	in      Buffer
+	told    bool // a call of Data is on its way
+	paused  bool // there may be more to read, and no room
+	held    atomic.Bool
 }
 
 // read takes what the socket has until the buffer is full. It runs on the poller's
@@ -321,7 +413,13 @@
 			c.paused = true
 			break
 		}
-		n, err := c.nc.Read(buf)
+		var n int
+		var err error
+		if c.journal != nil {
+			n, err = c.peek(buf)
+		} else {
+			n, err = c.nc.Read(buf)
+		}
 		if n > 0 {
 			c.in.append(buf[:n])
 			got = true
@@ -390,6 +488,7 @@
 	}
 	c.over = true
 	delete(c.loop.open, c)
+	c.tellEnd()
 	c.mu.Lock()
 	c.loop.filled.Add(-int64(c.in.Len()))
 	c.in = Buffer{}
@@ -403,6 +502,10 @@
 	if c.over || c.closing || len(p) == 0 {
 		return
 	}
+	if c.journal != nil { // only the loop sets it
+		c.journal.Output(c, c.wroteAt, p)
+		c.wroteAt += int64(len(p))
+	}
 	c.pending.Add(int64(len(p)))
 	_, _ = c.nc.Write(p) // a failure closes the connection, and Closed tells
 }
@@ -458,6 +561,19 @@
 	c.loop.Timers.Add(c.loop.Now()+lingerBad, func() { _ = c.nc.Close() })
 }
 
+// tellEnd tells the journal that the connection is over.
+func (c *Conn) tellEnd() {
+	if j := c.journal; j != nil {
+		c.mu.Lock()
+		c.journal = nil
+		c.mu.Unlock()
+		j.Ended(c)
+	}
+}
+
+// Handler is who is told of the connection.
+func (c *Conn) Handler() Handler { return c.handler }
+
 // Abort ends the connection at once.
 func (c *Conn) Abort() { _ = c.nc.Close() }
 
--- a/internal/roster/bus/bus.go
+++ b/internal/roster/bus/bus.go
@@ -62,6 +62,9 @@
 	}
 }
 
+// Last is the number of the last event taken.
+func (f *Follower) Last() uint64 { return f.last }
+
 // Start connects, and again whenever the connection ends or falls silent.
 func (f *Follower) Start() {
 	f.tries++
--- a/internal/roster/consul/consul.go
+++ b/internal/roster/consul/consul.go
@@ -93,6 +93,14 @@
 	})
 }
 
+// Know takes what another follower has told: engines that the first lists lack are gone then.
+// It comes before Follow.
+func (f *Follower) Know(engines []core.Engine) {
+	for _, e := range engines {
+		f.known[e.ID] = e
+	}
+}
+
 // watch makes blocking queries on one path and has the news taken on the roster's
 // goroutine.
 func watch[T any](ctx context.Context, f *Follower, opts Options, path string, take func([]T)) {
--- a/internal/shape/service.go
+++ b/internal/shape/service.go
@@ -144,10 +144,30 @@
 	return s.book.Read(text)
 }
 
+// ReadOnce reads a statement of which there will be one execution, as of a Query: what is
+// read lies within that execution, so that it takes no memory of its own. It holds until
+// the core is through with the request.
+func (s *Service) ReadOnce(text string, more sqltext.Functions) *Statement {
+	s.book.reader.Judge, s.book.reader.Functions = true, more
+	defer func() { s.book.reader.Judge = false }()
+	x := s.execution()
+	s.book.readInto(&x.own, text)
+	x.own.once = x
+	return &x.own
+}
+
+// executionOf is an execution to be filled for a statement: its own where it has one.
+func (s *Service) executionOf(st *Statement) *Execution {
+	if st.once != nil {
+		return st.once
+	}
+	return s.execution()
+}
+
 // Expect estimates a request of a class that is already known, and puts the estimate into
 // it where the settings say so.
 func (s *Service) Expect(r *core.Request, st *Statement, binds *sqltext.Binds) {
-	s.expect(r, s.execution(), st, binds)
+	s.expect(r, s.executionOf(st), st, binds)
 }
 
 // ExpectText reads a text for one request of a class that is already known.
@@ -186,7 +206,7 @@
 
 // Sort finds the class of a reading statement that nobody has named one for.
 func (s *Service) Sort(st *Statement, binds *sqltext.Binds) (class policy.Class, x *Execution, ok bool) {
-	x = s.execution()
+	x = s.executionOf(st)
 	s.book.estimate(x, st, binds, -1, Hint{})
 	if x.Estimate.Class < 0 {
 		return policy.Class{}, x, false
--- a/internal/shape/shape.go
+++ b/internal/shape/shape.go
@@ -59,6 +59,7 @@
 	text    string
 	reading sqltext.Reading // its Norm is not kept
 	slots   [4]sqltext.Slot
+	once    *Execution // whose own it is; nil: there may be many
 }
 
 // Read reads a text. The statement holds on to it.
@@ -69,7 +70,7 @@
 }
 
 func (b *Book) readInto(s *Statement, text string) {
-	s.text, s.reading = text, *b.reader.Read(text)
+	s.text, s.reading, s.once = text, *b.reader.Read(text), nil
 	s.reading.Slots = append(s.slots[:0], s.reading.Slots...)
 	s.reading.Norm = nil
 }
--- /dev/null
+++ b/policy/snapshot_test.go
@@ -0,0 +1,75 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// What one gateway has learned is taken whole by another: its copy of it is the same, and
+// it chooses as the first would. Classes that it has no settings for are passed by.
+func TestLearned(t *testing.T) {
+	set := Settings{Gateways: 1, Round: 5 * time.Millisecond, LoadTold: true,
+		Classes: []Class{{Name: "lookup", Aim: time.Second, Deadline: 6 * time.Second, Worth: 1, Threads: 1, Effect: Safe}},
+		Kinds:   []Kind{{Name: "std", Cores: 8, MemoryMB: 1024}}, Limits: Limits{Tries: 3}}
+	one, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Hour
+	var out []Action
+	step := func(g *Gateway, ev Event) []Action {
+		now += 5 * time.Millisecond
+		out = g.Handle(now, ev, out[:0])
+		return out
+	}
+	step(one, Engines{Mode: ListFull, Engines: []Engine{{ID: "a", Kind: "std", State: EngineLive}, {ID: "b", Kind: "std", State: EngineLive}, {ID: "c", Kind: "std", State: EngineGone}}})
+	// One engine answers at once, the other breaks every connection.
+	for id := uint64(1); id < 200; id++ {
+		actions := append([]Action{}, step(one, Arrive{Query: id, Class: "lookup", Deadline: now + 6*time.Second})...)
+		for n := 0; len(actions) > 0; n++ {
+			var next []Action
+			for _, a := range actions {
+				if s, ok := a.(Send); ok {
+					res := Outcome{Query: id, Attempt: n, Result: Served, Final: true, Elapsed: 50 * time.Millisecond}
+					if s.Engine == "b" {
+						res = Outcome{Query: id, Attempt: n, Result: Lost, Elapsed: time.Millisecond}
+					}
+					next = append(next, step(one, res)...)
+				}
+			}
+			actions = next
+		}
+		step(one, Timer{})
+	}
+	l := one.Learned()
+	if len(l.Engines) != 2 || l.Engines[1].Faults == 0 {
+		t.Fatalf("learned: %+v", l.Engines)
+	}
+	l.Classes = append(l.Classes, LearnedClass{Name: "of another version"})
+	two, err := New(set, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	two.Learn(now, l)
+	if diff := cmp.Diff(one.Learned(), two.Learned()); diff != "" {
+		t.Errorf("what the second took (-first +second):\n%s", diff)
+	}
+	cold, _ := New(set, 2)
+	step(cold, Engines{Mode: ListFull, Engines: []Engine{{ID: "a", Kind: "std", State: EngineLive}, {ID: "b", Kind: "std", State: EngineLive}}})
+	sentTo := func(g *Gateway) (bad int) {
+		for id := uint64(1000); id < 1010; id++ {
+			for _, a := range step(g, Arrive{Query: id, Class: "lookup", Deadline: now + 6*time.Second}) {
+				if s, ok := a.(Send); ok && s.Engine == "b" {
+					bad++
+				}
+			}
+			step(g, Outcome{Query: id, Result: Served, Final: true, Elapsed: 50 * time.Millisecond})
+		}
+		return bad
+	}
+	if with, without := sentTo(two), sentTo(cold); with >= without || without == 0 {
+		t.Errorf("of ten, %d went to the faulty engine with what was learned, %d without", with, without)
+	}
+}
