--- a/cmd/ringlab/main.go
+++ b/cmd/ringlab/main.go
@@ -13,7 +13,10 @@
 type cli struct {
 	Traffic trafficCommand `cmd:"" help:"Recorded traffic: make it, look at it, sum it up."`
 	Shapes  shapesCommand  `cmd:"" help:"Judge the classifier of statements, and flood its cache."`
+	Run     runCommand     `cmd:"" help:"Play an experiment, and keep its table, figures and chart."`
 	Try     tryCommand     `cmd:"" help:"Start emulated engines, a bus, a Consul stand-in and both fronts on loopback, until Ctrl-C."`
+
+	Scripted scriptedCommand `cmd:"" hidden:"" help:"Act as a process that was started to take over."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/ringlab/run.go
@@ -0,0 +1,344 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"gannetspur/internal/handover"
+	"gannetspur/internal/lab/load"
+	"gannetspur/internal/lab/report"
+	"gannetspur/internal/lab/rig"
+	"gannetspur/internal/lab/upgrades"
+
+	"github.com/BurntSushi/toml"
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/vbauerster/mpb/v8"
+	"github.com/vbauerster/mpb/v8/decor"
+)
+
+type runCommand struct {
+	File     string `arg:"" help:"The experiment, as in experiments/."`
+	Ringwood string `placeholder:"FILE" help:"The gateway's program; without it, it is built from this folder."`
+	Out      string `placeholder:"FOLDER" help:"Keep table, figures and chart there, under the experiment's name."`
+	Log      string `placeholder:"FILE" help:"Keep the gateways' events there."`
+	Quiet    bool   `help:"No bar of progress."`
+}
+
+// experiment is a file of an experiment with upgrades.
+type experiment struct {
+	Name        string
+	Title       string
+	Seeds       []uint64
+	Fronts      []string
+	Engines     int
+	WorkMS      float64 `toml:"work_ms"`
+	Connections []int
+	Rate        float64
+	Loads       float64
+	Writes      float64
+	Churn       float64
+	Good        int      // upgrades that must go through
+	Broken      []string // and others, of these kinds
+	GapMS       float64  `toml:"gap_ms"`
+	ProveForMS  float64  `toml:"prove_for_ms"`
+}
+
+func readExperiment(path string) (*experiment, error) {
+	var e experiment
+	meta, err := toml.DecodeFile(path, &e)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	var faults []error
+	bad := func(ok bool, format string, args ...any) {
+		if !ok {
+			faults = append(faults, fmt.Errorf("%s: "+format, append([]any{path}, args...)...))
+		}
+	}
+	for _, key := range meta.Undecoded() {
+		bad(false, "%s: there is no such field", key)
+	}
+	bad(e.Name != "" && !strings.ContainsAny(e.Name, "/ "), "name: missing, or not fit for a file's name")
+	bad(len(e.Seeds) > 0, "seeds: none")
+	bad(len(e.Connections) > 0 && slices.Min(e.Connections) > 0 && slices.Max(e.Connections) <= 20000, "connections: wanted are numbers from 1 to 20000")
+	bad(e.Engines > 0 && e.Engines <= 64, "engines: %d is not from 1 to 64", e.Engines)
+	bad(e.Rate > 0 && e.Rate <= 5000, "rate: %g is not above 0, up to 5000 a second", e.Rate)
+	bad(e.ProveForMS >= 100 && e.ProveForMS <= 60000, "prove_for_ms: %g is not from 100 to 60000", e.ProveForMS)
+	for _, f := range e.Fronts {
+		bad(f == "rest" || f == "postgres", "fronts: there is no %q; wanted is rest or postgres", f)
+	}
+	for _, k := range e.Broken {
+		bad(upgrades.Broken[k] != "", "broken: there is no kind %q", k)
+	}
+	return &e, errors.Join(faults...)
+}
+
+// kinds are the upgrades of one run, the broken ones strewn among the good.
+func (e *experiment) kinds(seed uint64) []string {
+	all := slices.Clone(e.Broken)
+	for range e.Good {
+		all = append(all, upgrades.Good)
+	}
+	rng := rand.New(rand.NewPCG(seed, 0x6b696e64))
+	rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all
+}
+
+func (c *runCommand) Run() error {
+	e, err := readExperiment(c.File)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	dir, err := os.MkdirTemp("", "ringlab-run-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	lab, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	program := c.Ringwood
+	if program == "" {
+		if program, err = rig.Build(ctx, ".", dir); err != nil {
+			return err
+		}
+	}
+	if program, err = exec.LookPath(program); err == nil {
+		program, err = filepath.Abs(program)
+	}
+	if err != nil {
+		return err
+	}
+	log := io.Discard
+	if c.Log != "" {
+		f, err := os.Create(c.Log)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		log = f
+	}
+	t := newUpgradeTables(e)
+	var faults []load.Fault
+	wrong := 0
+	for _, connections := range e.Connections {
+		for _, front := range e.Fronts {
+			for _, seed := range e.Seeds {
+				kinds := e.kinds(seed)
+				bar := progress(c.Quiet, fmt.Sprintf("%s, %d connections, seed %d", front, connections, seed), len(kinds))
+				sub := filepath.Join(dir, fmt.Sprintf("%s-%d-%d", front, connections, seed))
+				if err := os.Mkdir(sub, 0o700); err != nil {
+					return err
+				}
+				res, err := upgrades.Play(ctx, upgrades.Options{
+					Front: front, Root: ".", Dir: sub, Program: program, Lab: lab, Engines: e.Engines, Connections: connections,
+					Work: time.Duration(e.WorkMS * float64(time.Millisecond)), Rate: e.Rate, Loads: e.Loads, Writes: e.Writes, Churn: e.Churn,
+					Kinds: kinds, Gap: time.Duration(e.GapMS * float64(time.Millisecond)), ProveFor: time.Duration(e.ProveForMS * float64(time.Millisecond)),
+					Seed: seed, Log: log, Each: func(upgrades.Upgrade) { bar.step() },
+				})
+				bar.end()
+				if err != nil {
+					return err
+				}
+				faults = append(faults, res.Faults...)
+				for _, u := range res.Upgrades {
+					if !u.Right {
+						wrong++
+						fmt.Printf("%s: an upgrade of kind %s ended as it must not: %q\n", front, u.Kind, u.Why)
+					}
+				}
+				t.add(front, connections, seed, res)
+			}
+		}
+	}
+	if err := t.keep(c.Out, e); err != nil {
+		return err
+	}
+	for i, f := range faults {
+		if i == 20 {
+			fmt.Printf("and %d more\n", len(faults)-i)
+			break
+		}
+		fmt.Println(f)
+	}
+	if len(faults) > 0 || wrong > 0 {
+		return fmt.Errorf("%d rules broken, %d upgrades that ended as they must not", len(faults), wrong)
+	}
+	fmt.Println("every request had its one answer; no rule was broken")
+	return nil
+}
+
+// steps is a bar of progress, or none.
+type steps struct {
+	all *mpb.Progress
+	bar *mpb.Bar
+}
+
+func progress(quiet bool, name string, n int) *steps {
+	if quiet {
+		return &steps{}
+	}
+	p := mpb.New(mpb.WithWidth(40), mpb.WithOutput(os.Stderr))
+	return &steps{p, p.AddBar(int64(n), mpb.PrependDecorators(decor.Name(name+" ")), mpb.AppendDecorators(decor.CountersNoUnit("%d of %d upgrades"), decor.Elapsed(decor.ET_STYLE_GO, decor.WCSyncSpace)))}
+}
+
+func (s *steps) step() {
+	if s.bar != nil {
+		s.bar.Increment()
+	}
+}
+
+func (s *steps) end() {
+	if s.bar != nil {
+		s.bar.Abort(false)
+		s.all.Wait()
+	}
+}
+
+// upgradeTables are the results of an experiment with upgrades.
+type upgradeTables struct {
+	requests, kinds, raw report.Table
+	chart                report.Bars
+}
+
+func newUpgradeTables(e *experiment) *upgradeTables {
+	return &upgradeTables{
+		requests: report.Table{Columns: []string{"front", "connections", "seed", "upgrades", "requests", "served", "refused", "in doubt or failed", "rules broken",
+			"steady p50, p99, worst (ms)", "during good ones", "during broken ones", "resident (MB)"}},
+		kinds: report.Table{Columns: []string{"front", "connections", "kind", "played", "as it must", "until decided, median (s)", "worst (s)", "reason, the last"}},
+		raw:   report.Table{Columns: []string{"front", "connections", "seed", "phase", "kind", "due_ms", "latency_ms", "verdict", "tries"}},
+		chart: report.Bars{Title: e.Title, Axis: "latency, ms", Series: []string{"steady p99", "good p99", "broken p99", "worst of all"}, Values: make([][]float64, 4)},
+	}
+}
+
+// after is how long behind an upgrade's end a request still counts as during it.
+const after = 500 * time.Millisecond
+
+func (t *upgradeTables) add(front string, connections int, seed uint64, res *upgrades.Result) {
+	var h [3]*hdrhistogram.Histogram
+	for i := range h {
+		h[i] = hdrhistogram.New(1, 60_000_000, 3)
+	}
+	var served, refused, failed int
+	for _, r := range res.Records {
+		phase := 0
+		for _, u := range res.Upgrades {
+			if r.End.After(u.Began) && r.Due.Before(u.Done.Add(after)) {
+				if phase = 1; u.Kind != upgrades.Good {
+					phase = 2
+				}
+				break
+			}
+		}
+		_ = h[phase].RecordValue(max(r.Latency().Microseconds(), 1)) // within its bounds: clients wait 6 s
+		switch r.Verdict {
+		case load.Served:
+			served++
+		case load.Refused:
+			refused++
+		default:
+			failed++
+		}
+		t.raw.Add(front, connections, seed, []string{"steady", "good", "broken"}[phase], string(rune(r.Kind)), r.Due.Sub(res.Stable).Milliseconds(),
+			fmt.Sprintf("%.3f", float64(r.Latency().Microseconds())/1000), r.Verdict, len(r.Tries))
+	}
+	ms := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	three := func(h *hdrhistogram.Histogram) string {
+		if h.TotalCount() == 0 {
+			return "-"
+		}
+		return fmt.Sprintf("%.1f, %.1f, %.1f", ms(h, 50), ms(h, 99), float64(h.Max())/1000)
+	}
+	t.requests.Add(front, connections, seed, len(res.Upgrades), len(res.Records), served, refused, failed, len(res.Faults),
+		three(h[0]), three(h[1]), three(h[2]), fmt.Sprintf("%.0f", float64(res.Resident)/1e6))
+	t.chart.Groups = append(t.chart.Groups, fmt.Sprintf("%s %d", front, connections))
+	worst := 0.0
+	for i := range h {
+		t.chart.Values[i] = append(t.chart.Values[i], ms(h[i], 99))
+		worst = max(worst, float64(h[i].Max())/1000)
+	}
+	t.chart.Values[3] = append(t.chart.Values[3], worst)
+	by := map[string][]upgrades.Upgrade{}
+	for _, u := range res.Upgrades {
+		by[u.Kind] = append(by[u.Kind], u)
+	}
+	names := make([]string, 0, len(by))
+	for k := range by {
+		names = append(names, k)
+	}
+	slices.Sort(names)
+	for _, k := range names {
+		var took []float64
+		right, why := 0, ""
+		for _, u := range by[k] {
+			took = append(took, u.Done.Sub(u.Began).Seconds())
+			why = u.Why
+			if u.Right {
+				right++
+			}
+		}
+		slices.Sort(took)
+		t.kinds.Add(front, connections, k, len(took), right, fmt.Sprintf("%.2f", took[len(took)/2]), fmt.Sprintf("%.2f", took[len(took)-1]), why)
+	}
+}
+
+func (t *upgradeTables) keep(dir string, e *experiment) error {
+	var b strings.Builder
+	for _, table := range []*report.Table{&t.requests, &t.kinds} {
+		md, err := table.Markdown()
+		if err != nil {
+			return err
+		}
+		b.WriteString(md + "\n")
+	}
+	fmt.Print(b.String())
+	if dir == "" {
+		return nil
+	}
+	csv, err := t.raw.CSV()
+	if err != nil {
+		return err
+	}
+	svg, err := t.chart.SVG()
+	if err != nil {
+		return err
+	}
+	return report.Write(dir, map[string][]byte{e.Name + ".md": []byte(b.String()), e.Name + ".csv": []byte(csv), e.Name + ".svg": svg})
+}
+
+// scriptedCommand is a process that is started to take over and does something else.
+type scriptedCommand struct {
+	How string `arg:"" enum:"version,garbage" help:"${enum}."`
+}
+
+func (c *scriptedCommand) Run() error {
+	if c.How == "garbage" {
+		f := os.NewFile(3, "channel")
+		_, err := f.Write([]byte("\x7fthis is no frame at all"))
+		time.Sleep(10 * time.Second)
+		return err
+	}
+	ch, _, _, _, ok, err := handover.Inherited()
+	if err != nil || !ok {
+		return errors.Join(errors.New("this is for upgrades to start"), err)
+	}
+	if err := ch.Send(&handover.Hello{Major: handover.Version.Major + 1}); err != nil {
+		return err
+	}
+	time.Sleep(10 * time.Second)
+	return nil
+}
--- a/cmd/ringwood/check.go
+++ b/cmd/ringwood/check.go
@@ -5,10 +5,14 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 
 	"gannetspur/internal/config"
 )
 
+// adminField matches the first field of a file of upgrades.
+var adminField = regexp.MustCompile(`(?m)^admin *=`)
+
 type checkCommand struct {
 	Files []string `arg:"" name:"file" help:"Settings (JSON), deploy files of the PostgreSQL front, or files of shapes (TOML)."`
 }
@@ -35,7 +39,8 @@
 
 // check reads one file as what it looks like: JSON with known and settings is a platform
 // configuration, other JSON the settings object alone; TOML with an address to listen at
-// or a Consul to ask is a deploy file, other TOML a file of shapes.
+// or a Consul to ask is a deploy file, with a socket for operators a file of upgrades, other
+// TOML a file of shapes.
 func (c *checkCommand) check(path string) error {
 	raw, err := os.ReadFile(path)
 	if err != nil {
@@ -46,6 +51,8 @@
 		_, err = config.Load(path)
 	case filepath.Ext(path) == ".json":
 		err = config.CheckSettings(path, raw)
+	case filepath.Ext(path) == ".toml" && adminField.Match(raw):
+		_, err = config.LoadUpgrade(path)
 	case bytes.Contains(raw, []byte("listen")) || bytes.Contains(raw, []byte("[consul]")):
 		_, err = config.LoadPostgres(path)
 	case filepath.Ext(path) == ".toml":
--- a/cmd/ringwood/main.go
+++ b/cmd/ringwood/main.go
@@ -25,6 +25,8 @@
 	LogLevel  string `enum:"debug,info,warn,error" default:"info" help:"From which level on events are logged: ${enum}."`
 
 	Serve      serveCommand      `cmd:"" default:"withargs" help:"Serve. This is what ringwood does without a command."`
+	Upgrade    upgradeCommand    `cmd:"" help:"Have a new version take over from a gateway that serves, without a request lost."`
+	Status     statusCommand     `cmd:"" help:"Show how a gateway that serves stands."`
 	Check      checkCommand      `cmd:"" help:"Read settings and deploy files and name every fault in them."`
 	Shapes     shapesCommand     `cmd:"" help:"What is known of the shapes of statements."`
 	Completion completionCommand `cmd:"" help:"Print a script that completes commands and flags in a shell."`
@@ -35,6 +37,7 @@
 	Config   string `env:"LB_CONFIG" placeholder:"FILE" help:"The platform's configuration, as JSON."`
 	Postgres string `placeholder:"FILE" help:"Serve the PostgreSQL wire protocol as this deploy file says, in place of the platform's."`
 	Shapes   string `placeholder:"FILE" help:"Estimate by the shapes of statements as this file says; of the platform's front. The PostgreSQL front has [shapes] in its deploy file."`
+	Upgrade  string `placeholder:"FILE" help:"Open a socket for operators and let new versions take over, as this file says."`
 }
 
 func (c *serveCommand) Run(all *cli) error {
@@ -42,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	if err := run(serving{config: c.Config, postgres: c.Postgres, shapes: c.Shapes}, log); err != nil {
+	if err := run(serving{config: c.Config, postgres: c.Postgres, shapes: c.Shapes, upgrade: c.Upgrade}, log); err != nil {
 		for _, f := range config.FaultsOf(err) {
 			log.Error("cannot serve", "file", f.File, "line", f.Line, "field", f.Field, "error", f.Want)
 		}
@@ -57,9 +60,15 @@
 type versionCommand struct{}
 
 func (versionCommand) Run() error {
+	fmt.Println("ringwood " + buildName())
+	return nil
+}
+
+// buildName names the version that this program was built from.
+func buildName() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
-		return errors.New("this program was built without its version")
+		return "of an unknown version"
 	}
 	revision, modified := "unknown", ""
 	for _, s := range info.Settings {
@@ -70,8 +79,7 @@
 			modified = ", changed since"
 		}
 	}
-	fmt.Printf("ringwood %s (%s%s), %s\n", info.Main.Version, revision, modified, info.GoVersion)
-	return nil
+	return fmt.Sprintf("%s (%s%s), %s", info.Main.Version, revision, modified, info.GoVersion)
 }
 
 // oldFlags are flags of the time before there were commands; they went by one dash.
--- a/cmd/ringwood/serve.go
+++ b/cmd/ringwood/serve.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"gannetspur/internal/config"
 	"gannetspur/internal/core"
@@ -17,6 +18,7 @@
 	"gannetspur/internal/engine/pg"
 	"gannetspur/internal/front/pgwire"
 	"gannetspur/internal/front/rest"
+	"gannetspur/internal/handover"
 	"gannetspur/internal/netio"
 	"gannetspur/internal/roster/bus"
 	"gannetspur/internal/roster/consul"
@@ -35,10 +37,25 @@
 	log      *slog.Logger
 	shapes   *shape.Service // nil: off
 	reload   func() error   // reads the file again; for the loop's goroutine
+	since    time.Duration
+
+	listen      func() error              // opens the listener
+	follow      func(*handover.Knowledge) // begins to follow the roster; nil: nothing is known of it
+	event       func() uint64             // number of the event bus's last event; nil: there is no bus
+	mostClients int
+
+	upgrade  *config.Upgrade // nil: off
+	self     string          // this program's path
+	old      *handover.Old   // where upgrades are on
+	new      *handover.New   // in a process that took over
+	tookOver bool
+	failed   error // ended the loop
 }
 
 // front is what a planned stop needs of a front.
 type front interface {
+	handover.Front
+	ListenOn(*netio.Listener)
 	Addr() string
 	CloseListener()
 	Drain()
@@ -50,6 +67,7 @@
 	config   string // the platform's configuration
 	postgres string // the PostgreSQL front's deploy file; "": the platform's front
 	shapes   string // the platform's front's file of shapes; "": off
+	upgrade  string // the file that says how a new version takes over; "": off
 }
 
 func run(what serving, logger *slog.Logger) error {
@@ -59,27 +77,55 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g := &gateway{counters: stats.New(), log: logger}
-	var err error
+	in, err := takeOver()
+	if err == nil {
+		err = g.build(ctx, what)
+	}
 	switch {
-	case what.postgres != "":
-		err = g.postgres(ctx, what.postgres)
-	case what.config != "":
-		err = g.platform(what.config, what.shapes)
+	case err != nil:
+	case g.front == nil:
+		err = errors.New("the deploy file names no address to listen at")
+		if in == nil {
+			logger.Info("off", "why", err.Error())
+			return nil
+		}
+	case in != nil:
+		err = g.takeOver(in)
 	default:
-		err = errors.New("nothing to serve: set LB_CONFIG, --config or --postgres")
+		g.follow(nil)
+		if err = g.listen(); err == nil {
+			err = g.admin()
+		}
 	}
 	if err != nil {
+		if in != nil {
+			in.refuse(err)
+		}
 		return err
 	}
-	if g.front == nil {
-		logger.Info("off", "why", "the deploy file names no address to listen at")
+	if in == nil {
+		logger.Info("serving", "addr", g.front.Addr())
+		notify("READY=1\n")
+	} else if in.check {
 		return nil
 	}
-	logger.Info("serving", "addr", g.front.Addr())
 	go g.signals(told)
 	g.loop.Run()
 	g.print()
-	return nil
+	return g.failed
+}
+
+// build makes the gateway, which then neither listens nor follows its roster.
+func (g *gateway) build(ctx context.Context, what serving) (err error) {
+	switch {
+	case what.postgres != "":
+		err = g.postgres(ctx, what.postgres)
+	case what.config != "":
+		err = g.platform(what.config, what.shapes)
+	default:
+		err = errors.New("nothing to serve: set LB_CONFIG, --config or --postgres")
+	}
+	return errors.Join(err, g.upgradable(what.upgrade))
 }
 
 // print writes the counters.
@@ -113,6 +159,7 @@
 	if g.loop, err = netio.New(sockets); err != nil {
 		return err
 	}
+	g.since = g.loop.Now()
 	g.loop.Budget = int64(part(memoryMB, 6))
 	g.core, err = core.New(set, seed, g.loop, g.loop.Timers, g.counters, g.log)
 	if err != nil {
@@ -137,16 +184,27 @@
 		return err
 	}
 	g.core.SetLinks(lines.New(g.loop, g.core, cfg.Site, g.counters, g.log))
-	for _, ev := range cfg.Known {
-		mode := policy.ListChanges
-		if ev.Whole {
-			mode = policy.ListFull
+	var follower *bus.Follower
+	g.follow = func(k *handover.Knowledge) {
+		last := cfg.Offset
+		if k != nil { // its roster is in the core already
+			last = max(last, k.Event)
+		} else {
+			for _, ev := range cfg.Known {
+				mode := policy.ListChanges
+				if ev.Whole {
+					mode = policy.ListFull
+				}
+				g.core.Roster(mode, ev.Engines)
+			}
+		}
+		if cfg.Bus != "" {
+			follower = bus.New(g.loop, cfg.Bus, last, cfg.Site.Zones, cfg.Site.Kinds, g.core, g.counters, g.log)
+			follower.Start()
+			g.event = follower.Last
 		}
-		g.core.Roster(mode, ev.Engines)
 	}
 	if cfg.Bus != "" {
-		follower := bus.New(g.loop, cfg.Bus, cfg.Offset, cfg.Site.Zones, cfg.Site.Kinds, g.core, g.counters, g.log)
-		follower.Start()
 		g.reload = func() error {
 			next, err := config.Load(path)
 			if err == nil && next.Bus == "" {
@@ -155,7 +213,10 @@
 			if err != nil {
 				return err
 			}
-			follower.Move(next.Bus)
+			cfg.Bus = next.Bus
+			if follower != nil {
+				follower.Move(next.Bus)
+			}
 			return nil
 		}
 	}
@@ -168,11 +229,13 @@
 			return err
 		}
 	}
+	g.mostClients = mostClients(cfg.Sockets)
 	f := rest.New(g.loop, g.core, rest.Options{
-		MostClients: mostClients(cfg.Sockets), MostHeld: part(cfg.MemoryMB, 8), Shapes: g.shapes,
+		MostClients: g.mostClients, MostHeld: part(cfg.MemoryMB, 8), Shapes: g.shapes,
 	}, g.counters)
 	g.front = f
-	return f.Listen(cfg.Listen)
+	g.listen = func() error { return f.Listen(cfg.Listen) }
+	return nil
 }
 
 // postgres serves the PostgreSQL wire protocol.
@@ -190,12 +253,22 @@
 		MostHeld: part(p.MemoryMB, 4),
 	}, g.counters, g.log))
 	follower := consul.New(g.loop.Post, g.core, g.counters, g.log)
-	follower.Follow(ctx, consul.Options(p.Consul))
+	following := false
+	g.follow = func(k *handover.Knowledge) {
+		if k != nil {
+			follower.Know(k.Core.Engines)
+		}
+		following = true
+		follower.Follow(ctx, consul.Options(p.Consul))
+	}
 	if err := g.learnShapes(&p.Shapes, p.MemoryMB, &p.Site, false); err != nil {
 		return err
 	}
-	f := pgwire.New(g.loop, g.core, g.frontOptions(p), g.counters)
+	opts := g.frontOptions(p)
+	g.mostClients = opts.MostClients
+	f := pgwire.New(g.loop, g.core, opts, g.counters)
 	g.front = f
+	g.listen = func() error { return f.Listen(p.Listen) }
 	g.reload = func() error {
 		next, err := config.LoadPostgres(path)
 		if err == nil && next.Listen == "" {
@@ -210,13 +283,13 @@
 			}
 		}
 		f.SetOptions(g.frontOptions(next))
-		if next.Consul != p.Consul {
+		if following && next.Consul != p.Consul {
 			follower.Follow(ctx, consul.Options(next.Consul))
 		}
 		p = next
 		return nil
 	}
-	return f.Listen(p.Listen)
+	return nil
 }
 
 func (g *gateway) frontOptions(p *config.Postgres) pgwire.Options {
@@ -279,7 +352,7 @@
 			g.loop.Post(g.readAgain)
 		case !stopping:
 			stopping = true
-			g.loop.Post(g.stop)
+			g.loop.Post(g.planned)
 		}
 	}
 }
@@ -298,4 +371,20 @@
 	}
 	g.counters.Add("reload.done")
 	g.log.Info("reload.done")
+	if g.old != nil {
+		g.old.Reload()
+	}
+}
+
+// planned begins a planned stop. A process that has yet to prove itself ends at once: the
+// old one takes everything back. An upgrade that is under way is given up first.
+func (g *gateway) planned() {
+	switch {
+	case g.new != nil && !g.new.Owner():
+		g.failed = errors.New("stopped before it was the owner")
+		g.loop.Stop()
+	case g.old != nil && g.old.Stop():
+	default:
+		g.stop()
+	}
 }
--- /dev/null
+++ b/cmd/ringwood/serve_upgrade.go
@@ -0,0 +1,259 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"gannetspur/internal/admin"
+	"gannetspur/internal/config"
+	"gannetspur/internal/handover"
+	"gannetspur/internal/netio"
+	"gannetspur/internal/shape"
+
+	"golang.org/x/sys/unix"
+)
+
+// ownDescriptors is what a process needs beside its clients' connections.
+const ownDescriptors = 64
+
+// inherited is what a process that takes over has from the old one.
+type inherited struct {
+	ch       *handover.Channel
+	listener *os.File
+	conns    int
+	check    bool
+}
+
+// takeOver tells whether this process was started to take over, and from whom.
+func takeOver() (*inherited, error) {
+	ch, ln, conns, check, ok, err := handover.Inherited()
+	if !ok || err != nil {
+		return nil, err
+	}
+	return &inherited{ch, ln, conns, check}, nil
+}
+
+// refuse says why this process can't take over.
+func (in *inherited) refuse(err error) {
+	_ = in.ch.Send(&handover.Hello{Major: handover.Version.Major, Minor: handover.Version.Minor, Problem: err.Error(), Build: buildName()}) // the old one sees the end otherwise
+}
+
+// room tells whether the connections that wait for this process fit its limits.
+func (in *inherited) room(most int) error {
+	var r unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &r); err != nil {
+		return fmt.Errorf("limit on descriptors: %w", err)
+	}
+	if need := uint64(in.conns + ownDescriptors); r.Cur < need {
+		return fmt.Errorf("the limit on descriptors is %d; %d connections and what it needs itself take %d", r.Cur, in.conns, need)
+	}
+	if most > 0 && in.conns > most {
+		return fmt.Errorf("its settings allow %d clients, and %d are connected", most, in.conns)
+	}
+	return nil
+}
+
+// takeOver begins to take over.
+func (g *gateway) takeOver(in *inherited) error {
+	if err := in.room(g.mostClients); err != nil {
+		return err
+	}
+	if in.check {
+		in.refuseNothing()
+		return nil
+	}
+	ln, err := netio.Inherited(in.listener)
+	if err != nil {
+		return err
+	}
+	g.front.ListenOn(ln)
+	g.new = handover.NewNew(g.loop, g.core, g.front, in.ch, handover.NewOptions{
+		Take: g.take, Owner: g.owner, Reload: g.readAgain,
+		Stop: func() {
+			g.failed = errors.New("it can't take over")
+			g.loop.Stop()
+		},
+	}, g.counters, g.log)
+	g.loop.Post(func() { g.new.Begin(buildName()) })
+	return nil
+}
+
+// refuseNothing says that this process would take over.
+func (in *inherited) refuseNothing() {
+	_ = in.ch.Send(&handover.Hello{Major: handover.Version.Major, Minor: handover.Version.Minor, Build: buildName()})
+}
+
+// know is what this process knows, for the one that takes over.
+func (g *gateway) know() *handover.Knowledge {
+	k := &handover.Knowledge{Core: g.core.Known(), Counters: g.counters.All()}
+	if g.event != nil {
+		k.Event = g.event()
+	}
+	if g.shapes != nil {
+		var err error
+		if k.Shapes, err = g.shapes.Encode(); err != nil {
+			g.log.Warn("upgrade.shapes", "error", err)
+		}
+	}
+	return k
+}
+
+// take takes what the old process knows.
+func (g *gateway) take(k *handover.Knowledge) error {
+	g.core.Learn(k.Core)
+	for name, n := range k.Counters {
+		g.counters.Raise(name, n)
+	}
+	if g.shapes != nil && len(k.Shapes) > 0 {
+		if err := g.shapes.Take(k.Shapes); err != nil { // it learns them anew; no reason to stay away
+			g.log.Warn("upgrade.shapes", "error", err, "unusable", errors.Is(err, shape.ErrSnapshotVersion))
+		}
+	}
+	g.follow(k)
+	return nil
+}
+
+// owner makes this process the one that operators and the service manager speak to.
+func (g *gateway) owner() {
+	g.tookOver = true
+	g.log.Info("serving", "addr", g.front.Addr(), "took_over", true)
+	notify(fmt.Sprintf("MAINPID=%d\nREADY=1\n", os.Getpid()))
+	if err := g.admin(); err != nil { // it serves all the same
+		g.log.Error("admin", "error", err)
+	}
+}
+
+// admin opens the operators' socket.
+func (g *gateway) admin() error {
+	u := g.upgrade
+	if u == nil {
+		return nil
+	}
+	path := u.Program
+	if path == "" {
+		path = g.self
+	}
+	g.old = handover.NewOld(g.loop, g.core, g.front, handover.OldOptions{
+		Program: handover.Program{Path: path, Args: os.Args[1:]}, Config: u.Decide(),
+		Know: g.know, Counts: g.counters.All, Stop: g.stop, Exit: g.loop.Stop,
+	}, g.counters, g.log)
+	_, err := admin.Listen(u.Admin, g.answer)
+	return err
+}
+
+// answer answers an operator. It runs on a goroutine of its own.
+func (g *gateway) answer(r admin.Request, say func(admin.Reply)) {
+	switch r.Do {
+	case "status":
+		done := make(chan *admin.Status, 1)
+		g.loop.Post(func() { done <- g.status() })
+		say(admin.Reply{Status: <-done, Done: true})
+	case "upgrade":
+		replies := make(chan admin.Reply, 16)
+		g.loop.Post(func() {
+			if g.new != nil && !g.new.Alone() {
+				replies <- admin.Reply{Why: "the latest upgrade is not through: the process before this one still answers what it had taken", Done: true}
+				return
+			}
+			g.old.Upgrade(g.program(r), func(phase, why string, done bool) {
+				select {
+				case replies <- admin.Reply{Phase: phase, Why: why, Done: done}:
+				default: // nobody takes them
+				}
+			})
+		})
+		for reply := range replies {
+			if say(reply); reply.Done {
+				return
+			}
+		}
+	case "check":
+		type state struct {
+			p     handover.Program
+			file  *os.File
+			conns int
+			err   error
+		}
+		now := make(chan state, 1)
+		g.loop.Post(func() {
+			f, err := g.front.Listener().File()
+			now <- state{g.program(r), f, g.loop.Open(), err}
+		})
+		s := <-now
+		if s.err != nil {
+			say(admin.Reply{Why: s.err.Error(), Done: true})
+			return
+		}
+		defer s.file.Close()
+		build, err := handover.Check(s.p, s.file, s.conns, g.upgrade.Decide().GreetWithin)
+		reply := admin.Reply{Build: build, Done: true}
+		if err != nil {
+			reply.Why = err.Error()
+		}
+		say(reply)
+	default:
+		say(admin.Reply{Why: fmt.Sprintf("there is nothing called %q; wanted is status, upgrade or check", r.Do), Done: true})
+	}
+}
+
+// program is what an operator wants started.
+func (g *gateway) program(r admin.Request) handover.Program {
+	p := g.old.Program()
+	if r.Program != "" {
+		p.Path = r.Program
+	}
+	if len(r.Args) > 0 {
+		p.Args = r.Args
+	}
+	return p
+}
+
+func (g *gateway) status() *admin.Status {
+	if g.shapes != nil {
+		g.shapes.Count()
+	}
+	return &admin.Status{
+		PID: os.Getpid(), Build: buildName(), Front: g.front.Name(), Listen: g.front.Addr(), Phase: g.old.Phase(), TookOver: g.tookOver,
+		Up: (g.loop.Now() - g.since).Seconds(), Connections: g.loop.Open(), Unanswered: g.core.Unanswered(), Counters: g.counters.All(),
+	}
+}
+
+// upgradable reads the file that says how to upgrade, if there is one.
+func (g *gateway) upgradable(path string) (err error) {
+	if path == "" {
+		return nil
+	}
+	if g.upgrade, err = config.LoadUpgrade(path); err != nil {
+		return err
+	}
+	// By its name, not by what runs: an upgrade puts another file under it.
+	if g.self, err = exec.LookPath(os.Args[0]); err == nil {
+		g.self, err = filepath.Abs(g.self)
+	}
+	if err != nil {
+		return fmt.Errorf("upgrade: %w", err)
+	}
+	return nil
+}
+
+// notify tells a service manager of a state, where it has asked for that (sd_notify(3)).
+func notify(state string) {
+	path := os.Getenv("NOTIFY_SOCKET")
+	if path == "" {
+		return
+	}
+	if path[0] == '@' {
+		path = "\x00" + path[1:]
+	}
+	c, err := net.DialTimeout("unixgram", path, time.Second)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	_, _ = c.Write([]byte(state)) // it is a courtesy
+}
--- a/internal/decide/handover/old.go
+++ b/internal/decide/handover/old.go
@@ -23,21 +23,26 @@
 	heard   time.Duration // of the new process
 	good    int
 	bad     int
-	why     string // of a return
-	stop    bool   // a planned stop waits for the end of the upgrade
+	most    float64 // share of its answers that may be bad
+	why     string  // of a return
+	stop    bool    // a planned stop waits for the end of the upgrade
 	conns   []holding
 }
 
 // NewOld returns the machine of a process that serves.
 func NewOld(cfg Config, v Version) *Old { return &Old{cfg: cfg, version: v} }
 
+// Why is why the new process was ended.
+func (o *Old) Why() string { return o.why }
+
 // Phase is where the upgrade stands.
 func (o *Old) Phase() Phase { return o.phase }
 
 // Inputs of the old process.
 type (
-	// Upgrade asks for an upgrade.
-	Upgrade struct{}
+	// Upgrade asks for an upgrade. UsualBad is the share of answers that are refusals or
+	// failures here just now: the new process is held to no less and no more.
+	Upgrade struct{ UsualBad float64 }
 	// Stop asks for a planned stop.
 	Stop struct{}
 	// Accepted tells of a new connection here. Numbers rise.
@@ -45,6 +50,8 @@
 	// Busy tells that a connection here can't be moved, Free that it can.
 	Busy struct{ Conn ConnID }
 	Free struct{ Conn ConnID }
+	// Kept tells that a connection could not be given: a request has come meanwhile.
+	Kept struct{ Conn ConnID }
 	// Closed tells that a connection here has ended.
 	Closed struct{ Conn ConnID }
 	// Died tells that the new process is dead and that the channel was read to its end.
@@ -72,6 +79,8 @@
 		Conn    ConnID
 		Request Request
 	}
+	// Heard is any other sign of life.
+	Heard struct{}
 	// TheyClosed says that a connection of its has ended.
 	TheyClosed struct{ Conn ConnID }
 )
@@ -87,7 +96,8 @@
 	StartAccepting struct{}
 	// SendGo tells the new process to accept.
 	SendGo struct{}
-	// Give stops reading a connection and sends it with its state; a duplicate is kept.
+	// Give stops reading a connection and sends it with its state; a duplicate is kept. Where
+	// a request has come meanwhile, Kept follows instead.
 	Give struct{ Conn ConnID }
 	// SendCommit tells the new process that it is the owner for good.
 	SendCommit struct{}
@@ -138,6 +148,7 @@
 		}
 		o.enter(Greeting, now)
 		o.heard, o.good, o.bad, o.why = now, 0, 0, ""
+		o.most = o.cfg.BadShare + min(1.5*max(in.UsualBad, 0), 0.5)
 		return []any{Spawn{}}
 	case Stop:
 		return o.told(now)
@@ -157,6 +168,10 @@
 				return append(o.give(in.Conn), o.last()...)
 			}
 		}
+	case Kept:
+		if h := o.find(in.Conn); h != nil && h.theirs {
+			h.theirs, h.busy = false, true
+		}
 	case Closed:
 		if h := o.find(in.Conn); h != nil && !h.theirs {
 			o.drop(in.Conn)
@@ -213,7 +228,7 @@
 	case Alive:
 		if o.phase == Probation {
 			o.good, o.bad = o.good+in.Good, o.bad+in.Bad
-			if total := o.good + o.bad; total >= o.cfg.GoodAnswers && float64(o.bad) > o.cfg.BadShare*float64(total) {
+			if total := o.good + o.bad; total >= o.cfg.GoodAnswers && float64(o.bad) > o.most*float64(total) {
 				return o.fail(now, "too many of its answers are errors of its own")
 			}
 			return o.proven(now)
--- a/internal/front/pgwire/front.go
+++ b/internal/front/pgwire/front.go
@@ -203,11 +203,11 @@
 			k.conn.WhenWritten(k.conn.Again)
 			break
 		}
-		n, err := 0, error(nil)
+		more, err := false, error(nil)
 		if k.started {
-			n, err = k.next(in.Bytes())
+			more, err = k.next(in)
 		} else {
-			n, err = k.startup(in.Bytes())
+			more, err = k.startup(in)
 		}
 		if err != nil {
 			k.front.stats.Add("pgwire.malformed")
@@ -218,10 +218,9 @@
 			k.fatal(e)
 			return
 		}
-		if n == 0 {
+		if !more {
 			break
 		}
-		in.Consume(n)
 	}
 	k.stall.Stop()
 	if k.request == nil && !k.ended && in.Len() > 0 && k.conn.Pending() <= slowReader {
@@ -270,12 +269,14 @@
 	k.conn.Close()
 }
 
-// startup reads a connection's first messages.
-func (k *conn) startup(b []byte) (int, error) {
-	code, body, n, err := pgproto.Startup(b)
+// startup reads one of a connection's first messages. Like next it consumes a message
+// before it acts on it: an answer at once stands behind it. Its bytes stay where they are.
+func (k *conn) startup(in *netio.Buffer) (more bool, err error) {
+	code, body, n, err := pgproto.Startup(in.Bytes())
 	if err != nil || n == 0 {
-		return n, err
+		return false, err
 	}
+	in.Consume(n)
 	switch {
 	case code == pgproto.SSLReq || code == pgproto.GSSReq:
 		k.out = append(k.out, 'N')
@@ -284,11 +285,11 @@
 		k.ended = true
 		k.conn.Close()
 	case code>>16 != pgproto.Version>>16:
-		return n, fmt.Errorf("protocol version %d.%d is not supported", code>>16, code&0xffff)
+		return false, fmt.Errorf("protocol version %d.%d is not supported", code>>16, code&0xffff)
 	default:
-		return n, k.begin(code, body)
+		return true, k.begin(code, body)
 	}
-	return n, nil
+	return true, nil
 }
 
 func (k *conn) begin(code uint32, body []byte) error {
@@ -461,25 +462,28 @@
 var kinds = []byte("PBDECHSQXFdcfp")
 
 // next reads one message.
-func (k *conn) next(b []byte) (int, error) {
+func (k *conn) next(in *netio.Buffer) (more bool, err error) {
+	b := in.Bytes()
 	if len(b) > 0 && !slices.Contains(kinds, b[0]) {
-		return 0, errKind
+		return false, errKind
 	}
 	kind, body, n, err := pgproto.Next(b, maxMessage)
 	if err != nil || n == 0 {
-		return 0, err
+		return false, err
 	}
 	if k.conn.Journaled() {
 		k.flush() // before this message is consumed: what is written stands for those before it alone
 	}
 	if k.describe {
 		if again := k.described(kind, body); again { // this message comes again after the description
-			return 0, nil
+			return false, nil
 		}
 		if k.skip && kind != 'S' && kind != 'X' {
-			return n, nil
+			in.Consume(n)
+			return true, nil
 		}
 	}
+	in.Consume(n)
 	switch {
 	case kind == 'X':
 		k.ended = true
@@ -494,7 +498,7 @@
 			k.failed(e)
 		}
 	}
-	return n, nil
+	return true, nil
 }
 
 func (k *conn) message(kind byte, body []byte) *pgproto.Error {
--- /dev/null
+++ b/internal/handover/new.go
@@ -0,0 +1,264 @@
+package handover
+
+import (
+	"log/slog"
+	"time"
+
+	"gannetspur/internal/core"
+	decide "gannetspur/internal/decide/handover"
+	"gannetspur/internal/netio"
+	"gannetspur/internal/stats"
+
+	"golang.org/x/sys/unix"
+)
+
+// aliveEvery is how often the new process says that it lives.
+const aliveEvery = 100 * time.Millisecond
+
+// NewOptions say what the new process does on its way.
+type NewOptions struct {
+	Take  func(*Knowledge) error // takes what is known
+	Owner func()                 // it is the owner for good
+	// Reload has the files read again; Stop ends the process, which is no owner.
+	Reload func()
+	Stop   func()
+}
+
+// New takes an old process's work over.
+type New struct {
+	loop  *netio.Loop
+	core  *core.Core
+	front Front
+	ch    *Channel
+	opts  NewOptions
+	stats *stats.Counters
+	log   *slog.Logger
+
+	machine   *decide.New
+	alone     bool // the old process is dead or has left
+	good, bad int64
+	journals  map[core.Client]*journal
+}
+
+// NewNew returns what takes over by way of the channel. Begin follows.
+func NewNew(loop *netio.Loop, c *core.Core, front Front, ch *Channel, opts NewOptions, counters *stats.Counters, log *slog.Logger) *New {
+	return &New{
+		loop: loop, core: c, front: front, ch: ch, opts: opts, stats: counters, log: log,
+		machine: decide.NewNew(Version), journals: map[core.Client]*journal{},
+	}
+}
+
+// Begin says what this process is and begins to listen to the old one.
+func (n *New) Begin(build string) {
+	n.core.SetSending(n.sending)
+	n.front.OnShared(func(b []byte) { n.send(&Shared{b}) })
+	n.front.OnStray(func(b []byte) { n.send(&Stray{b}) })
+	go func() {
+		err := n.ch.Read(func(m Message, fds []int) { n.loop.Post(func() { n.message(m, fds) }) })
+		n.loop.Post(func() { n.ended(err) })
+	}()
+	n.step(decide.Started{}, build)
+	n.alive()
+}
+
+// Alone tells whether no old process is left.
+func (n *New) Alone() bool { return n.alone }
+
+// Owner tells whether this process is the owner for good.
+func (n *New) Owner() bool { return n.machine.Owner() }
+
+func (n *New) send(m Message) {
+	if n.alone {
+		return
+	}
+	if err := n.ch.Send(m); err != nil { // the old process has died, which the channel's end tells
+		n.log.Debug("upgrade.unsent", "error", err)
+	}
+}
+
+func (n *New) alive() {
+	if n.machine.Owner() {
+		return
+	}
+	if n.machine.Serving() {
+		good, bad := GoodAndBad(n.stats)
+		n.send(&Alive{int(good - n.good), int(bad - n.bad)})
+		n.good, n.bad = good, bad
+	}
+	n.loop.Timers.Add(n.loop.Now()+aliveEvery, n.alive)
+}
+
+func (n *New) step(in any, build string) {
+	for _, e := range n.machine.Step(n.loop.Now(), in) {
+		switch e := e.(type) {
+		case decide.SendHello:
+			n.send(&Hello{e.Version.Major, e.Version.Minor, e.Problem, build})
+		case decide.SendReady:
+			n.send(&Ready{})
+		case decide.StopRecording:
+			n.stopRecording()
+		case decide.StartAccepting:
+			n.front.Listener().Resume()
+			n.log.Info("upgrade.owner")
+			n.opts.Owner()
+		case decide.Exit:
+			n.opts.Stop()
+		}
+	}
+}
+
+func (n *New) message(m Message, fds []int) {
+	if _, ok := m.(*Given); !ok {
+		for _, fd := range fds {
+			_ = unix.Close(fd)
+		}
+	}
+	switch m := m.(type) {
+	case *World:
+		n.world(m)
+	case *Go:
+		good, bad := GoodAndBad(n.stats)
+		n.good, n.bad = good, bad
+		n.step(decide.Go{}, "")
+	case *Given:
+		n.given(m, fds)
+	case *Commit:
+		n.step(decide.Commit{}, "")
+	case *Reload:
+		n.opts.Reload()
+	case *Counts:
+		for name, by := range m.Counters {
+			n.stats.Raise(name, by)
+		}
+	case *Shared:
+		if err := n.front.TakeShared(m.B); err != nil {
+			n.log.Warn("upgrade.shared", "error", err)
+		}
+	case *Stray:
+		n.front.TakeStray(m.B)
+	default:
+		n.log.Warn("upgrade.odd-message", "kind", m.kind())
+	}
+}
+
+// world takes what the old process knows. Where that can't be read, this process is not
+// ready: it ends, and the old one goes on.
+func (n *New) world(w *World) {
+	n.step(decide.State{}, "")
+	k, unknown, err := w.decode()
+	for _, name := range unknown {
+		n.log.Warn("upgrade.section-passed-by", "section", name)
+	}
+	if err == nil {
+		n.loop.SetNow(k.Clock.Now + monotonic() - k.Clock.Mono)
+		if err = n.opts.Take(k); err == nil && len(k.Shared) > 0 {
+			err = n.front.TakeShared(k.Shared)
+		}
+	}
+	if err != nil {
+		n.log.Error("upgrade.state", "error", err)
+		n.opts.Stop()
+		return
+	}
+	n.step(decide.Warm{}, "")
+}
+
+func (n *New) given(m *Given, fds []int) {
+	if len(fds) != 1 {
+		n.log.Warn("upgrade.odd-message", "kind", m.kind(), "descriptors", len(fds))
+		for _, fd := range fds {
+			_ = unix.Close(fd)
+		}
+		return
+	}
+	restore, err := n.front.Restore(m.State)
+	if err == nil && m.Front != n.front.Name() {
+		err = ErrKind
+	}
+	if err != nil {
+		n.log.Warn("upgrade.lost-connection", "error", err)
+		_ = unix.Close(fds[0])
+		n.send(&Closed{m.Conn})
+		return
+	}
+	_, err = n.loop.Attach(fds[0], n.front.Limit(), m.Unread, func(c *netio.Conn) netio.Handler {
+		h := restore(c)
+		if !n.machine.Owner() {
+			j := &journal{new: n, conn: m.Conn}
+			j.movable, _ = h.(Movable)
+			if client, ok := h.(core.Client); ok {
+				j.client = client
+				n.journals[client] = j
+			}
+			c.SetJournal(j)
+		}
+		return h
+	})
+	if err != nil {
+		n.log.Warn("upgrade.lost-connection", "error", err)
+		n.send(&Closed{m.Conn})
+		return
+	}
+	n.stats.Add("upgrade.adopted")
+	n.step(decide.Given{Conn: decide.ConnID(m.Conn)}, "")
+}
+
+func (n *New) stopRecording() {
+	for c := range n.loop.Conns() {
+		if c.Journaled() {
+			c.SetJournal(nil)
+		}
+	}
+	clear(n.journals)
+	n.core.SetSending(nil)
+}
+
+// ended takes the channel's end: the old process has died, or has left in good order.
+func (n *New) ended(err error) {
+	if err != nil {
+		n.log.Warn("upgrade.channel", "error", err)
+	}
+	n.alone = true
+	n.front.OnShared(nil)
+	n.front.OnStray(nil)
+	_ = n.ch.Close()
+	n.step(decide.Ended{}, "")
+}
+
+// sending records that a request goes to an engine, before it does.
+func (n *New) sending(r *core.Request, at time.Duration) {
+	j := n.journals[r.Client]
+	if j == nil {
+		return
+	}
+	class, _ := n.core.Class(r.Class)
+	n.send(&Sending{j.conn, uint8(class.Effect), at, class.Window, r.Deadline})
+}
+
+// journal records one connection.
+type journal struct {
+	new     *New
+	conn    uint32
+	movable Movable
+	client  core.Client
+}
+
+func (j *journal) Input(_ *netio.Conn, at int64, b []byte) {
+	j.new.send(&Input{j.conn, at, j.new.loop.Now(), b})
+}
+
+func (j *journal) Output(c *netio.Conn, at int64, b []byte) {
+	m := &Output{Conn: j.conn, At: at, B: b}
+	if h := j.movable; h != nil && (h.Settled() || h.Ending()) {
+		m.Settled, m.Ending, m.Consumed = true, h.Ending(), c.Consumed()
+		if !m.Ending {
+			m.State = h.State()
+		}
+	}
+	j.new.send(m)
+}
+
+func (j *journal) Ended(*netio.Conn) {
+	delete(j.new.journals, j.client)
+	j.new.send(&Closed{j.conn})
+}
--- /dev/null
+++ b/internal/handover/old.go
@@ -0,0 +1,573 @@
+package handover
+
+import (
+	"log/slog"
+	"maps"
+	"os"
+	"time"
+
+	"gannetspur/internal/core"
+	"gannetspur/internal/deadline"
+	decide "gannetspur/internal/decide/handover"
+	"gannetspur/internal/netio"
+	"gannetspur/internal/stats"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	poll = 2 * time.Millisecond // how often what is busy here is looked at
+	// perTurn bounds the connections that are given in one turn of the loop: the others are
+	// served in between.
+	perTurn = 128
+	// memoryEvery is how often the new process's memory is looked at.
+	memoryEvery = 200 * time.Millisecond
+	// endedGrace is how long a process may live on after its end of the channel has closed.
+	endedGrace = 200 * time.Millisecond
+	// pruneOver is how much of a connection's output is kept before what has been written of
+	// it is dropped.
+	pruneOver = 64 << 10
+)
+
+// OldOptions say how to upgrade.
+type OldOptions struct {
+	Program Program
+	Config  decide.Config
+	Know    func() *Knowledge // what this process knows, but for the clock
+	Counts  func() map[string]int64
+	Stop    func() // begins the planned stop
+	Exit    func() // ends this process: nothing is left here
+}
+
+// Old gives this process's work to a new one, and takes it back.
+type Old struct {
+	loop  *netio.Loop
+	core  *core.Core
+	front Front
+	opts  OldOptions
+	stats *stats.Counters
+	log   *slog.Logger
+
+	machine *decide.Old // nil: there never was an upgrade
+	program Program     // of the upgrade that is under way
+	proc    *process
+	tell    func(phase, why string, done bool)
+	told    decide.Phase
+	last    uint32
+	mine    map[decide.ConnID]*netio.Conn
+	busy    map[decide.ConnID]bool
+	kept    map[decide.ConnID]*kept
+	effects []any
+	running bool
+	build   string
+	counted map[string]int64
+	memory  time.Duration
+	ticker  *deadline.Entry
+	began   time.Duration
+
+	good, bad int64 // of the answers until the latest look
+	share     float64
+}
+
+// kept is what is needed to take a connection back: a duplicate of its descriptor, the state
+// that its front had last without an open request, and what was read and written since.
+type kept struct {
+	fd      int
+	state   []byte
+	in      []byte // read and not yet stood for by the state
+	inAt    int64  // its place
+	came    time.Duration
+	sending *Sending
+	out     []byte
+	outAt   int64
+	ending  bool
+}
+
+// NewOld returns what can give this process's work away.
+func NewOld(loop *netio.Loop, c *core.Core, front Front, opts OldOptions, counters *stats.Counters, log *slog.Logger) *Old {
+	o := &Old{loop: loop, core: c, front: front, opts: opts, stats: counters, log: log}
+	o.look()
+	return o
+}
+
+// look measures the share of answers that are no good, for the new process to be judged by.
+func (o *Old) look() {
+	good, bad := GoodAndBad(o.stats)
+	if n := good - o.good + bad - o.bad; n > 0 {
+		o.share += 0.3 * (float64(bad-o.bad)/float64(n) - o.share)
+	}
+	o.good, o.bad = good, bad
+	o.loop.Timers.Add(o.loop.Now()+time.Second, o.look)
+}
+
+// GoodAndBad tells the answers given so far that were served, and that were not.
+func GoodAndBad(c *stats.Counters) (good, bad int64) {
+	return c.Sum("answered.served."), c.Sum("answered.refused.") + c.Sum("answered.failed.")
+}
+
+// Phase is where an upgrade stands.
+func (o *Old) Phase() string {
+	if o.machine == nil {
+		return decide.Idle.String()
+	}
+	return o.machine.Phase().String()
+}
+
+// UnderWay tells whether an upgrade is under way.
+func (o *Old) UnderWay() bool { return o.machine != nil && o.machine.Phase() != decide.Idle }
+
+// Program is what an upgrade starts unless it is told otherwise.
+func (o *Old) Program() Program { return o.opts.Program }
+
+// Upgrade begins an upgrade to a program, which has this process's own arguments where it
+// names none. tell hears of each phase and, once, with done, of the end; why is "" when all
+// is well.
+func (o *Old) Upgrade(p Program, tell func(phase, why string, done bool)) {
+	if o.UnderWay() {
+		tell(o.Phase(), "another upgrade is under way", true)
+		return
+	}
+	o.machine = decide.NewOld(o.opts.Config, Version)
+	o.tell, o.told, o.build, o.began = tell, decide.Idle, "", o.loop.Now()
+	o.program = p
+	o.mine, o.busy, o.kept = map[decide.ConnID]*netio.Conn{}, map[decide.ConnID]bool{}, map[decide.ConnID]*kept{}
+	for c := range o.loop.Conns() {
+		if m := movable(c); m != nil && !m.Ending() {
+			o.enter(c)
+		}
+	}
+	o.front.OnAccept(func(c *netio.Conn) { // its handler is there from the next turn on
+		o.loop.Post(func() {
+			if o.UnderWay() && movable(c) != nil {
+				o.step(decide.Accepted{Conn: o.enter(c)})
+			}
+		})
+	})
+	for id := range uint32(len(o.mine)) {
+		o.machine.Step(o.loop.Now(), decide.Accepted{Conn: decide.ConnID(o.last - uint32(len(o.mine)) + 1 + id)})
+	}
+	o.step(decide.Upgrade{UsualBad: o.share})
+}
+
+func (o *Old) enter(c *netio.Conn) decide.ConnID {
+	o.last++
+	id := decide.ConnID(o.last)
+	o.mine[id] = c
+	return id
+}
+
+// Stop asks for a planned stop: an upgrade that is not through is given up first. It tells
+// whether the upgrade sees to the stop.
+func (o *Old) Stop() bool {
+	if !o.UnderWay() {
+		return false
+	}
+	o.step(decide.Stop{})
+	return true
+}
+
+// Reload has the new process read its files again as well.
+func (o *Old) Reload() {
+	if o.UnderWay() && o.proc != nil {
+		_ = o.proc.ch.Send(&Reload{}) // one that has ended needs none
+	}
+}
+
+func (o *Old) step(in any) {
+	o.effects = append(o.effects, o.machine.Step(o.loop.Now(), in)...)
+	o.run()
+}
+
+// run carries effects out, as many connections as a turn may give; the rest follow on the
+// next ones.
+func (o *Old) run() {
+	if o.running {
+		return
+	}
+	o.running = true
+	given := 0
+	for len(o.effects) > 0 && given < perTurn {
+		e := o.effects[0]
+		o.effects = o.effects[1:]
+		if _, ok := e.(decide.Give); ok {
+			given++
+		}
+		o.do(e)
+	}
+	o.running = false
+	if p := o.machine.Phase(); p != o.told {
+		o.told = p
+		o.log.Info("upgrade.phase", "phase", p.String(), "mine", len(o.mine), "theirs", len(o.kept))
+		if p != decide.Idle && p != decide.Gone {
+			o.tell(p.String(), "", false)
+		}
+	}
+	if len(o.effects) > 0 {
+		o.loop.Post(o.run)
+	}
+}
+
+func (o *Old) do(effect any) {
+	switch e := effect.(type) {
+	case decide.Spawn:
+		o.spawn()
+	case decide.SendState:
+		o.sendState()
+	case decide.SendGo:
+		o.send(&Shared{o.front.Shared()})
+		o.front.OnShared(func(b []byte) { o.send(&Shared{b}) })
+		o.front.OnStray(func(b []byte) { o.send(&Stray{b}) })
+		o.send(&Go{})
+	case decide.StopAccepting:
+		o.front.Listener().Pause()
+	case decide.StartAccepting:
+		o.front.Listener().Resume()
+	case decide.SendCommit:
+		o.send(&Shared{o.front.Shared()})
+		o.send(&Commit{})
+	case decide.Give:
+		o.give(e.Conn)
+	case decide.Forget:
+		o.forget(e.Conn)
+	case decide.Kill:
+		o.log.Warn("upgrade.ending", "why", o.machine.Why())
+		if o.proc != nil {
+			o.proc.kill()
+		} else {
+			o.loop.Post(func() { o.step(decide.Died{}) })
+		}
+	case decide.TakeBack:
+		o.takeBack(e)
+	case decide.Report:
+		o.report(e.Why)
+	case decide.BeginStop:
+		o.opts.Stop()
+	case decide.Exit:
+		o.exit()
+	}
+}
+
+func (o *Old) send(m Message, fds ...int) {
+	if o.proc == nil {
+		return
+	}
+	if err := o.proc.ch.Send(m, fds...); err != nil { // it has died, which is told soon
+		o.log.Warn("upgrade.unsent", "error", err)
+	}
+}
+
+func (o *Old) spawn() {
+	o.tick()
+	f, err := o.front.Listener().File()
+	if err == nil {
+		o.proc, err = spawn(o.program, f, len(o.mine))
+		_ = f.Close()
+	}
+	if err != nil {
+		o.loop.Post(func() { o.step(decide.Hello{Version: Version, Problem: err.Error()}) })
+		return
+	}
+	o.log.Info("upgrade.started", "program", o.program.Path, "pid", o.proc.cmd.Process.Pid)
+	proc, read := o.proc, make(chan struct{})
+	go func() {
+		err := proc.ch.Read(func(m Message, fds []int) {
+			for _, fd := range fds { // a new process has none to give
+				_ = unix.Close(fd)
+			}
+			o.loop.Post(func() { o.message(m) })
+		})
+		close(read)
+		o.loop.Post(func() {
+			if err != nil {
+				o.log.Warn("upgrade.channel", "error", err)
+			}
+			// What it says can't be heard any more: it is of no use, whether it lives or not.
+			o.loop.Timers.Add(o.loop.Now()+endedGrace, func() {
+				if o.proc == proc && o.machine.Phase() != decide.Finishing {
+					proc.kill()
+				}
+			})
+		})
+	}()
+	go func() {
+		state := proc.cmd.Wait()
+		// What it started may hold the channel open, and write to it still.
+		proc.kill()
+		<-read
+		o.loop.Post(func() {
+			o.log.Info("upgrade.process-ended", "pid", proc.cmd.Process.Pid, "state", state)
+			_ = proc.ch.Close()
+			if o.proc == proc {
+				o.proc = nil
+				o.step(decide.Died{})
+			}
+		})
+	}()
+}
+
+func (o *Old) sendState() {
+	k := o.opts.Know()
+	o.counted = maps.Clone(k.Counters)
+	k.Clock = Clock{Now: o.loop.Now(), Mono: monotonic()}
+	k.Shared = o.front.Shared()
+	w, err := k.encode()
+	if err != nil { // then it knows nothing, and is not ready in time
+		o.log.Error("upgrade.state", "error", err)
+		return
+	}
+	o.send(w)
+}
+
+// message takes a message of the new process.
+func (o *Old) message(m Message) {
+	if o.proc == nil || o.machine == nil {
+		return
+	}
+	switch m := m.(type) {
+	case *Hello:
+		o.build = m.Build
+		o.step(decide.Hello{Version: decide.Version{Major: m.Major, Minor: m.Minor}, Problem: m.Problem})
+	case *Ready:
+		o.sync()
+		o.step(decide.Ready{})
+	case *Alive:
+		o.step(decide.Alive{Good: m.Good, Bad: m.Bad})
+	case *Input:
+		if k := o.kept[decide.ConnID(m.Conn)]; k != nil {
+			k.input(m)
+		}
+		o.step(decide.Heard{})
+	case *Sending:
+		if k := o.kept[decide.ConnID(m.Conn)]; k != nil {
+			k.sending = m
+		}
+		o.step(decide.Recorded{Conn: decide.ConnID(m.Conn), Request: m.request()})
+	case *Output:
+		if k := o.kept[decide.ConnID(m.Conn)]; k != nil {
+			k.output(m)
+		}
+		if m.Settled {
+			o.step(decide.Recorded{Conn: decide.ConnID(m.Conn)})
+		}
+	case *Closed:
+		o.step(decide.TheyClosed{Conn: decide.ConnID(m.Conn)})
+	case *Shared:
+		if err := o.front.TakeShared(m.B); err != nil {
+			o.log.Warn("upgrade.shared", "error", err)
+		}
+	case *Stray:
+		o.front.TakeStray(m.B)
+	default:
+		o.log.Warn("upgrade.odd-message", "kind", m.kind())
+	}
+}
+
+func (m *Sending) request() decide.Request {
+	return decide.Request{
+		Open: true, Effect: decide.Effect(m.Effect), Sent: true, FirstSend: m.At, Window: m.Window, Deadline: m.Deadline,
+	}
+}
+
+func (k *kept) input(m *Input) {
+	if len(k.in) == 0 {
+		k.inAt = m.At
+	}
+	k.in = append(k.in, m.B...)
+	k.came = m.Came
+}
+
+func (k *kept) output(m *Output) {
+	if len(k.out) > pruneOver {
+		if p, err := netio.PlaceOf(k.fd); err == nil {
+			if done := min(p.Written-k.outAt, int64(len(k.out))); done > 0 {
+				k.out, k.outAt = append([]byte(nil), k.out[done:]...), k.outAt+done
+			}
+		}
+	}
+	if len(k.out) == 0 {
+		k.outAt = m.At
+	}
+	k.out = append(k.out, m.B...)
+	switch {
+	case !m.Settled:
+		return
+	case m.Ending: // nothing more is read
+		k.ending, k.sending, k.in = true, nil, nil
+		return
+	}
+	k.state, k.sending = m.State, nil
+	if n := min(m.Consumed-k.inAt, int64(len(k.in))); n > 0 {
+		k.in, k.inAt = k.in[n:], k.inAt+n
+		if len(k.in) == 0 {
+			k.in = nil
+		}
+	}
+}
+
+// sync tells the machine what is busy here, as it is about to give connections away.
+func (o *Old) sync() {
+	for id, c := range o.mine {
+		m := movable(c)
+		if c.Over() {
+			delete(o.mine, id)
+			delete(o.busy, id)
+			o.step(decide.Closed{Conn: id})
+			continue
+		}
+		if ok := free(c, m); ok == o.busy[id] {
+			if ok {
+				delete(o.busy, id)
+				o.step(decide.Free{Conn: id})
+			} else {
+				o.busy[id] = true
+				o.step(decide.Busy{Conn: id})
+			}
+		}
+	}
+}
+
+func (o *Old) give(id decide.ConnID) {
+	c := o.mine[id]
+	if c == nil {
+		return
+	}
+	m := movable(c)
+	if !c.Over() && !free(c, m) {
+		o.busy[id] = true
+		o.effects = append(o.effects, o.machine.Step(o.loop.Now(), decide.Kept{Conn: id})...)
+		return
+	}
+	delete(o.mine, id)
+	delete(o.busy, id)
+	state := m.State()
+	fd, unread, err := c.Detach()
+	if err != nil { // its end is told soon
+		o.effects = append(o.effects, o.machine.Step(o.loop.Now(), decide.TheyClosed{Conn: id})...)
+		return
+	}
+	m.Left()
+	k := &kept{fd: fd, state: state, in: unread}
+	if p, err := netio.PlaceOf(fd); err == nil { // else it has ended, which the new process will find
+		k.inAt = p.Read - int64(len(unread))
+	}
+	o.kept[id] = k
+	o.send(&Given{Conn: uint32(id), Front: o.front.Name(), State: state, Unread: unread}, fd)
+}
+
+func (o *Old) forget(id decide.ConnID) {
+	if k := o.kept[id]; k != nil {
+		delete(o.kept, id)
+		_ = unix.Close(k.fd)
+	}
+}
+
+// takeBack makes a connection this process's own again. What the new one had recorded to
+// write and did not is written first; what it had read and not answered is read anew, and
+// what it had sent to an engine goes out again only as Recover says.
+func (o *Old) takeBack(e decide.TakeBack) {
+	k := o.kept[e.Conn]
+	if k == nil {
+		return
+	}
+	delete(o.kept, e.Conn)
+	place, err := netio.PlaceOf(k.fd)
+	if err != nil {
+		o.log.Warn("upgrade.lost-connection", "error", err)
+		_ = unix.Close(k.fd)
+		return
+	}
+	var rest []byte
+	if done := place.Written - k.outAt; len(k.out) > 0 && done < int64(len(k.out)) {
+		rest = k.out[max(done, 0):]
+	}
+	unread := k.in
+	if n := place.Read - k.inAt; len(unread) > 0 && n < int64(len(unread)) {
+		unread = unread[:max(n, 0)] // the rest is in the socket still
+	}
+	if k.ending {
+		unread = nil
+	}
+	left := core.Left{Came: k.came}
+	if k.sending != nil {
+		left.Sent = k.sending.At
+		left.Settle = decide.Recover(k.sending.request(), 0, o.loop.Now()) != decide.SendAgain
+	}
+	restore, err := o.front.Restore(k.state)
+	if err != nil {
+		o.log.Warn("upgrade.lost-connection", "error", err)
+		_ = unix.Close(k.fd)
+		return
+	}
+	c, err := o.loop.Attach(k.fd, o.front.Limit(), unread, func(c *netio.Conn) netio.Handler {
+		h := restore(c)
+		if m, ok := h.(Movable); ok && len(unread) > 0 {
+			m.Recover(left)
+		}
+		return h
+	})
+	if err != nil {
+		o.log.Warn("upgrade.lost-connection", "error", err)
+		return
+	}
+	o.stats.Add("upgrade.taken-back")
+	if left.Settle {
+		o.stats.Add("upgrade.in-doubt")
+	}
+	if len(rest) > 0 {
+		o.stats.Add("upgrade.answers-finished")
+		c.Write(rest)
+	}
+	if k.ending {
+		c.Close()
+	}
+}
+
+// tick looks at what happens without a word.
+func (o *Old) tick() {
+	o.ticker.Stop()
+	if !o.UnderWay() {
+		return
+	}
+	now := o.loop.Now()
+	o.ticker = o.loop.Timers.Add(now+poll, o.tick)
+	if p := o.machine.Phase(); p == decide.Probation || p == decide.Finishing {
+		if len(o.effects) == 0 { // else connections are still being given
+			o.sync()
+		}
+	}
+	if o.proc != nil && now-o.memory >= memoryEvery {
+		o.memory = now
+		o.step(decide.Memory{Bytes: o.proc.memory()})
+	}
+	o.step(decide.Tick{})
+}
+
+func (o *Old) report(why string) {
+	o.front.OnShared(nil)
+	o.front.OnStray(nil)
+	took := o.loop.Now() - o.began
+	if why != "" {
+		o.stats.Add("upgrade.returned")
+		o.log.Warn("upgrade.returned", "why", why, "took", took)
+		o.tell(o.Phase(), why, true)
+		return
+	}
+	o.stats.Add("upgrade.done")
+	o.log.Info("upgrade.done", "took", took, "build", o.build, "in_flight", len(o.mine))
+	if o.proc != nil { // what ends here from now on may be shared with it still
+		o.front.OnShared(func(b []byte) { o.send(&Shared{b}) })
+		o.front.OnStray(func(b []byte) { o.send(&Stray{b}) })
+	}
+	o.tell(o.Phase(), "", true)
+}
+
+// exit tells the other what was counted here since, and ends this process.
+func (o *Old) exit() {
+	now := o.opts.Counts()
+	for name, n := range o.counted {
+		now[name] -= n
+	}
+	o.send(&Counts{now})
+	o.log.Info("upgrade.exit", "pid", os.Getpid())
+	o.opts.Exit()
+}
--- a/internal/house/house_test.go
+++ b/internal/house/house_test.go
@@ -16,7 +16,7 @@
 	{"cmd/"},
 	{"internal/front/", "internal/wire"},
 	{"internal/engine"},
-	{"internal/shape"},
+	{"internal/shape", "internal/handover", "internal/admin"},
 	{"internal/roster/", "internal/config"},
 	{"internal/core", "internal/netio"},
 	{"internal/decide/"},
--- a/internal/lab/emul/emul.go
+++ b/internal/lab/emul/emul.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -16,6 +17,15 @@
 // Work tells how long a statement takes, and the memory that it needs in MB.
 type Work func(statement string) (time.Duration, float64)
 
+// Options say what an engine is like.
+type Options struct {
+	Name   string // in the ledger
+	Work   Work
+	User   string  // whom it trusts, of the PostgreSQL wire; "": everybody
+	Ledger *Ledger // of effects; nil: none is kept
+	Log    *slog.Logger
+}
+
 // Plain is a cost by what a reader would expect: a load or a summary takes seconds, a
 // lookup a fifth of one, each text a little differently.
 func Plain(statement string) (time.Duration, float64) {
--- a/internal/lab/emul/lines.go
+++ b/internal/lab/emul/lines.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"strings"
 	"sync"
@@ -18,9 +17,9 @@
 // Lines serves the platform's line protocol on a listener until that is closed: an engine
 // that answers each statement, after notes of progress, with rows that say what it was
 // asked. Nothing waits for anything there but its own work.
-func Lines(ln net.Listener, work Work, log *slog.Logger) {
+func Lines(ln net.Listener, opts Options) {
 	each(ln, func(c net.Conn) {
-		(&session{conn: c, work: work, log: log, running: map[string]context.CancelFunc{}}).serve()
+		(&session{Options: opts, conn: c, running: map[string]context.CancelFunc{}}).serve()
 	})
 }
 
@@ -55,9 +54,8 @@
 
 // session is one connection of a front end.
 type session struct {
+	Options
 	conn net.Conn
-	work Work
-	log  *slog.Logger
 
 	mu      sync.Mutex // guards writes and what follows
 	running map[string]context.CancelFunc
@@ -90,18 +88,27 @@
 }
 
 func (s *session) start(id, fields, statement string) {
-	s.log.Info("asked", "id", id, "fields", fields, "statement", short(statement))
+	s.Log.Info("asked", "id", id, "fields", fields, "statement", short(statement))
 	ctx, cancel := context.WithCancel(context.Background())
 	s.mu.Lock()
 	s.running[id] = cancel
 	s.mu.Unlock()
-	took, memory := s.work(statement)
+	took, memory := s.Work(statement)
+	token := ""
+	for f := range strings.SplitSeq(fields, ",") {
+		if v, ok := strings.CutPrefix(f, "token="); ok {
+			token = v
+		}
+	}
+	if !s.Ledger.Begin(s.Name, statement, token) {
+		took = 0 // a repeat that is dropped
+	}
 	go func() {
 		defer cancel()
 		for part := 1; part <= 4; part++ {
 			select {
 			case <-ctx.Done():
-				s.log.Info("given up", "id", id)
+				s.Log.Info("given up", "id", id)
 				return
 			case <-time.After(took / 4):
 			}
--- a/internal/lab/emul/pg.go
+++ b/internal/lab/emul/pg.go
@@ -2,10 +2,10 @@
 
 import (
 	"encoding/binary"
-	"log/slog"
 	"net"
 	"regexp"
 	"strconv"
+	"strings"
 	"time"
 
 	"gannetspur/internal/pgproto"
@@ -14,17 +14,18 @@
 var columns = append([]byte{0, 1}, append([]byte("asked\x00"), 0, 0, 0, 0, 0, 0, 0, 0, 0, 25, 255, 255, 255, 255, 255, 255, 0, 0)...)
 
 // Postgres serves the PostgreSQL wire protocol on a listener until that is closed, one
-// statement at a time on a connection, with one row that says what was asked.
-func Postgres(ln net.Listener, work Work, log *slog.Logger) {
+// statement at a time on a connection, with two rows that say what was asked and what was bound first.
+func Postgres(ln net.Listener, opts Options) {
 	each(ln, func(c net.Conn) {
-		if err := serve(c, work, log); err != nil {
-			log.Warn("connection ended", "error", err)
+		if err := serve(c, opts); err != nil {
+			opts.Log.Warn("connection ended", "error", err)
 		}
 	})
 }
 
 // serve answers one connection of the gateway, message by message.
-func serve(c net.Conn, work Work, log *slog.Logger) error {
+func serve(c net.Conn, opts Options) error {
+	log := opts.Log
 	in, p := []byte{}, make([]byte, 8192)
 	more := func() error {
 		n, err := c.Read(p)
@@ -32,7 +33,7 @@
 		return err
 	}
 	for {
-		code, _, n, err := pgproto.Startup(in)
+		code, body, n, err := pgproto.Startup(in)
 		if err != nil {
 			return err
 		}
@@ -41,6 +42,11 @@
 				log.Info("given up")
 				return nil
 			}
+			if opts.User != "" && !strings.Contains(string(body), "user\x00"+opts.User+"\x00") {
+				e := pgproto.Error{Severity: "FATAL", Code: "28000", Message: "this user is not trusted here"}
+				_, err := c.Write(pgproto.Append(nil, 'E', e.Body()))
+				return err
+			}
 			break
 		}
 		if err := more(); err != nil {
@@ -50,7 +56,7 @@
 	out := pgproto.Append(nil, 'R', pgproto.Int32(0))
 	out = pgproto.Append(out, 'K', pgproto.Int32(1), pgproto.Int32(1))
 	out = pgproto.Append(out, 'Z', []byte("I"))
-	query, named := "", map[string]string{}
+	query, key, named := "", "", map[string]string{}
 	for {
 		if len(out) > 0 {
 			if _, err := c.Write(out); err != nil {
@@ -78,7 +84,15 @@
 			out = pgproto.Append(out, '1')
 		case 'B':
 			r.Str()
-			query = named[r.Str()]
+			query, key = named[r.Str()], ""
+			for range r.Count() {
+				r.Int16()
+			}
+			if r.Count() > 0 {
+				if n := r.Int32(); n > 0 {
+					key = string(r.Bytes(n))
+				}
+			}
 			out = pgproto.Append(out, '2')
 		case 'D':
 			if r.Byte() == 'S' {
@@ -87,10 +101,14 @@
 			}
 			out = pgproto.Append(out, 'T', columns)
 		case 'E':
-			took, _ := work(query)
-			time.Sleep(took)
-			out = pgproto.Append(out, 'D', []byte{0, 1}, pgproto.Int32(len(query)), []byte(query))
-			out = pgproto.Append(out, 'C', pgproto.Str("SELECT 1"))
+			took, _ := opts.Work(query)
+			if opts.Ledger.Begin(opts.Name, query, key) {
+				time.Sleep(took)
+			}
+			for _, row := range []string{query, key} {
+				out = pgproto.Append(out, 'D', []byte{0, 1}, pgproto.Int32(len(row)), []byte(row))
+			}
+			out = pgproto.Append(out, 'C', pgproto.Str("SELECT 2"))
 		case 'S':
 			out = pgproto.Append(out, 'Z', []byte("I"))
 		}
--- /dev/null
+++ b/internal/lab/load/check.go
@@ -0,0 +1,66 @@
+package load
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"gannetspur/internal/lab/emul"
+)
+
+// Fault is a rule that a request saw broken.
+type Fault struct {
+	Rule string
+	Mark string
+	What string
+}
+
+func (f Fault) String() string { return fmt.Sprintf("%s: %s: %s", f.Rule, f.Mark, f.What) }
+
+// Check joins what clients were told with what engines did. Each request must have one final
+// answer that is its own, in time; what may run once has run once at most; what runs under a
+// key has had its effect once, and went out within the window of its first send alone; what
+// was served has run.
+func Check(records []Record, runs []emul.Run, window time.Duration) (faults []Fault) {
+	by := map[string][]emul.Run{}
+	for _, r := range runs {
+		by[r.Mark] = append(by[r.Mark], r)
+	}
+	for _, r := range records {
+		add := func(rule, what string, args ...any) {
+			faults = append(faults, Fault{rule, r.Mark, fmt.Sprintf(what, args...)})
+		}
+		switch r.Verdict {
+		case Reset:
+			add("no answer", "the connection ended: %s", r.Detail)
+		case Silent:
+			add("no answer", "none came in time: %s", r.Detail)
+		case Spoilt:
+			add("spoilt", "%s", r.Detail)
+		case Unasked:
+			add("not reached", "%s", r.Detail)
+		}
+		mine := by[r.Mark]
+		effects := 0
+		for _, run := range mine {
+			if !run.Dropped {
+				effects++
+			}
+			if late := run.At.Sub(mine[0].At); r.Kind == Load && late >= window {
+				add("key window", "sent again %v after its first send", late)
+			}
+		}
+		switch {
+		case r.Kind != Lookup && effects > 1:
+			add("effect twice", "%d effects", effects)
+		case r.Kind == Write && len(mine) > 1:
+			add("effect twice", "it ran %d times", len(mine))
+		}
+		if r.Verdict == Served && len(mine) == 0 {
+			add("served what never ran", "no engine saw it")
+		}
+	}
+	slices.SortStableFunc(faults, func(a, b Fault) int { return strings.Compare(a.Rule, b.Rule) })
+	return faults
+}
--- /dev/null
+++ b/internal/lab/load/client.go
@@ -0,0 +1,296 @@
+// Package load sends traffic to a gateway as its clients do and writes down what became of
+// each request. Arrivals don't wait for answers: a gateway that stands still for a while is
+// seen by all that would have come meanwhile.
+package load
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"gannetspur/internal/pgproto"
+)
+
+// Verdict is what a client was told.
+type Verdict string
+
+// Verdicts.
+const (
+	Served  Verdict = "served"
+	Refused Verdict = "refused" // trying again is harmless
+	Failed  Verdict = "failed"
+	Doubt   Verdict = "doubt"   // it may have run (40003)
+	Late    Verdict = "late"    // its time was over (57014)
+	Reset   Verdict = "reset"   // the connection ended without an answer
+	Silent  Verdict = "silent"  // no answer in time
+	Spoilt  Verdict = "spoilt"  // an answer to something else, or what can't be read
+	Unasked Verdict = "unasked" // no connection could be had
+)
+
+// Kind is what a request does.
+type Kind byte
+
+// Kinds of request; its letter begins the mark.
+const (
+	Lookup Kind = 'q'
+	Load   Kind = 'k'
+	Write  Kind = 'w'
+)
+
+// Client is one connection of a client.
+type Client interface {
+	// Ask sends one request and waits for its answer.
+	Ask(kind Kind, mark string, within time.Duration) (Verdict, string)
+	// Idle tells whether the connection still stands, between two requests.
+	Idle() Verdict
+	Close()
+}
+
+// grace is how much later than the request's own time an answer still counts.
+const grace = time.Second
+
+// wire is what both have in common.
+type wire struct {
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func dial(addr string) (wire, error) {
+	c, err := net.DialTimeout("tcp", addr, 5*time.Second)
+	if err != nil {
+		return wire{}, err
+	}
+	return wire{c, bufio.NewReader(c)}, nil
+}
+
+func (w *wire) Close() { _ = w.conn.Close() }
+
+// Idle reads nothing for a moment: what comes is an answer that nobody asked for, or the end.
+func (w *wire) Idle() Verdict {
+	_ = w.conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := w.in.Peek(1)
+	_ = w.conn.SetReadDeadline(time.Time{})
+	switch {
+	case err == nil:
+		return Spoilt
+	case errors.Is(err, io.EOF) || !isTimeout(err):
+		return Reset
+	}
+	return Served
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
+func broken(err error) (Verdict, string) {
+	if isTimeout(err) {
+		return Silent, err.Error()
+	}
+	return Reset, err.Error()
+}
+
+// HTTP is a client of the platform's front.
+type HTTP struct {
+	wire
+	n uint64
+}
+
+// DialHTTP connects.
+func DialHTTP(addr string, seed uint64) (*HTTP, error) {
+	w, err := dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	return &HTTP{w, seed << 24}, nil
+}
+
+// Ask sends one request.
+func (c *HTTP) Ask(kind Kind, mark string, within time.Duration) (Verdict, string) {
+	path, text, head := "lookup", fmt.Sprintf("SELECT part, note FROM stock_3.parts WHERE tag = '%s'", mark), ""
+	if kind == Load {
+		path, text, head = "load", fmt.Sprintf("INSERT INTO stock_3.batches VALUES ('%s')", mark), "Req-Token: "+mark+"\r\n"
+	}
+	c.n++
+	_ = c.conn.SetDeadline(time.Now().Add(within + grace))
+	if _, err := fmt.Fprintf(c.conn, "POST /rpc/%s HTTP/1.1\r\nHost: lab\r\nReq-Id: %016x\r\nReq-Wait-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
+		path, c.n, within.Milliseconds(), head, len(text), text); err != nil {
+		return broken(err)
+	}
+	status, body, err := c.answer()
+	if err != nil {
+		return broken(err)
+	}
+	switch {
+	case status == 200 && strings.Contains(body, mark):
+		return Served, ""
+	case status == 200:
+		return Spoilt, body
+	case status == 503 || status == 429:
+		return Refused, body
+	}
+	return Failed, fmt.Sprintf("%d %s", status, body)
+}
+
+func (c *HTTP) answer() (status int, body string, err error) {
+	line, err := c.in.ReadString('\n')
+	if err != nil {
+		return 0, "", err
+	}
+	if _, err := fmt.Sscanf(line, "HTTP/1.1 %d", &status); err != nil {
+		return 0, "", fmt.Errorf("%q is no status: %w", line, err)
+	}
+	length := 0
+	for {
+		line, err := c.in.ReadString('\n')
+		if err != nil {
+			return 0, "", err
+		}
+		name, value, ok := strings.Cut(strings.TrimSpace(line), ": ")
+		if !ok {
+			break
+		}
+		if strings.EqualFold(name, "Content-Length") {
+			if length, err = strconv.Atoi(value); err != nil {
+				return 0, "", err
+			}
+		}
+	}
+	b := make([]byte, length)
+	_, err = io.ReadFull(c.in, b)
+	return status, string(b), err
+}
+
+// Postgres is a client of the PostgreSQL front. It prepares its statements when it connects
+// and binds them from then on.
+type Postgres struct {
+	wire
+	n int
+}
+
+// DialPostgres connects and prepares.
+func DialPostgres(addr string) (*Postgres, error) {
+	w, err := dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	c := &Postgres{wire: w}
+	out := pgproto.AppendStartup(nil, pgproto.Version, append(append(pgproto.Str("user"), pgproto.Str("lab")...), 0))
+	for _, s := range [][2]string{
+		{"q", "SELECT part, note FROM stock_3.parts WHERE tag = $1"},
+		{"k", "INSERT INTO stock_3.batches VALUES ($1)"},
+		{"w", "UPDATE stock_3.parts SET seen = seen + 1 WHERE tag = $1"},
+	} {
+		out = pgproto.Append(out, 'P', pgproto.Str(s[0]), pgproto.Str(s[1]), []byte{0, 0})
+	}
+	out = pgproto.Append(out, 'S')
+	_ = c.conn.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err = c.conn.Write(out); err == nil {
+		for ready := 0; ready < 2 && err == nil; {
+			var kind byte
+			var body []byte
+			if kind, body, err = c.message(); kind == 'Z' {
+				ready++
+			} else if kind == 'E' {
+				err = fmt.Errorf("%.200q", body)
+			}
+		}
+	}
+	if err != nil {
+		_ = c.conn.Close()
+		return nil, err
+	}
+	_ = c.conn.SetDeadline(time.Time{})
+	return c, nil
+}
+
+func (c *Postgres) message() (kind byte, body []byte, err error) {
+	head := make([]byte, 5)
+	if _, err := io.ReadFull(c.in, head); err != nil {
+		return 0, nil, err
+	}
+	n := int(binary.BigEndian.Uint32(head[1:])) - 4
+	if n < 0 || n > 8<<20 {
+		return 0, nil, fmt.Errorf("a message of %d bytes", n)
+	}
+	body = make([]byte, n)
+	_, err = io.ReadFull(c.in, body)
+	return head[0], body, err
+}
+
+// Ask sends one request: every third lookup has its value in the text of a Query, every fifth
+// fetches its rows one by one by way of a portal, all others bind.
+func (c *Postgres) Ask(kind Kind, mark string, within time.Duration) (Verdict, string) {
+	c.n++
+	_ = c.conn.SetDeadline(time.Now().Add(within + grace))
+	var out []byte
+	paged := false
+	switch {
+	case kind == Lookup && c.n%3 == 0:
+		out = pgproto.Append(nil, 'Q', pgproto.Str(fmt.Sprintf("SELECT part, note FROM stock_3.parts WHERE tag = '%s'", mark)))
+	default:
+		out = pgproto.Append(nil, 'B', []byte{0}, pgproto.Str(string(rune(kind))), []byte{0, 0, 0, 1}, pgproto.Int32(len(mark)), []byte(mark), []byte{0, 0})
+		if paged = kind == Lookup && c.n%5 == 0; paged {
+			out = pgproto.Append(pgproto.Append(out, 'E', []byte{0}, pgproto.Int32(1)), 'H')
+		} else {
+			out = pgproto.Append(pgproto.Append(out, 'E', []byte{0}, pgproto.Int32(0)), 'S')
+		}
+	}
+	if _, err := c.conn.Write(out); err != nil {
+		return broken(err)
+	}
+	verdict, detail, seen := Spoilt, "no completion", false
+	for {
+		k, body, err := c.message()
+		if err != nil {
+			return broken(err)
+		}
+		switch k {
+		case 'D':
+			seen = seen || strings.Contains(string(body), mark)
+		case 's':
+			if _, err := c.conn.Write(pgproto.Append(pgproto.Append(nil, 'E', []byte{0}, pgproto.Int32(0)), 'S')); err != nil {
+				return broken(err)
+			}
+		case 'C':
+			if verdict, detail = Served, ""; !seen {
+				verdict, detail = Spoilt, "another's rows"
+			}
+		case 'E':
+			e, err := pgproto.ReadError(body)
+			if err != nil {
+				return Spoilt, err.Error()
+			}
+			verdict, detail = told(e.Code), e.Code+" "+e.Message
+			if e.Severity == "FATAL" {
+				return Reset, detail
+			}
+			if paged { // the Sync that follows the pages was not sent yet
+				if _, err := c.conn.Write(pgproto.Append(nil, 'S')); err != nil {
+					return broken(err)
+				}
+			}
+		case 'Z':
+			return verdict, detail
+		}
+	}
+}
+
+func told(code string) Verdict {
+	switch code {
+	case "53000":
+		return Refused
+	case "40003":
+		return Doubt
+	case "57014":
+		return Late
+	}
+	return Failed
+}
--- /dev/null
+++ b/internal/lab/load/load.go
@@ -0,0 +1,246 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// Options say what traffic to send to one front.
+type Options struct {
+	Name        string // in marks and records: a number
+	Dial        func(seed uint64) (Client, error)
+	Connections int     // that are kept open; each arrival takes one that is free
+	Rate        float64 // arrivals a second, Poisson
+	Loads       float64 // share of requests that are keyed loads
+	Writes      float64 // share that may run once only
+	Churn       float64 // share of requests whose connection is closed behind them, and another made
+	Within      time.Duration
+	Retries     int // of a load that was refused, failed or in doubt, with its key
+	Seed        uint64
+}
+
+// Record is what became of one request.
+type Record struct {
+	Mark    string
+	Kind    Kind
+	Due     time.Time // when it arrived, whether a connection was free or not
+	End     time.Time
+	Verdict Verdict // the last
+	Detail  string
+	Tries   []Verdict
+}
+
+// Latency is how long its client waited, from its arrival.
+func (r *Record) Latency() time.Duration { return r.End.Sub(r.Due) }
+
+// Source sends traffic to one front.
+type Source struct {
+	opts Options
+
+	mu      sync.Mutex
+	free    []Client
+	room    *sync.Cond
+	rng     *rand.Rand
+	records []Record
+	resets  int // connections that ended while nothing was open on them
+	dials   uint64
+}
+
+// New connects all clients.
+func New(opts Options) (*Source, error) {
+	s := &Source{opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 0x6c6f6164))}
+	s.room = sync.NewCond(&s.mu)
+	errs := make(chan error, 16)
+	per := (opts.Connections + 15) / 16
+	for i := range 16 {
+		go func() {
+			for range max(min(per, opts.Connections-i*per), 0) {
+				c, err := s.dial()
+				if err != nil {
+					errs <- err
+					return
+				}
+				s.mu.Lock()
+				s.free = append(s.free, c)
+				s.mu.Unlock()
+			}
+			errs <- nil
+		}()
+	}
+	var first error
+	for range 16 {
+		if err := <-errs; err != nil && first == nil {
+			first = err
+		}
+	}
+	if first != nil {
+		s.Close()
+		return nil, fmt.Errorf("load: %w", first)
+	}
+	return s, nil
+}
+
+func (s *Source) dial() (Client, error) {
+	s.mu.Lock()
+	s.dials++
+	seed := s.dials
+	s.mu.Unlock()
+	return s.opts.Dial(seed)
+}
+
+// Run sends requests until the context ends, and returns once the last is answered.
+func (s *Source) Run(ctx context.Context) {
+	gap := distuv.Exponential{Rate: s.opts.Rate, Src: rand.NewPCG(s.opts.Seed, 1)}
+	kinds := rand.New(rand.NewPCG(s.opts.Seed, 2))
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	due := time.Now()
+	for n := 0; ; n++ {
+		due = due.Add(time.Duration(gap.Rand() * float64(time.Second)))
+		t := time.NewTimer(time.Until(due))
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		}
+		kind := Lookup
+		switch x := kinds.Float64(); {
+		case x < s.opts.Loads:
+			kind = Load
+		case x < s.opts.Loads+s.opts.Writes:
+			kind = Write
+		}
+		r := Record{Mark: fmt.Sprintf("%c-%s-%d", kind, s.opts.Name, n), Kind: kind, Due: due}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			s.one(&r)
+			s.mu.Lock()
+			s.records = append(s.records, r)
+			s.mu.Unlock()
+		}()
+	}
+}
+
+// one carries out one request with its client's retries.
+func (s *Source) one(r *Record) {
+	for try := 0; ; try++ {
+		r.Verdict, r.Detail = s.try(r)
+		r.Tries = append(r.Tries, r.Verdict)
+		r.End = time.Now()
+		if r.Kind != Load || try >= s.opts.Retries || r.Verdict != Refused && r.Verdict != Failed && r.Verdict != Doubt {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (s *Source) try(r *Record) (Verdict, string) {
+	c := s.take()
+	v, detail := c.Ask(r.Kind, r.Mark, s.opts.Within)
+	switch v {
+	case Reset, Silent, Spoilt:
+		c = s.anew(c)
+	default:
+		if s.opts.Churn > 0 && s.draw() < s.opts.Churn {
+			c = s.anew(c)
+		}
+	}
+	s.give(c)
+	return v, detail
+}
+
+func (s *Source) draw() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.Float64()
+}
+
+// anew closes a connection and makes another; nil: it could not be made.
+func (s *Source) anew(c Client) Client {
+	c.Close()
+	c, err := s.dial()
+	if err != nil {
+		return nil
+	}
+	return c
+}
+
+// take takes a free connection, any of them with even chances: all are used now and then.
+func (s *Source) take() Client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.free) == 0 {
+		s.room.Wait()
+	}
+	i := s.rng.IntN(len(s.free))
+	c := s.free[i]
+	last := len(s.free) - 1
+	s.free[i] = s.free[last]
+	s.free = s.free[:last]
+	return c
+}
+
+func (s *Source) give(c Client) {
+	if c == nil { // the gateway is away; its slot is tried again by whoever takes it
+		c = &absent{s}
+	}
+	s.mu.Lock()
+	s.free = append(s.free, c)
+	s.mu.Unlock()
+	s.room.Signal()
+}
+
+// absent is the place of a connection that could not be made.
+type absent struct{ s *Source }
+
+func (a *absent) Ask(k Kind, mark string, within time.Duration) (Verdict, string) {
+	c, err := a.s.dial()
+	if err != nil {
+		return Unasked, err.Error()
+	}
+	v, d := c.Ask(k, mark, within)
+	c.Close() // the next one connects anew
+	return v, d
+}
+func (a *absent) Idle() Verdict { return Served }
+func (a *absent) Close()        {}
+
+// Sweep looks at all connections that are free: how many have ended, and how many have an
+// answer that nobody asked for.
+func (s *Source) Sweep() (ended, unasked int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.free {
+		switch c.Idle() {
+		case Reset:
+			ended++
+		case Spoilt:
+			unasked++
+		}
+	}
+	return ended, unasked
+}
+
+// Records is what became of all requests so far.
+func (s *Source) Records() []Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Record(nil), s.records...)
+}
+
+// Close closes all free connections.
+func (s *Source) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.free {
+		c.Close()
+	}
+	s.free = nil
+}
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -30,6 +30,9 @@
 	HTTP     string // where the platform's front listens
 	Postgres string // where the PostgreSQL front listens
 	Shapes   bool   // in the PostgreSQL front's file
+	User     string // whom engines of the PostgreSQL wire trust; "": everybody
+	Clients  int    // connections that the fronts are set up for; 0: as their files say
+	Ledger   *emul.Ledger
 	Log      *slog.Logger
 }
 
@@ -79,13 +82,13 @@
 			return nil, err
 		}
 		name := fmt.Sprintf("s-%08x", i+1)
-		go emul.Lines(ln, opts.Work, opts.Log.With("engine", name))
+		go emul.Lines(ln, emul.Options{Name: name, Work: opts.Work, Ledger: opts.Ledger, Log: opts.Log.With("engine", name)})
 		targets = append(targets, target{name, ln.Addr().String(), "hall-a", "std-8", "in_service"})
 		if ln, err = r.listen(); err != nil {
 			return nil, err
 		}
 		name = fmt.Sprintf("engine-%d", i+1)
-		go emul.Postgres(ln, opts.Work, opts.Log.With("engine", name))
+		go emul.Postgres(ln, emul.Options{Name: name, Work: opts.Work, User: opts.User, Ledger: opts.Ledger, Log: opts.Log.With("engine", name)})
 		instances = append(instances, emul.Instance{ID: name, Addr: ln.Addr().(*net.TCPAddr)})
 	}
 	bus, err := r.listen()
@@ -114,6 +117,9 @@
 	file["known"] = map[string]any{"offset": 1, "batch": []any{
 		map[string]any{"offset": 1, "topology": map[string]any{"rev": 1, "all": true, "targets": targets}},
 	}}
+	if opts.Clients > 0 {
+		file["limits"] = map[string]any{"cores": 1, "memory_mb": 1024, "sockets": 2*opts.Clients + 1024}
+	}
 	if raw, err = json.MarshalIndent(file, "", " "); err != nil {
 		return fmt.Errorf("rig: %w", err)
 	}
@@ -127,6 +133,11 @@
 		}
 		s := strings.Replace(string(text), `"127.0.0.1:5433"`, fmt.Sprintf("%q", opts.Postgres), 1)
 		s = strings.Replace(s, `"127.0.0.1:8500"`, fmt.Sprintf("%q", agent), 1)
+		if opts.Clients > 0 {
+			s = strings.Replace(s, "memory_mb = 192", "memory_mb = 1024", 1)
+			s = strings.Replace(s, "sockets = 1024", fmt.Sprintf("sockets = %d", 2*opts.Clients+1024), 1)
+			s = strings.Replace(s, "most_clients = 300", fmt.Sprintf("most_clients = %d", opts.Clients+256), 1)
+		}
 		if opts.Shapes {
 			s = strings.Replace(s, "enabled = false", "enabled = true", 1)
 		}
--- /dev/null
+++ b/internal/lab/upgrades/upgrades.go
@@ -0,0 +1,368 @@
+// Package upgrades plays upgrades of a gateway under steady traffic, good ones and ones that
+// are broken in every way that is known, and judges what clients and engines saw of them.
+package upgrades
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"gannetspur/internal/admin"
+	"gannetspur/internal/lab/emul"
+	"gannetspur/internal/lab/load"
+	"gannetspur/internal/lab/rig"
+)
+
+// Good is the kind of an upgrade that must go through.
+const Good = "good"
+
+// Broken are the kinds of new versions that must not, and what each does.
+var Broken = map[string]string{
+	"exit":         "ends at once",
+	"missing":      "there is no such program",
+	"mute":         "never says a word",
+	"no-settings":  "can't read its settings",
+	"descriptors":  "has too few descriptors for the connections",
+	"version":      "speaks another version",
+	"garbage":      "writes garbage to the channel",
+	"dies-warming": "dies while it takes what is known, or just before or after",
+	"dies-serving": "dies after it has served for a while",
+	"hangs":        "stops after it has served for a while",
+	"memory":       "takes too much memory",
+	"errors":       "answers errors only, or refuses all",
+}
+
+// window is how long engines drop repeats of a key, as the settings say.
+const window = 12 * time.Second
+
+// Options say what to play on one front.
+type Options struct {
+	Front       string // rest or postgres
+	Root        string // the repository
+	Dir         string // for files
+	Program     string // ringwood
+	Lab         string // this program, for scripted processes
+	Engines     int
+	Work        time.Duration // of each statement
+	Connections int
+	Rate        float64
+	Loads       float64
+	Writes      float64
+	Churn       float64
+	Kinds       []string // of the upgrades, in order
+	Gap         time.Duration
+	ProveFor    time.Duration
+	Seed        uint64
+	Log         io.Writer // of the gateways
+	Each        func(Upgrade)
+}
+
+// Upgrade is one upgrade that was played.
+type Upgrade struct {
+	Kind        string
+	Began, Done time.Time
+	Why         string // of a return; "": it went through
+	Right       bool   // it ended as its kind must
+}
+
+// Result is what was seen.
+type Result struct {
+	Upgrades []Upgrade
+	Records  []load.Record
+	Runs     []emul.Run
+	Faults   []load.Fault
+	Ended    int // connections that had ended without a word, at the end
+	Unasked  int // that had an answer waiting that nobody asked for
+	Resident int64
+	Stable   time.Time // traffic before this is the steady state
+}
+
+// gate is the gateway that serves just now, whichever process that is.
+type gate struct {
+	opts  Options
+	rig   *rig.Rig
+	addr  string
+	admin string
+	args  []string
+	first *rig.Gateway
+}
+
+// Play plays the upgrades.
+func Play(ctx context.Context, opts Options) (res *Result, err error) {
+	ledger := emul.NewLedger(window)
+	addr, err := rig.Free()
+	if err != nil {
+		return nil, err
+	}
+	o := rig.Options{
+		Root: opts.Root, Dir: opts.Dir, Engines: opts.Engines, HTTP: addr, Postgres: addr, Clients: opts.Connections, User: "ringwood", Ledger: ledger,
+		Log: slog.New(slog.DiscardHandler), Work: func(string) (time.Duration, float64) { return opts.Work, 1 },
+	}
+	r, err := rig.New(o)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	g := &gate{opts: opts, rig: r, addr: addr, admin: filepath.Join(opts.Dir, "admin")}
+	if err := g.write(); err != nil {
+		return nil, err
+	}
+	if g.first, err = rig.Start(opts.Program, opts.Log, g.args...); err != nil {
+		return nil, err
+	}
+	defer g.stop()
+	if err := rig.Up(ctx, addr); err != nil {
+		return nil, err
+	}
+	dial := func(seed uint64) (load.Client, error) { return load.DialHTTP(addr, seed) }
+	name := "1"
+	if opts.Front == "postgres" {
+		dial, name = func(uint64) (load.Client, error) { return load.DialPostgres(addr) }, "2"
+	}
+	s, err := load.New(load.Options{
+		Name: name, Dial: dial, Connections: opts.Connections, Rate: opts.Rate, Loads: opts.Loads, Writes: opts.Writes, Churn: opts.Churn,
+		Within: 5 * time.Second, Retries: 2, Seed: opts.Seed,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer s.Close()
+	if err := g.settled(ctx); err != nil {
+		return nil, err
+	}
+	traffic, stop := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() { s.Run(traffic); close(ended) }()
+	res = &Result{}
+	defer func() { stop(); <-ended }()
+	pause := func(d time.Duration) error {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(d):
+			return nil
+		}
+	}
+	if err := pause(2 * time.Second); err != nil {
+		return nil, err
+	}
+	res.Stable = time.Now()
+	chance := rand.New(rand.NewPCG(opts.Seed, 0x75706772))
+	for _, kind := range opts.Kinds {
+		u, err := g.upgrade(ctx, kind, chance)
+		if err != nil {
+			return nil, fmt.Errorf("upgrade %q: %w", kind, err)
+		}
+		res.Upgrades = append(res.Upgrades, u)
+		opts.Each(u)
+		if err := pause(opts.Gap); err != nil {
+			return nil, err
+		}
+	}
+	if err := pause(time.Second); err != nil {
+		return nil, err
+	}
+	if st, err := g.status(ctx); err == nil {
+		res.Resident = resident(st.PID)
+	}
+	stop()
+	<-ended
+	res.Ended, res.Unasked = s.Sweep()
+	res.Records, res.Runs = s.Records(), ledger.Runs()
+	res.Faults = load.Check(res.Records, res.Runs, window)
+	if res.Ended > 0 {
+		res.Faults = append(res.Faults, load.Fault{Rule: "ended unasked", What: fmt.Sprintf("%d connections", res.Ended)})
+	}
+	if res.Unasked > 0 {
+		res.Faults = append(res.Faults, load.Fault{Rule: "answered unasked", What: fmt.Sprintf("%d connections", res.Unasked)})
+	}
+	return res, nil
+}
+
+// settled waits until the gateway serves what it is asked: it knows its engines.
+func (g *gate) settled(ctx context.Context) error {
+	for {
+		var c load.Client
+		var err error
+		if g.opts.Front == "postgres" {
+			c, err = load.DialPostgres(g.addr)
+		} else {
+			c, err = load.DialHTTP(g.addr, 1<<30)
+		}
+		if err == nil {
+			v, _ := c.Ask(load.Lookup, "q-0-0", time.Second)
+			c.Close()
+			if v == load.Served {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(errors.New("the gateway never served"), err, ctx.Err())
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// write writes the files of the gateway and of the broken ones.
+func (g *gate) write() error {
+	text, err := os.ReadFile(filepath.Join(g.opts.Root, "deploy", "upgrade.toml"))
+	if err != nil {
+		return fmt.Errorf("start this from the repository's root: %w", err)
+	}
+	s := strings.Replace(string(text), `"/tmp/ringwood-admin.sock"`, fmt.Sprintf("%q", g.admin), 1)
+	s = strings.Replace(s, "greet_within_s = 5 ", "greet_within_s = 2 ", 1)
+	s = strings.Replace(s, "prove_for_s = 3 ", fmt.Sprintf("prove_for_s = %g ", g.opts.ProveFor.Seconds()), 1)
+	s = strings.Replace(s, "most_memory_mb = 0 ", "most_memory_mb = 400 ", 1)
+	file := filepath.Join(g.opts.Dir, "upgrade.toml")
+	if err := os.WriteFile(file, []byte(s), 0o600); err != nil {
+		return err
+	}
+	if g.opts.Front == "postgres" {
+		g.args = []string{"serve", "--postgres", g.rig.Deploy, "--upgrade", file}
+	} else {
+		g.args = []string{"serve", "--config", g.rig.Config, "--upgrade", file}
+	}
+	// Settings with which every answer is an error or a refusal: engines don't trust this
+	// user, or can't be reached in no time at all.
+	for _, f := range []struct{ from, to, old, new string }{
+		{g.rig.Deploy, "stranger.toml", `user = "ringwood"`, `user = "stranger"`},
+		{g.rig.Config, "stranger.json", `"connect-timeout-ms": 250`, `"connect-timeout-ms": 0.000001`},
+	} {
+		raw, err := os.ReadFile(f.from)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(g.opts.Dir, f.to), []byte(strings.Replace(string(raw), f.old, f.new, 1)), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// script is a program that acts before, or beside, the gateway that it becomes.
+func (g *gate) script(name, text string) (string, error) {
+	path := filepath.Join(g.opts.Dir, name+".sh")
+	text = strings.ReplaceAll(text, "RINGWOOD", "'"+g.opts.Program+"'")
+	return path, os.WriteFile(path, []byte("#!/bin/sh\n"+text+"\n"), 0o700)
+}
+
+func (g *gate) request(kind string, chance *rand.Rand) (r admin.Request, err error) {
+	r.Do = "upgrade"
+	between := func(low, high time.Duration) float64 {
+		return (low + time.Duration(chance.Int64N(int64(high-low)))).Seconds()
+	}
+	var text string
+	switch kind {
+	case Good:
+		return r, nil
+	case "missing":
+		r.Program = filepath.Join(g.opts.Dir, "nothing-here")
+		return r, nil
+	case "version", "garbage":
+		r.Program, r.Args = g.opts.Lab, []string{"scripted", kind}
+		return r, nil
+	case "exit":
+		text = "exit 3"
+	case "mute":
+		text = "exec sleep 60"
+	case "no-settings":
+		text = "exec RINGWOOD serve --postgres /nonexistent/settings.toml"
+	case "descriptors":
+		text = "ulimit -n 70; exec RINGWOOD \"$@\""
+	case "dies-warming":
+		text = fmt.Sprintf("(sleep %.3f; kill -9 $$) & exec RINGWOOD \"$@\"", between(0, 150*time.Millisecond))
+	case "dies-serving":
+		text = fmt.Sprintf("(sleep %.3f; kill -9 $$) & exec RINGWOOD \"$@\"", between(150*time.Millisecond, g.opts.ProveFor))
+	case "hangs":
+		text = fmt.Sprintf("(sleep %.3f; kill -STOP $$) & exec RINGWOOD \"$@\"", between(150*time.Millisecond, g.opts.ProveFor))
+	case "memory":
+		text = "x=$(head -c 300000000 /dev/zero | tr '\\0' x); RINGWOOD \"$@\" & wait"
+	case "errors":
+		text = "exec RINGWOOD serve --postgres '" + filepath.Join(g.opts.Dir, "stranger.toml") + "' --upgrade '" + filepath.Join(g.opts.Dir, "upgrade.toml") + "'"
+		if g.opts.Front != "postgres" {
+			text = strings.Replace(text, "--postgres", "--config", 1)
+			text = strings.Replace(text, "stranger.toml", "stranger.json", 1)
+		}
+	default:
+		return r, fmt.Errorf("there is no kind of upgrade %q", kind)
+	}
+	r.Program, err = g.script(kind, text)
+	return r, err
+}
+
+// upgrade plays one upgrade.
+func (g *gate) upgrade(ctx context.Context, kind string, chance *rand.Rand) (u Upgrade, err error) {
+	r, err := g.request(kind, chance)
+	if err != nil {
+		return u, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, 60*time.Second)
+	defer cancel()
+	// The process before the last one may still answer what it had taken.
+	for {
+		u = Upgrade{Kind: kind, Began: time.Now()}
+		last, err := admin.Call(ctx, g.admin, r, func(admin.Reply) {})
+		if err != nil {
+			return u, err
+		}
+		u.Done, u.Why = time.Now(), last.Why
+		if strings.Contains(u.Why, "not through") {
+			select {
+			case <-ctx.Done():
+				return u, ctx.Err()
+			case <-time.After(20 * time.Millisecond):
+				continue
+			}
+		}
+		u.Right = (u.Why == "") == (kind == Good)
+		return u, nil
+	}
+}
+
+func (g *gate) status(ctx context.Context) (*admin.Status, error) {
+	last, err := admin.Call(ctx, g.admin, admin.Request{Do: "status"}, func(admin.Reply) {})
+	if err == nil && last.Status == nil {
+		err = errors.New(last.Why)
+	}
+	return last.Status, err
+}
+
+// stop ends the process that serves, and the first one where it still lives.
+func (g *gate) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if st, err := g.status(ctx); err == nil && st.PID != g.first.Process.Pid {
+		_ = syscall.Kill(st.PID, syscall.SIGTERM)
+		for range 400 { // it is nobody's child here: its socket tells when it has ended
+			c, err := net.Dial("unix", g.admin)
+			if err != nil {
+				break
+			}
+			_ = c.Close()
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	g.first.Stop()
+}
+
+func resident(pid int) int64 {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	var size, pages int64
+	if err == nil {
+		_, err = fmt.Sscan(string(b), &size, &pages)
+	}
+	if err != nil {
+		return 0
+	}
+	return pages * int64(os.Getpagesize())
+}
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -6,6 +6,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"iter"
+	"maps"
 	"net"
 	"os"
 	"sync"
@@ -182,6 +184,9 @@
 // Buffered is what the buffers of all connections hold. It may be called from anywhere.
 func (l *Loop) Buffered() int64 { return l.filled.Load() }
 
+// Conns are the open connections, in no order.
+func (l *Loop) Conns() iter.Seq[*Conn] { return maps.Keys(l.open) }
+
 // Open is the number of open connections.
 func (l *Loop) Open() int { return len(l.open) }
 
@@ -190,9 +195,11 @@
 type Listener struct {
 	tcp    *net.TCPListener
 	mu     sync.Mutex
-	paused chan struct{} // closed to go on; nil: it accepts
+	paused *pause // nil: it accepts
 }
 
+type pause struct{ parked, over chan struct{} }
+
 // Addr is where it listens.
 func (l *Listener) Addr() net.Addr { return l.tcp.Addr() }
 
@@ -205,14 +212,16 @@
 // File is a duplicate of its socket.
 func (l *Listener) File() (*os.File, error) { return l.tcp.File() }
 
-// Pause stops accepting.
-func (l *Listener) Pause() {
+// Pause stops accepting. One connection may still be on its way in; what is returned is
+// closed once none is.
+func (l *Listener) Pause() (parked <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.paused == nil {
-		l.paused = make(chan struct{})
+		l.paused = &pause{make(chan struct{}), make(chan struct{})}
 		_ = l.tcp.SetDeadline(time.Unix(1, 0)) // fails only once it is closed
 	}
+	return l.paused.parked
 }
 
 // Resume accepts again.
@@ -221,15 +230,20 @@
 	defer l.mu.Unlock()
 	if l.paused != nil {
 		_ = l.tcp.SetDeadline(time.Time{})
-		close(l.paused)
+		close(l.paused.over)
 		l.paused = nil
 	}
 }
 
-func (l *Listener) pausing() <-chan struct{} {
+// park waits out a pause.
+func (l *Listener) park() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.paused
+	p := l.paused
+	l.mu.Unlock()
+	if p != nil {
+		close(p.parked)
+		<-p.over
+	}
 }
 
 // Listen accepts connections at the address until the returned listener is closed.
@@ -271,9 +285,7 @@
 	}
 	go func() {
 		for {
-			if p := ln.pausing(); p != nil {
-				<-p
-			}
+			ln.park()
 			if most > 0 {
 				room <- struct{}{}
 			}
@@ -571,6 +583,9 @@
 	}
 }
 
+// Over tells whether the connection has ended.
+func (c *Conn) Over() bool { return c.over }
+
 // Handler is who is told of the connection.
 func (c *Conn) Handler() Handler { return c.handler }
 
--- a/internal/shape/service.go
+++ b/internal/shape/service.go
@@ -137,6 +137,22 @@
 	}()
 }
 
+// Encode is what is known now, as a snapshot's file would hold it.
+func (s *Service) Encode() ([]byte, error) { return s.book.Snapshot().Encode() }
+
+// Take goes on from what Encode told in another process.
+func (s *Service) Take(b []byte) error {
+	snap, err := DecodeSnapshot(b)
+	if err != nil {
+		return err
+	}
+	book, err := Restore(Options{Decide: s.set.Decide, Bytes: s.set.Bytes}, snap)
+	if err == nil {
+		s.book = book
+	}
+	return err
+}
+
 // Read reads a statement. more are functions that the operators know to read only.
 func (s *Service) Read(text string, more sqltext.Functions) *Statement {
 	s.book.reader.Judge, s.book.reader.Functions = true, more
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -20,6 +21,12 @@
 // Set gives a figure that is kept elsewhere a name here.
 func (c *Counters) Set(name string, n int64) { c.n[name] = n }
 
+// Raise counts several at once.
+func (c *Counters) Raise(name string, by int64) { c.n[name] += by }
+
+// All is a copy of all counts by name.
+func (c *Counters) All() map[string]int64 { return maps.Clone(c.n) }
+
 // Get is the count under a name.
 func (c *Counters) Get(name string) int64 { return c.n[name] }
 
