Pace the giving of connections, model an engine, play upgrades and judge what they cost

A program that was started inherited every connection of nbio's, so descriptors piled up over generations and a reader of the channel crashed on a reset.

Change: 32 connections in 2 ms; what was not given yet is recalled when the new process is ended; descriptors are private; a reset is the channel's end; a new process that answers nothing does not pass. A model of an engine in virtual time, machines that follow the clock, experiments with upgrades and with what a new version costs the service.

--- a/cmd/ringlab/run.go
+++ b/cmd/ringlab/run.go
@@ -39,6 +39,7 @@
 type experiment struct {
 	Name        string
 	Title       string
+	Kind        string
 	Seeds       []uint64
 	Fronts      []string
 	Engines     int
@@ -96,7 +97,21 @@
 }
 
 func (c *runCommand) Run() error {
-	e, err := readExperiment(c.File)
+	var kind struct{ Kind string }
+	if _, err := toml.DecodeFile(c.File, &kind); err != nil {
+		return fmt.Errorf("%s: %w", c.File, err)
+	}
+	var e *experiment
+	var service *serviceExperiment
+	var err error
+	switch kind.Kind {
+	case "upgrades":
+		e, err = readExperiment(c.File)
+	case "service":
+		service, err = readService(c.File)
+	default:
+		err = fmt.Errorf("%s: kind: there is no %q; wanted is upgrades or service", c.File, kind.Kind)
+	}
 	if err != nil {
 		return err
 	}
@@ -132,6 +147,9 @@
 		defer f.Close()
 		log = f
 	}
+	if service != nil {
+		return service.run(ctx, c, program, dir, log)
+	}
 	t := newUpgradeTables(e)
 	var faults []load.Fault
 	wrong := 0
@@ -168,6 +186,11 @@
 	if err := t.keep(c.Out, e); err != nil {
 		return err
 	}
+	return judged(faults, wrong)
+}
+
+// judged tells the rules broken, and is an error where there are any.
+func judged(faults []load.Fault, wrong int) error {
 	for i, f := range faults {
 		if i == 20 {
 			fmt.Printf("and %d more\n", len(faults)-i)
--- /dev/null
+++ b/cmd/ringlab/service.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"gannetspur/internal/lab/load"
+	"gannetspur/internal/lab/report"
+	"gannetspur/internal/lab/upgrades"
+
+	"github.com/BurntSushi/toml"
+	"gonum.org/v1/gonum/stat"
+)
+
+// serviceExperiment is a file of an experiment on what an event costs the service.
+type serviceExperiment struct {
+	Name        string
+	Title       string
+	Kind        string
+	Seeds       []uint64
+	Ways        []string
+	Engines     int
+	Crowded     int
+	Share       float64
+	Rate        float64
+	Connections int
+	WarmS       float64 `toml:"warm_s"`
+	SpanS       float64 `toml:"span_s"`
+	AtOnce      int     `toml:"at_once"` // rounds side by side
+}
+
+func readService(path string) (*serviceExperiment, error) {
+	var e serviceExperiment
+	meta, err := toml.DecodeFile(path, &e)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	var faults []error
+	bad := func(ok bool, format string, args ...any) {
+		if !ok {
+			faults = append(faults, fmt.Errorf("%s: "+format, append([]any{path}, args...)...))
+		}
+	}
+	for _, key := range meta.Undecoded() {
+		bad(false, "%s: there is no such field", key)
+	}
+	bad(e.Name != "" && !strings.ContainsAny(e.Name, "/ "), "name: missing, or not fit for a file's name")
+	bad(len(e.Seeds) > 0, "seeds: none")
+	bad(e.Engines > 0 && e.Engines <= 64, "engines: %d is not from 1 to 64", e.Engines)
+	bad(e.Crowded >= 0 && e.Crowded <= e.Engines, "crowded: %d is not from 0 to the number of engines", e.Crowded)
+	bad(e.Rate > 0 && e.Rate <= 5000, "rate: %g is not above 0, up to 5000 a second", e.Rate)
+	bad(e.Connections > 0 && e.Connections <= 10000, "connections: %d is not from 1 to 10000", e.Connections)
+	bad(e.SpanS >= 1 && e.SpanS <= 600, "span_s: %g is not from 1 to 600", e.SpanS)
+	bad(e.AtOnce > 0 && e.AtOnce <= 16, "at_once: %d is not from 1 to 16", e.AtOnce)
+	for _, w := range e.Ways {
+		bad(slices.Contains([]string{upgrades.Nothing, upgrades.TakeOver, upgrades.Restart}, w), "ways: there is no %q", w)
+	}
+	return &e, errors.Join(faults...)
+}
+
+func (e *serviceExperiment) run(ctx context.Context, c *runCommand, program, dir string, log io.Writer) error {
+	type round struct {
+		way  string
+		seed uint64
+		res  *upgrades.Service
+		err  error
+	}
+	var rounds []*round
+	for _, seed := range e.Seeds {
+		for _, way := range e.Ways {
+			rounds = append(rounds, &round{way: way, seed: seed})
+		}
+	}
+	bar := progress(c.Quiet, e.Name, len(rounds))
+	var wg sync.WaitGroup
+	room := make(chan struct{}, e.AtOnce)
+	var mu sync.Mutex
+	for i, r := range rounds {
+		room <- struct{}{}
+		wg.Add(1)
+		go func() {
+			defer func() { <-room; wg.Done() }()
+			sub := filepath.Join(dir, fmt.Sprint(i))
+			if r.err = os.Mkdir(sub, 0o700); r.err != nil {
+				return
+			}
+			s := func(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+			r.res, r.err = upgrades.PlayService(ctx, upgrades.ServiceOptions{
+				Way: r.way, Root: ".", Dir: sub, Program: program, Engines: e.Engines, Crowded: e.Crowded, Share: e.Share, Rate: e.Rate,
+				Connections: e.Connections, Warm: s(e.WarmS), Span: s(e.SpanS), Seed: r.seed, Log: log,
+			})
+			mu.Lock()
+			bar.step()
+			mu.Unlock()
+		}()
+	}
+	wg.Wait()
+	bar.end()
+	t := report.Table{Columns: []string{"way", "rounds", "service before", "service after", "after / before, median (least to most)", "requests", "without an answer"}}
+	raw := report.Table{Columns: []string{"way", "seed", "before", "after", "requests", "lost"}}
+	chart := report.Bars{Title: e.Title, Axis: "worth answered in time over worth asked for", Series: []string{"before", "after"}, Values: make([][]float64, 2)}
+	var faults []load.Fault
+	for _, way := range e.Ways {
+		var before, after, ratio []float64
+		requests, lost := 0, 0
+		for _, r := range rounds {
+			if r.err != nil {
+				return r.err
+			}
+			if r.way != way {
+				continue
+			}
+			before, after, ratio = append(before, r.res.Before), append(after, r.res.After), append(ratio, r.res.After/r.res.Before)
+			requests, lost = requests+r.res.Requests, lost+r.res.Lost
+			faults = append(faults, r.res.Faults...)
+			raw.Add(way, r.seed, fmt.Sprintf("%.4f", r.res.Before), fmt.Sprintf("%.4f", r.res.After), r.res.Requests, r.res.Lost)
+		}
+		for _, x := range [][]float64{before, after, ratio} {
+			slices.Sort(x)
+		}
+		mid := func(x []float64) float64 { return stat.Quantile(0.5, stat.Empirical, x, nil) }
+		t.Add(way, len(ratio), fmt.Sprintf("%.3f", mid(before)), fmt.Sprintf("%.3f", mid(after)),
+			fmt.Sprintf("%.3f (%.3f to %.3f)", mid(ratio), ratio[0], ratio[len(ratio)-1]), requests, lost)
+		chart.Groups = append(chart.Groups, way)
+		chart.Values[0], chart.Values[1] = append(chart.Values[0], mid(before)), append(chart.Values[1], mid(after))
+	}
+	if err := keep(c.Out, e.Name, &t, &raw, chart.SVG); err != nil {
+		return err
+	}
+	return judged(faults, 0)
+}
--- a/cmd/ringwood/stop_test.go
+++ b/cmd/ringwood/stop_test.go
@@ -80,6 +80,10 @@
 	if err := g.platform(path, ""); err != nil {
 		t.Fatal(err)
 	}
+	g.follow(nil)
+	if err := g.listen(); err != nil {
+		t.Fatal(err)
+	}
 	ended := make(chan struct{})
 	go func() { g.loop.Run(); close(ended) }()
 	open := client(t, g.front.Addr(), 1)
--- a/internal/decide/handover/old.go
+++ b/internal/decide/handover/old.go
@@ -72,8 +72,9 @@
 	}
 	// Ready says that it has taken what is known and could serve.
 	Ready struct{}
-	// Alive says that it lives, and how its answers were since the last.
-	Alive struct{ Good, Bad int }
+	// Alive says that it lives, how its answers were since the last, and how many requests it
+	// has taken and not answered.
+	Alive struct{ Good, Bad, Open int }
 	// Recorded is its record of the request of a connection.
 	Recorded struct {
 		Conn    ConnID
@@ -231,7 +232,7 @@
 			if total := o.good + o.bad; total >= o.cfg.GoodAnswers && float64(o.bad) > o.most*float64(total) {
 				return o.fail(now, "too many of its answers are errors of its own")
 			}
-			return o.proven(now)
+			return o.proven(now, in.Open)
 		}
 	}
 	return nil
@@ -261,7 +262,7 @@
 }
 
 // proven ends the probation once the new process has shown that it serves.
-func (o *Old) proven(now time.Duration) []any {
+func (o *Old) proven(now time.Duration, open int) []any {
 	spent := now - o.since
 	if spent < o.cfg.ProveFor || o.good < o.cfg.GoodAnswers && spent < o.cfg.ProveWithin {
 		return nil
@@ -269,6 +270,9 @@
 	if o.good == 0 && o.bad > 0 {
 		return o.fail(now, "none of its answers was good")
 	}
+	if o.good == 0 && open > 0 {
+		return o.fail(now, "it takes requests and answers none")
+	}
 	o.enter(Finishing, now)
 	out := []any{StopAccepting{}, SendCommit{}}
 	for _, h := range o.conns {
--- a/internal/handover/channel.go
+++ b/internal/handover/channel.go
@@ -136,7 +136,7 @@
 				return perr
 			}
 		}
-		in = append(in, buf[:n]...)
+		in = append(in, buf[:max(n, 0)]...) // it is -1 with some errors
 		for {
 			m, count, used, perr := parse(in)
 			if perr != nil {
@@ -154,7 +154,9 @@
 			take(m, mine)
 		}
 		switch {
-		case errors.Is(err, io.EOF) || err == nil && n == 0 && oobn == 0:
+		// A process that dies with something unread in its end resets the channel; what it had
+		// written was read before that is told.
+		case errors.Is(err, io.EOF) || errors.Is(err, unix.ECONNRESET) || err == nil && n == 0 && oobn == 0:
 			if len(in) > 0 {
 				return fmt.Errorf("%w: it stops in the middle", ErrFrame)
 			}
--- a/internal/handover/messages.go
+++ b/internal/handover/messages.go
@@ -32,6 +32,7 @@
 	Alive struct {
 		Good int `cbor:"1,keyasint"`
 		Bad  int `cbor:"2,keyasint"`
+		Open int `cbor:"3,keyasint"` // requests that it has taken and not answered
 	}
 	// Input are bytes that lie in a connection's socket from At on, and are consumed next.
 	Input struct {
--- a/internal/handover/new.go
+++ b/internal/handover/new.go
@@ -82,7 +82,7 @@
 	}
 	if n.machine.Serving() {
 		good, bad := GoodAndBad(n.stats)
-		n.send(&Alive{int(good - n.good), int(bad - n.bad)})
+		n.send(&Alive{int(good - n.good), int(bad - n.bad), n.core.Unanswered()})
 		n.good, n.bad = good, bad
 	}
 	n.loop.Timers.Add(n.loop.Now()+aliveEvery, n.alive)
--- a/internal/handover/old.go
+++ b/internal/handover/old.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"gannetspur/internal/core"
@@ -17,8 +18,10 @@
 
 const (
 	poll = 2 * time.Millisecond // how often what is busy here is looked at
-	// perTurn bounds the connections that are given in one turn of the loop: the others are
-	// served in between.
+	// perPoll bounds the connections that are given in that time. Guards against a pause: what
+	// is given is taken in turn with requests, and those of thousands would wait behind.
+	perPoll = 32
+	// perTurn bounds the connections that are taken back in one turn of the loop.
 	perTurn = 128
 	// memoryEvery is how often the new process's memory is looked at.
 	memoryEvery = 200 * time.Millisecond
@@ -59,6 +62,9 @@
 	kept    map[decide.ConnID]*kept
 	effects []any
 	running bool
+	again   *deadline.Entry // runs what is left of the effects
+	round   time.Duration   // since then connections were given
+	given   int             // so many
 	build   string
 	counted map[string]int64
 	memory  time.Duration
@@ -100,9 +106,11 @@
 	o.loop.Timers.Add(o.loop.Now()+time.Second, o.look)
 }
 
-// GoodAndBad tells the answers given so far that were served, and that were not.
+// GoodAndBad tells the answers given so far that were served, and that were not: refusals,
+// failures, and calls that the front itself found at fault.
 func GoodAndBad(c *stats.Counters) (good, bad int64) {
-	return c.Sum("answered.served."), c.Sum("answered.refused.") + c.Sum("answered.failed.")
+	bad = c.Sum("answered.refused.") + c.Sum("answered.failed.") + c.Get("rest.bad-calls")
+	return c.Sum("answered.served."), max(bad, c.Sum("pgwire.errors."))
 }
 
 // Phase is where an upgrade stands.
@@ -174,24 +182,43 @@
 }
 
 func (o *Old) step(in any) {
+	if _, died := in.(decide.Died); died {
+		o.recall()
+	}
 	o.effects = append(o.effects, o.machine.Step(o.loop.Now(), in)...)
 	o.run()
 }
 
-// run carries effects out, as many connections as a turn may give; the rest follow on the
-// next ones.
+// run carries effects out in order, as many as a turn may; the rest follow later.
 func (o *Old) run() {
 	if o.running {
 		return
 	}
 	o.running = true
-	given := 0
-	for len(o.effects) > 0 && given < perTurn {
+	now := o.loop.Now()
+	if now-o.round >= poll {
+		o.round, o.given = now, 0
+	}
+	later := time.Duration(-1)
+	for back := 0; len(o.effects) > 0; {
+		switch o.effects[0].(type) {
+		case decide.Give:
+			if o.given >= perPoll {
+				later = poll
+			}
+			o.given++
+		case decide.TakeBack:
+			if back++; back > perTurn {
+				later = 0
+			}
+		case decide.Kill:
+			o.recall()
+		}
+		if later >= 0 {
+			break
+		}
 		e := o.effects[0]
 		o.effects = o.effects[1:]
-		if _, ok := e.(decide.Give); ok {
-			given++
-		}
 		o.do(e)
 	}
 	o.running = false
@@ -202,8 +229,25 @@
 			o.tell(p.String(), "", false)
 		}
 	}
-	if len(o.effects) > 0 {
-		o.loop.Post(o.run)
+	o.again.Stop()
+	if later >= 0 {
+		o.again = o.loop.Timers.Add(now+later, o.run)
+	}
+}
+
+// recall drops what was to be given and is not yet: the new process is being ended, or dead.
+func (o *Old) recall() {
+	var kept []decide.ConnID
+	o.effects = slices.DeleteFunc(o.effects, func(e any) bool {
+		g, ok := e.(decide.Give)
+		if ok {
+			kept = append(kept, g.Conn)
+		}
+		return ok
+	})
+	for _, id := range kept {
+		o.busy[id] = true // until it is looked at again
+		o.machine.Step(o.loop.Now(), decide.Kept{Conn: id})
 	}
 }
 
@@ -331,7 +375,7 @@
 		o.sync()
 		o.step(decide.Ready{})
 	case *Alive:
-		o.step(decide.Alive{Good: m.Good, Bad: m.Bad})
+		o.step(decide.Alive{Good: m.Good, Bad: m.Bad, Open: m.Open})
 	case *Input:
 		if k := o.kept[decide.ConnID(m.Conn)]; k != nil {
 			k.input(m)
--- a/internal/lab/emul/emul.go
+++ b/internal/lab/emul/emul.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"gannetspur/internal/lab/model"
 )
 
 // Work tells how long a statement takes, and the memory that it needs in MB.
@@ -19,11 +21,42 @@
 
 // Options say what an engine is like.
 type Options struct {
-	Name   string // in the ledger
-	Work   Work
-	User   string  // whom it trusts, of the PostgreSQL wire; "": everybody
-	Ledger *Ledger // of effects; nil: none is kept
-	Log    *slog.Logger
+	Name string // in the ledger
+	Work Work
+	User string // whom it trusts, of the PostgreSQL wire; "": everybody
+	// Machine, where there is one, has statements wait for each other as on a real engine;
+	// Ask tells what each is. Work is not asked then.
+	Machine *Machine
+	Ask     func(statement string) model.Query
+	Ledger  *Ledger // of effects; nil: none is kept
+	Log     *slog.Logger
+}
+
+// carry has a statement carried out, and tells its end unless stop closes first.
+func (o *Options) carry(statement string, change func(*model.Query), stop <-chan struct{}) (end Ended, took time.Duration, ok bool) {
+	began := time.Now()
+	if o.Machine == nil {
+		took, memory := o.Work(statement)
+		t := time.NewTimer(took)
+		defer t.Stop()
+		select {
+		case <-t.C:
+			return Ended{Used: memory}, took, true
+		case <-stop:
+			return Ended{}, 0, false
+		}
+	}
+	q := o.Ask(statement)
+	change(&q)
+	done := make(chan Ended, 1)
+	id := o.Machine.Run(q, func(e Ended) { done <- e })
+	select {
+	case end = <-done:
+		return end, q.Work, true
+	case <-stop:
+		o.Machine.GiveUp(id)
+		return Ended{}, time.Since(began), false
+	}
 }
 
 // Plain is a cost by what a reader would expect: a load or a summary takes seconds, a
--- a/internal/lab/emul/ledger.go
+++ b/internal/lab/emul/ledger.go
@@ -30,8 +30,11 @@
 	return &Ledger{window: window, keys: map[string]time.Time{}}
 }
 
-// marks are how a load generator tells requests apart: q-, k- or w- and numbers.
-var marks = regexp.MustCompile(`\b[qkw]-[0-9]+-[0-9]+\b`)
+// marks are how a load generator tells requests apart: q-, r-, k- or w- and numbers.
+var marks = regexp.MustCompile(`\b[qrkw]-[0-9]+-[0-9]+\b`)
+
+// Mark is the mark of a request that a statement or its values hold; "": there is none.
+func Mark(text string) string { return marks.FindString(text) }
 
 // Begin writes an execution down. It tells whether the engine carries it out: a repeat of a
 // key is dropped.
--- /dev/null
+++ b/internal/lab/load/check_test.go
@@ -0,0 +1,50 @@
+package load
+
+import (
+	"testing"
+	"time"
+
+	"gannetspur/internal/lab/emul"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// The checker finds each rule broken, and nothing where none is.
+func TestCheck(t *testing.T) {
+	at := func(s float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(s * float64(time.Second))) }
+	run := func(mark string, s float64, dropped bool) emul.Run {
+		key := ""
+		if mark[0] == 'k' {
+			key = mark
+		}
+		return emul.Run{Mark: mark, Key: key, At: at(s), Dropped: dropped}
+	}
+	rec := func(mark string, v Verdict) Record { return Record{Mark: mark, Kind: Kind(mark[0]), Verdict: v} }
+	for name, tt := range map[string]struct {
+		rec  Record
+		runs []emul.Run
+		want []string
+	}{
+		"served":                    {rec("q-1-1", Served), []emul.Run{run("q-1-1", 0, false)}, nil},
+		"a lookup twice":            {rec("q-1-1", Served), []emul.Run{run("q-1-1", 0, false), run("q-1-1", 1, false)}, nil},
+		"refused, never ran":        {rec("w-1-1", Refused), nil, nil},
+		"in doubt, ran":             {rec("w-1-1", Doubt), []emul.Run{run("w-1-1", 0, false)}, nil},
+		"a write twice":             {rec("w-1-1", Served), []emul.Run{run("w-1-1", 0, false), run("w-1-1", 1, false)}, []string{"effect twice"}},
+		"a key twice, dropped":      {rec("k-1-1", Served), []emul.Run{run("k-1-1", 0, false), run("k-1-1", 5, true)}, nil},
+		"a key past its window":     {rec("k-1-1", Served), []emul.Run{run("k-1-1", 0, false), run("k-1-1", 13, false)}, []string{"effect twice", "key window"}},
+		"no answer":                 {rec("q-1-1", Silent), nil, []string{"no answer"}},
+		"the connection ended":      {rec("q-1-1", Reset), nil, []string{"no answer"}},
+		"another's rows":            {rec("q-1-1", Spoilt), nil, []string{"spoilt"}},
+		"nobody listens":            {rec("q-1-1", Unasked), nil, []string{"not reached"}},
+		"served and never ran":      {rec("q-1-1", Served), nil, []string{"served what never ran"}},
+		"another one's run is none": {rec("q-1-1", Served), []emul.Run{run("q-1-2", 0, false)}, []string{"served what never ran"}},
+	} {
+		var got []string
+		for _, f := range Check([]Record{tt.rec}, tt.runs, 12*time.Second) {
+			got = append(got, f.Rule)
+		}
+		if diff := cmp.Diff(tt.want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+	}
+}
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -17,6 +17,7 @@
 	Connections int     // that are kept open; each arrival takes one that is free
 	Rate        float64 // arrivals a second, Poisson
 	Loads       float64 // share of requests that are keyed loads
+	Reports     float64 // share that are reports
 	Writes      float64 // share that may run once only
 	Churn       float64 // share of requests whose connection is closed behind them, and another made
 	Within      time.Duration
@@ -115,6 +116,8 @@
 			kind = Load
 		case x < s.opts.Loads+s.opts.Writes:
 			kind = Write
+		case x < s.opts.Loads+s.opts.Writes+s.opts.Reports:
+			kind = Report
 		}
 		r := Record{Mark: fmt.Sprintf("%c-%s-%d", kind, s.opts.Name, n), Kind: kind, Due: due}
 		wg.Add(1)
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"gannetspur/internal/lab/emul"
+	"gannetspur/internal/lab/model"
 )
 
 // Options say what to set up.
@@ -33,7 +34,10 @@
 	User     string // whom engines of the PostgreSQL wire trust; "": everybody
 	Clients  int    // connections that the fronts are set up for; 0: as their files say
 	Ledger   *emul.Ledger
-	Log      *slog.Logger
+	// Machine and Ask, where given, make engines whose statements wait for each other.
+	Machine func(i int) *emul.Machine
+	Ask     func(statement string) model.Query
+	Log     *slog.Logger
 }
 
 // Rig is what was set up. The emulated systems end with Close.
@@ -82,13 +86,18 @@
 			return nil, err
 		}
 		name := fmt.Sprintf("s-%08x", i+1)
-		go emul.Lines(ln, emul.Options{Name: name, Work: opts.Work, Ledger: opts.Ledger, Log: opts.Log.With("engine", name)})
+		one := emul.Options{Name: name, Work: opts.Work, Ask: opts.Ask, Ledger: opts.Ledger, Log: opts.Log.With("engine", name)}
+		if opts.Machine != nil {
+			one.Machine = opts.Machine(i)
+		}
+		go emul.Lines(ln, one)
 		targets = append(targets, target{name, ln.Addr().String(), "hall-a", "std-8", "in_service"})
 		if ln, err = r.listen(); err != nil {
 			return nil, err
 		}
 		name = fmt.Sprintf("engine-%d", i+1)
-		go emul.Postgres(ln, emul.Options{Name: name, Work: opts.Work, User: opts.User, Ledger: opts.Ledger, Log: opts.Log.With("engine", name)})
+		one.Name, one.User, one.Log = name, opts.User, opts.Log.With("engine", name)
+		go emul.Postgres(ln, one)
 		instances = append(instances, emul.Instance{ID: name, Addr: ln.Addr().(*net.TCPAddr)})
 	}
 	bus, err := r.listen()
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -120,6 +120,7 @@
 		return nil, fmt.Errorf("start the poller: %w", err)
 	}
 	l.polls = pollers()
+	keepPrivate()
 	return l, nil
 }
 
@@ -317,7 +318,7 @@
 // more would leave none for any.
 func convert(std net.Conn) *nbio.Conn {
 	for range acceptTries {
-		nc, err := nbio.NBConn(std)
+		nc, err := private(std)
 		if err == nil {
 			return nc
 		}
@@ -330,6 +331,20 @@
 	return nil
 }
 
+// private makes a connection nbio's with a descriptor that no program started from here
+// inherits, as nbio's own way would have it. Guards against a peer that sees no end of a
+// connection while another process holds it, and against a table that fills up over
+// generations of upgrades.
+func private(std net.Conn) (*nbio.Conn, error) {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	nc, err := nbio.NBConn(std)
+	if err == nil {
+		syscall.CloseOnExec(nc.Hash())
+	}
+	return nc, err
+}
+
 // adopt hands a connected socket to the poller. The function done is called once
 // the connection has ended.
 func (l *Loop) adopt(nc *nbio.Conn, limit int, unread []byte, accept func(*Conn) Handler, done func()) (*Conn, error) {
@@ -365,7 +380,7 @@
 		cancel()
 		var nc *nbio.Conn
 		if err == nil {
-			if nc, err = nbio.NBConn(std); err != nil {
+			if nc, err = private(std); err != nil {
 				_ = std.Close()
 			}
 		}
--- a/internal/netio/place.go
+++ b/internal/netio/place.go
@@ -169,6 +169,24 @@
 	return false
 }
 
+// keepPrivate has no program that is started from here inherit the descriptors that nbio has
+// opened for itself.
+func keepPrivate() {
+	entries, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		return
+	}
+	for _, e := range entries {
+		fd := 0
+		if to, err := os.Readlink("/proc/self/fd/" + e.Name()); err != nil || !strings.HasPrefix(to, "anon_inode:") {
+			continue
+		}
+		if _, err := fmt.Sscan(e.Name(), &fd); err == nil {
+			unix.CloseOnExec(fd)
+		}
+	}
+}
+
 // pollers are the epoll descriptors of this process. There are two: Go's own and nbio's.
 func pollers() (fds []int) {
 	entries, err := os.ReadDir("/proc/self/fd")
--- a/internal/netio/place_test.go
+++ b/internal/netio/place_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"os/exec"
+	"strings"
 	"testing"
 	"time"
 
@@ -231,3 +233,35 @@
 		t.Errorf("recorded %q", got)
 	}
 }
+
+// A program that is started from here inherits none of the loop's descriptors: neither the
+// poller's own nor those of connections.
+func TestDescriptorsArePrivate(t *testing.T) {
+	l, err := New(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go l.Run()
+	defer l.Post(l.Stop)
+	h := newTaker()
+	ln, err := l.Listen("127.0.0.1:0", 1<<16, 10, func(c *Conn) Handler { h.c <- c; return h })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	await(t, "connection", h.c)
+	out, err := exec.Command("ls", "-l", "/proc/self/fd").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range strings.Split(string(out), "\n") {
+		if strings.Contains(line, "socket:") || strings.Contains(line, "anon_inode:") {
+			t.Errorf("a program inherits %s", line)
+		}
+	}
+}
