Script engines and rosters, play upgrades among their troubles, keep the measurements

Cause: upgrades must hold while engines die, drain and return, the bus falls silent and the catalogue is away.

--- /dev/null
+++ b/internal/front/rest/move_test.go
@@ -0,0 +1,114 @@
+package rest
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gannetspur/internal/core"
+	"gannetspur/internal/engine/lines"
+	"gannetspur/internal/netio"
+	"gannetspur/internal/stats"
+	"gannetspur/policy"
+)
+
+func front(t *testing.T) *Front {
+	t.Helper()
+	l, err := netio.New(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := policy.Settings{Gateways: 1, Round: 5 * time.Millisecond,
+		Classes: []policy.Class{{Name: "lookup", Aim: time.Second, Deadline: 6 * time.Second, Worth: 1, Threads: 1, Effect: policy.Safe}},
+		Kinds:   []policy.Kind{{Name: "std", Cores: 8, MemoryMB: 1024}}, Limits: policy.Limits{Tries: 3}}
+	c, err := core.New(set, 1, l, l.Timers, stats.New(), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := New(l, c, Options{}, stats.New())
+	if err := f.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	go l.Run()
+	t.Cleanup(func() { l.Post(l.Stop) })
+	return f
+}
+
+func get(t *testing.T, addr, path string) (status int, body string) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b)
+}
+
+// A client is between two parts of its result when another process takes over: the next part
+// comes from there, on whichever connection it asks for it. What is held later is shared as it
+// comes, and what can't be read is refused whole.
+func TestHeldResultsMove(t *testing.T) {
+	one, two := front(t), front(t)
+	do := func(f *Front, what func()) {
+		done := make(chan struct{})
+		f.loop.Post(func() { what(); close(done) })
+		<-done
+	}
+	held := func(path string) heldState {
+		return heldState{Path: path, Until: one.loop.Now() + time.Minute,
+			Parts: []lines.Rows{{[]byte("a\tb\tc\n")}, {[]byte("d\te\tf\n")}, {[]byte("g\th\ti\n")}}}
+	}
+	var before, later []byte
+	do(one, func() {
+		one.OnShared(func(b []byte) { later = b })
+		one.hold(held("/more/x-1"))
+		before = one.Shared()
+		one.share(held("/more/x-2"))
+	})
+	do(two, func() {
+		for _, b := range [][]byte{before, later, before} {
+			if err := two.TakeShared(b); err != nil {
+				t.Error(err)
+			}
+		}
+		if err := two.TakeShared([]byte("nonsense")); err == nil {
+			t.Error("nonsense was taken")
+		}
+		if want := 2 * 18; two.heldSize != want {
+			t.Errorf("%d bytes are held, want %d", two.heldSize, want)
+		}
+	})
+	for _, path := range []string{"/more/x-1/1", "/more/x-2/2"} {
+		if status, body := get(t, two.Addr(), path); status != 200 || !strings.Contains(body, `"d"`) && !strings.Contains(body, `"g"`) {
+			t.Errorf("%s: %d %s", path, status, body)
+		}
+	}
+	if status, _ := get(t, two.Addr(), "/more/x-3/1"); status != 404 {
+		t.Errorf("what nobody held: %d", status)
+	}
+}
+
+// No state of another version crashes a front.
+func FuzzRestore(f *testing.F) {
+	k := &conn{good: true, further: true}
+	f.Add(k.State())
+	f.Add([]byte{0xa1, 0x01, 0xf5})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if accept, err := (&Front{}).Restore(b); (accept == nil) != (err != nil) {
+			t.Error("neither a handler nor an error")
+		}
+	})
+}
--- a/internal/lab/emul/machine.go
+++ b/internal/lab/emul/machine.go
@@ -77,6 +77,14 @@
 	m.wake()
 }
 
+// Start has the engine begin anew, cold: what it ran is lost without a word.
+func (m *Machine) Start() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.out)
+	m.engine.Start(m.now())
+}
+
 // Load is what the engine reports just now.
 func (m *Machine) Load() model.Load {
 	m.mu.Lock()
--- a/internal/lab/load/check.go
+++ b/internal/lab/load/check.go
@@ -64,3 +64,24 @@
 	slices.SortStableFunc(faults, func(a, b Fault) int { return strings.Compare(a.Rule, b.Rule) })
 	return faults
 }
+
+// stopWithin is how long after word of it an engine that drains or is gone may get new work,
+// with what a send may take on its way.
+const stopWithin = 2*time.Second + 250*time.Millisecond
+
+// CheckDrains finds work that reached an engine more than 2 s after the roster was told that
+// it drains or is gone.
+func CheckDrains(runs []emul.Run, history []emul.Change) (faults []Fault) {
+	for _, r := range runs {
+		var last emul.Change
+		for _, c := range history {
+			if c.ID == r.Engine && c.At.Before(r.At) {
+				last = c
+			}
+		}
+		if late := r.At.Sub(last.At); last.State != emul.Ready && late > stopWithin {
+			faults = append(faults, Fault{"drained engine", r.Mark, fmt.Sprintf("sent to %s %v after it was %s", r.Engine, late.Round(time.Millisecond), last.State)})
+		}
+	}
+	return faults
+}
--- a/internal/lab/load/check_test.go
+++ b/internal/lab/load/check_test.go
@@ -48,3 +48,17 @@
 		}
 	}
 }
+
+// Work that reaches an engine past its drain is found; in the 2 s, before and after its
+// return there is none.
+func TestCheckDrains(t *testing.T) {
+	at := func(s float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(s * float64(time.Second))) }
+	history := []emul.Change{{At: at(10), ID: "a", State: emul.Draining}, {At: at(20), ID: "a", State: emul.Ready}}
+	var runs []emul.Run
+	for _, s := range []float64{1, 10.5, 12.1, 13, 19, 21} {
+		runs = append(runs, emul.Run{Engine: "a", Mark: "q-1-1", At: at(s)}, emul.Run{Engine: "b", At: at(s)})
+	}
+	if got := CheckDrains(runs, history); len(got) != 2 {
+		t.Errorf("found %v, want the two at 13 s and 19 s", got)
+	}
+}
--- a/internal/lab/upgrades/upgrades.go
+++ b/internal/lab/upgrades/upgrades.go
@@ -18,6 +18,7 @@
 
 	"gannetspur/internal/admin"
 	"gannetspur/internal/lab/emul"
+	"gannetspur/internal/lab/link"
 	"gannetspur/internal/lab/load"
 	"gannetspur/internal/lab/rig"
 )
@@ -61,11 +62,20 @@
 	Kinds       []string // of the upgrades, in order
 	Gap         time.Duration
 	ProveFor    time.Duration
+	Link        *link.Options // between gateway and engines; nil: none
+	Events      []Event       // among the engines, by time from the first upgrade
 	Seed        uint64
 	Log         io.Writer // of the gateways
 	Each        func(Upgrade)
 }
 
+// Event is something that happens to an engine, or to what tells of them (emul.Fleet.Do).
+type Event struct {
+	At     time.Duration
+	Do     string
+	Engine int
+}
+
 // Upgrade is one upgrade that was played.
 type Upgrade struct {
 	Kind        string
@@ -105,7 +115,7 @@
 	}
 	o := rig.Options{
 		Root: opts.Root, Dir: opts.Dir, Engines: opts.Engines, HTTP: addr, Postgres: addr, Clients: opts.Connections, User: "ringwood", Ledger: ledger,
-		Log: slog.New(slog.DiscardHandler), Work: func(string) (time.Duration, float64) { return opts.Work, 1 },
+		Link: opts.Link, Log: slog.New(slog.DiscardHandler), Work: func(string) (time.Duration, float64) { return opts.Work, 1 },
 	}
 	r, err := rig.New(o)
 	if err != nil {
@@ -159,6 +169,11 @@
 	}
 	res.Stable = time.Now()
 	chance := rand.New(rand.NewPCG(opts.Seed, 0x75706772))
+	went := make(chan error, len(opts.Events))
+	for _, e := range opts.Events {
+		t := time.AfterFunc(e.At, func() { went <- r.Do(e.Do, e.Engine) })
+		defer t.Stop()
+	}
 	for _, kind := range opts.Kinds {
 		u, err := g.upgrade(ctx, kind, chance)
 		if err != nil {
@@ -180,7 +195,16 @@
 	<-ended
 	res.Ended, res.Unasked = s.Sweep()
 	res.Records, res.Runs = s.Records(), ledger.Runs()
-	res.Faults = load.Check(res.Records, res.Runs, window)
+	for len(went) > 0 {
+		if err := <-went; err != nil {
+			return nil, err
+		}
+	}
+	fleet := r.Lines
+	if opts.Front == "postgres" {
+		fleet = r.Postgres
+	}
+	res.Faults = append(load.Check(res.Records, res.Runs, window), load.CheckDrains(res.Runs, fleet.History())...)
 	for i := range res.Faults {
 		res.Faults[i].What += res.during(res.Faults[i].Mark)
 	}
