--- a/cmd/ringlab/run.go
+++ b/cmd/ringlab/run.go
@@ -15,7 +15,6 @@
 	"syscall"
 	"time"
 
-	"gannetspur/internal/handover"
 	"gannetspur/internal/lab/emul"
 	"gannetspur/internal/lab/link"
 	"gannetspur/internal/lab/load"
@@ -90,11 +89,11 @@
 	return all
 }
 
-func readExperiment(path string) (*experiment, error) {
-	var e experiment
-	meta, err := toml.DecodeFile(path, &e)
+// readFile reads an experiment, and names every fault in it.
+func readFile(path string, e any, check func(bad func(ok bool, format string, args ...any))) error {
+	meta, err := toml.DecodeFile(path, e)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return fmt.Errorf("%s: %w", path, err)
 	}
 	var faults []error
 	bad := func(ok bool, format string, args ...any) {
@@ -105,24 +104,36 @@
 	for _, key := range meta.Undecoded() {
 		bad(false, "%s: there is no such field", key)
 	}
-	bad(e.Name != "" && !strings.ContainsAny(e.Name, "/ "), "name: missing, or not fit for a file's name")
-	bad(len(e.Seeds) > 0, "seeds: none")
-	bad(len(e.Connections) > 0 && slices.Min(e.Connections) > 0 && slices.Max(e.Connections) <= 20000, "connections: wanted are numbers from 1 to 20000")
-	bad(e.Engines > 0 && e.Engines <= 64, "engines: %d is not from 1 to 64", e.Engines)
-	bad(e.Rate > 0 && e.Rate <= 5000, "rate: %g is not above 0, up to 5000 a second", e.Rate)
-	bad(e.ProveForMS >= 100 && e.ProveForMS <= 60000, "prove_for_ms: %g is not from 100 to 60000", e.ProveForMS)
-	for _, f := range e.Fronts {
-		bad(f == "rest" || f == "postgres", "fronts: there is no %q; wanted is rest or postgres", f)
-	}
-	bad(e.DelayMS >= 0 && e.DelayMS <= 1000 && e.JitterMS >= 0 && e.JitterMS <= 1000, "delay_ms, jitter_ms: not from 0 to 1000")
-	for i, ev := range e.Events {
-		bad(emul.Known(ev.Do) || ev.Do == upgrades.Reconnect, "event[%d].do: there is no %q", i, ev.Do)
-		bad(ev.Engine >= 0 && ev.Engine <= e.Engines, "event[%d].engine: %d is not from 1 to %d", i, ev.Engine, e.Engines)
-	}
-	for _, k := range e.Broken {
-		bad(upgrades.Broken[k] != "", "broken: there is no kind %q", k)
-	}
-	return &e, errors.Join(faults...)
+	check(bad)
+	return errors.Join(faults...)
+}
+
+// named checks what all experiments have.
+func named(bad func(ok bool, format string, args ...any), name string, seeds []uint64, engines int, rate float64) {
+	bad(name != "" && !strings.ContainsAny(name, "/ "), "name: missing, or not fit for a file's name")
+	bad(len(seeds) > 0, "seeds: none")
+	bad(engines > 0 && engines <= 64, "engines: %d is not from 1 to 64", engines)
+	bad(rate > 0 && rate <= 5000, "rate: %g is not above 0, up to 5000 a second", rate)
+}
+
+func readExperiment(path string) (*experiment, error) {
+	var e experiment
+	return &e, readFile(path, &e, func(bad func(ok bool, format string, args ...any)) {
+		named(bad, e.Name, e.Seeds, e.Engines, e.Rate)
+		bad(len(e.Connections) > 0 && slices.Min(e.Connections) > 0 && slices.Max(e.Connections) <= 20000, "connections: wanted are numbers from 1 to 20000")
+		bad(e.ProveForMS >= 100 && e.ProveForMS <= 60000, "prove_for_ms: %g is not from 100 to 60000", e.ProveForMS)
+		for _, f := range e.Fronts {
+			bad(f == "rest" || f == "postgres", "fronts: there is no %q; wanted is rest or postgres", f)
+		}
+		bad(e.DelayMS >= 0 && e.DelayMS <= 1000 && e.JitterMS >= 0 && e.JitterMS <= 1000, "delay_ms, jitter_ms: not from 0 to 1000")
+		for i, ev := range e.Events {
+			bad(emul.Known(ev.Do) || ev.Do == upgrades.Reconnect, "event[%d].do: there is no %q", i, ev.Do)
+			bad(ev.Engine >= 0 && ev.Engine <= e.Engines, "event[%d].engine: %d is not from 1 to %d", i, ev.Engine, e.Engines)
+		}
+		for _, k := range e.Broken {
+			bad(upgrades.Broken[k] != "", "broken: there is no kind %q", k)
+		}
+	})
 }
 
 // kinds are the upgrades of one run, the broken ones strewn among the good.
@@ -188,7 +199,7 @@
 		log = f
 	}
 	if service != nil {
-		return service.run(ctx, c, program, dir, log)
+		return service.run(ctx, c, program, lab, dir, log)
 	}
 	t := newUpgradeTables(e)
 	var faults []load.Fault
@@ -382,26 +393,3 @@
 	}
 	return report.Write(dir, map[string][]byte{e.Name + ".md": []byte(b.String()), e.Name + ".csv": []byte(csv), e.Name + ".svg": svg})
 }
-
-// scriptedCommand is a process that is started to take over and does something else.
-type scriptedCommand struct {
-	How string `arg:"" enum:"version,garbage" help:"${enum}."`
-}
-
-func (c *scriptedCommand) Run() error {
-	if c.How == "garbage" {
-		f := os.NewFile(3, "channel")
-		_, err := f.Write([]byte("\x7fthis is no frame at all"))
-		time.Sleep(10 * time.Second)
-		return err
-	}
-	ch, _, _, _, ok, err := handover.Inherited()
-	if err != nil || !ok {
-		return errors.Join(errors.New("this is for upgrades to start"), err)
-	}
-	if err := ch.Send(&handover.Hello{Major: handover.Version.Major + 1}); err != nil {
-		return err
-	}
-	time.Sleep(10 * time.Second)
-	return nil
-}
--- /dev/null
+++ b/cmd/ringlab/scripted.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"time"
+
+	"gannetspur/internal/handover"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sys/unix"
+)
+
+// scriptedCommand is a process that is started to take over and does something else.
+type scriptedCommand struct {
+	How  string   `arg:"" enum:"version,garbage,forget" help:"${enum}."`
+	Args []string `arg:"" optional:"" passthrough:"" help:"Of forget: the gateway's program and its arguments."`
+}
+
+func (c *scriptedCommand) Run() error {
+	if c.How == "garbage" {
+		f := os.NewFile(3, "channel")
+		_, err := f.Write([]byte("\x7fthis is no frame at all"))
+		time.Sleep(10 * time.Second)
+		return err
+	}
+	ch, listener, conns, _, ok, err := handover.Inherited()
+	if err != nil || !ok {
+		return errors.Join(errors.New("this is for upgrades to start"), err)
+	}
+	if c.How == "forget" {
+		return forget(ch, listener, conns, c.Args)
+	}
+	if err := ch.Send(&handover.Hello{Major: handover.Version.Major + 1}); err != nil {
+		return err
+	}
+	time.Sleep(10 * time.Second)
+	return nil
+}
+
+// forget stands between the old process and a new one, and passes everything on but what
+// the decision module has learned: what an upgrade would be worth without it.
+func forget(old *handover.Channel, listener *os.File, conns int, args []string) error {
+	if len(args) == 0 {
+		return errors.New("forget: no program")
+	}
+	ch, theirs, err := handover.Pair()
+	if err != nil {
+		return err
+	}
+	p := exec.Command(args[0], args[1:]...)
+	p.Stdout, p.Stderr = os.Stdout, os.Stderr
+	p.ExtraFiles = []*os.File{theirs, listener}
+	p.Env = append(os.Environ(), fmt.Sprintf("%s=%d", handover.Env, conns))
+	if err := p.Start(); err != nil {
+		return err
+	}
+	_ = theirs.Close()
+	pass := func(from, to *handover.Channel) {
+		_ = from.Read(func(m handover.Message, fds []int) { // its end is the end of all
+			if w, ok := m.(*handover.World); ok {
+				dropLearned(w)
+			}
+			_ = to.Send(m, fds...) // who has ended needs none
+			for _, fd := range fds {
+				_ = unix.Close(fd)
+			}
+		})
+		_ = to.Close()
+	}
+	go pass(ch, old)
+	go pass(old, ch)
+	return p.Wait()
+}
+
+func dropLearned(w *handover.World) {
+	var core map[string]cbor.RawMessage
+	if cbor.Unmarshal(w.Sections["core"], &core) != nil {
+		return
+	}
+	delete(core, "Learned")
+	if b, err := cbor.Marshal(core); err == nil {
+		w.Sections["core"] = b
+	}
+}
--- a/cmd/ringlab/service.go
+++ b/cmd/ringlab/service.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -16,7 +14,6 @@
 	"gannetspur/internal/lab/report"
 	"gannetspur/internal/lab/upgrades"
 
-	"github.com/BurntSushi/toml"
 	"gonum.org/v1/gonum/stat"
 )
 
@@ -39,34 +36,21 @@
 
 func readService(path string) (*serviceExperiment, error) {
 	var e serviceExperiment
-	meta, err := toml.DecodeFile(path, &e)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	var faults []error
-	bad := func(ok bool, format string, args ...any) {
-		if !ok {
-			faults = append(faults, fmt.Errorf("%s: "+format, append([]any{path}, args...)...))
+	return &e, readFile(path, &e, func(bad func(ok bool, format string, args ...any)) {
+		named(bad, e.Name, e.Seeds, e.Engines, e.Rate)
+		bad(e.Crowded >= 0 && e.Crowded <= e.Engines, "crowded: %d is not from 0 to the number of engines", e.Crowded)
+		bad(e.Share >= 0 && e.Share < 1, "share: %g is not from 0 to below 1", e.Share)
+		bad(e.Connections > 0 && e.Connections <= 10000, "connections: %d is not from 1 to 10000", e.Connections)
+		bad(e.WarmS >= 0 && e.WarmS <= 600, "warm_s: %g is not from 0 to 600", e.WarmS)
+		bad(e.SpanS >= 1 && e.SpanS <= 600, "span_s: %g is not from 1 to 600", e.SpanS)
+		bad(e.AtOnce > 0 && e.AtOnce <= 16, "at_once: %d is not from 1 to 16", e.AtOnce)
+		for _, w := range e.Ways {
+			bad(slices.Contains([]string{upgrades.Nothing, upgrades.TakeOver, upgrades.Forget, upgrades.Restart}, w), "ways: there is no %q", w)
 		}
-	}
-	for _, key := range meta.Undecoded() {
-		bad(false, "%s: there is no such field", key)
-	}
-	bad(e.Name != "" && !strings.ContainsAny(e.Name, "/ "), "name: missing, or not fit for a file's name")
-	bad(len(e.Seeds) > 0, "seeds: none")
-	bad(e.Engines > 0 && e.Engines <= 64, "engines: %d is not from 1 to 64", e.Engines)
-	bad(e.Crowded >= 0 && e.Crowded <= e.Engines, "crowded: %d is not from 0 to the number of engines", e.Crowded)
-	bad(e.Rate > 0 && e.Rate <= 5000, "rate: %g is not above 0, up to 5000 a second", e.Rate)
-	bad(e.Connections > 0 && e.Connections <= 10000, "connections: %d is not from 1 to 10000", e.Connections)
-	bad(e.SpanS >= 1 && e.SpanS <= 600, "span_s: %g is not from 1 to 600", e.SpanS)
-	bad(e.AtOnce > 0 && e.AtOnce <= 16, "at_once: %d is not from 1 to 16", e.AtOnce)
-	for _, w := range e.Ways {
-		bad(slices.Contains([]string{upgrades.Nothing, upgrades.TakeOver, upgrades.Restart}, w), "ways: there is no %q", w)
-	}
-	return &e, errors.Join(faults...)
+	})
 }
 
-func (e *serviceExperiment) run(ctx context.Context, c *runCommand, program, dir string, log io.Writer) error {
+func (e *serviceExperiment) run(ctx context.Context, c *runCommand, program, lab, dir string, log io.Writer) error {
 	type round struct {
 		way  string
 		seed uint64
@@ -94,7 +78,7 @@
 			}
 			s := func(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
 			r.res, r.err = upgrades.PlayService(ctx, upgrades.ServiceOptions{
-				Way: r.way, Root: ".", Dir: sub, Program: program, Engines: e.Engines, Crowded: e.Crowded, Share: e.Share, Rate: e.Rate,
+				Way: r.way, Root: ".", Dir: sub, Program: program, Lab: lab, Engines: e.Engines, Crowded: e.Crowded, Share: e.Share, Rate: e.Rate,
 				Connections: e.Connections, Warm: s(e.WarmS), Span: s(e.SpanS), Seed: r.seed, Log: log,
 			})
 			mu.Lock()
--- a/internal/lab/upgrades/service.go
+++ b/internal/lab/upgrades/service.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"gannetspur/internal/admin"
 	"gannetspur/internal/lab/emul"
 	"gannetspur/internal/lab/load"
 	"gannetspur/internal/lab/model"
@@ -25,6 +26,7 @@
 const (
 	Nothing  = "nothing" // none does: what a span is worth by itself
 	TakeOver = "upgrade" // it takes over
+	Forget   = "forget"  // it takes over, but for what the decision module has learned
 	Restart  = "restart" // the old one is stopped by plan, the new one starts cold at its address
 )
 
@@ -33,6 +35,7 @@
 	Way         string
 	Root, Dir   string
 	Program     string
+	Lab         string // this program
 	Engines     int
 	Crowded     int     // engines that another program has most of
 	Share       float64 // which it has
@@ -152,6 +155,12 @@
 		if err != nil || !u.Right {
 			return nil, errors.Join(fmt.Errorf("the upgrade ended with %q", u.Why), err)
 		}
+	case Forget:
+		r := admin.Request{Do: "upgrade", Program: opts.Lab, Args: append([]string{"scripted", "forget", opts.Program}, g.args...)}
+		last, err := admin.Call(ctx, g.admin, r, func(admin.Reply) {})
+		if err != nil || last.Why != "" {
+			return nil, errors.Join(fmt.Errorf("the upgrade ended with %q", last.Why), err)
+		}
 	case Restart:
 		_ = g.first.Process.Signal(syscall.SIGTERM)
 		select {
--- a/internal/lab/upgrades/upgrades.go
+++ b/internal/lab/upgrades/upgrades.go
@@ -412,13 +412,9 @@
 		for {
 			select {
 			case <-t.C:
-				b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/task/%d/children", st.PID, st.PID)) // one that has left has none
 				sum := resident(st.PID)
-				for _, child := range strings.Fields(string(b)) {
-					pid, err := strconv.Atoi(child)
-					if err == nil {
-						sum += resident(pid)
-					}
+				for _, pid := range children(st.PID) {
+					sum += resident(pid)
 				}
 				extra = max(extra, sum-start)
 			case <-stop:
@@ -430,6 +426,20 @@
 	return func() int64 { close(stop); return <-most }
 }
 
+// children are the processes that any thread of a process has started (proc(5)).
+func children(pid int) (pids []int) {
+	tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", pid))
+	for _, t := range tasks {
+		b, _ := os.ReadFile(t) // one that has left has none
+		for _, child := range strings.Fields(string(b)) {
+			if n, err := strconv.Atoi(child); err == nil {
+				pids = append(pids, n)
+			}
+		}
+	}
+	return pids
+}
+
 // stop ends the process that serves, and the first one where it still lives.
 func (g *gate) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
