Play recorded traffic through upgrades, when and as it was recorded

Change: traffic = FILE in an experiment: lookups and reports as recorded, by Query or by Parse and Bind, with their mark as a comment; times scaled to the rate; a file without times is refused.

--- a/cmd/ringlab/run.go
+++ b/cmd/ringlab/run.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -20,6 +21,8 @@
 	"gannetspur/internal/lab/load"
 	"gannetspur/internal/lab/report"
 	"gannetspur/internal/lab/rig"
+	"gannetspur/internal/lab/shapes"
+	"gannetspur/internal/lab/traffic"
 	"gannetspur/internal/lab/upgrades"
 
 	"github.com/BurntSushi/toml"
@@ -50,6 +53,7 @@
 	Loads       float64
 	Writes      float64
 	Churn       float64
+	Traffic     string   // file of recorded traffic (ringlab traffic generate) that is played in place of the clients' own; "": none
 	Good        int      // upgrades that must go through
 	Broken      []string // and others, of these kinds
 	MayReturn   bool     `toml:"may_return"` // good ones may be returned from, as engines have troubles
@@ -82,6 +86,23 @@
 	return opts
 }
 
+// recorded reads the file of recorded traffic, if there is one.
+func (e *experiment) recorded() ([]traffic.Record, error) {
+	if e.Traffic == "" {
+		return nil, nil
+	}
+	f, err := os.Open(e.Traffic)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	all, _, err := shapes.Records(bufio.NewReader(f))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", e.Traffic, err)
+	}
+	return all, nil
+}
+
 func (e *experiment) events() (all []upgrades.Event) {
 	for _, ev := range e.Events {
 		all = append(all, upgrades.Event{At: time.Duration(ev.AtS * float64(time.Second)), Do: ev.Do, Engine: ev.Engine})
@@ -201,6 +222,10 @@
 	if service != nil {
 		return service.run(ctx, c, program, lab, dir, log)
 	}
+	recorded, err := e.recorded()
+	if err != nil {
+		return err
+	}
 	t := newUpgradeTables(e)
 	var faults []load.Fault
 	wrong := 0
@@ -215,7 +240,7 @@
 				}
 				res, err := upgrades.Play(ctx, upgrades.Options{
 					Front: front, Root: ".", Dir: sub, Program: program, Lab: lab, Engines: e.Engines, Connections: connections,
-					Work: time.Duration(e.WorkMS * float64(time.Millisecond)), Rate: e.Rate, Loads: e.Loads, Writes: e.Writes, Churn: e.Churn,
+					Work: time.Duration(e.WorkMS * float64(time.Millisecond)), Rate: e.Rate, Loads: e.Loads, Writes: e.Writes, Churn: e.Churn, Recorded: recorded,
 					Kinds: kinds, MayReturn: e.MayReturn, Gap: time.Duration(e.GapMS * float64(time.Millisecond)), ProveFor: time.Duration(e.ProveForMS * float64(time.Millisecond)),
 					Link: e.link(seed), Events: e.events(), Seed: seed, Log: log, Each: func(upgrades.Upgrade) { bar.step() },
 				})
--- a/cmd/ringwood/upgrade_test.go
+++ b/cmd/ringwood/upgrade_test.go
@@ -131,7 +131,7 @@
 	s.await("serving")
 	for range 200 {
 		c := s.client()
-		v, _ := c.Ask(load.Lookup, "q-0-1", time.Second)
+		v, _ := c.Ask(load.Lookup, "q-0-1", nil, time.Second)
 		c.Close()
 		if v == load.Served {
 			return s
@@ -255,7 +255,7 @@
 			return r
 		default:
 		}
-		if v, why := c.Ask(load.Lookup, fmt.Sprintf("q-99-%d", n), 5*time.Second); v != load.Served {
+		if v, why := c.Ask(load.Lookup, fmt.Sprintf("q-99-%d", n), nil, 5*time.Second); v != load.Served {
 			s.t.Fatalf("while it proves itself: %s %s", v, why)
 		}
 	}
@@ -278,7 +278,7 @@
 func ask(c load.Client, mark string) <-chan told {
 	got := make(chan told, 1)
 	go func() {
-		v, d := c.Ask(load.Kind(mark[0]), mark, 20*time.Second)
+		v, d := c.Ask(load.Kind(mark[0]), mark, nil, 20*time.Second)
 		got <- told{v, d}
 	}()
 	return got
--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -44,10 +44,18 @@
 	Write  Kind = 'w'
 )
 
+// Statement is a recorded statement that a request sends in place of the client's own; nil:
+// the own one. Its mark is put behind it as a comment.
+type Statement struct {
+	Text           string
+	Values         [][]byte // bound; none: it goes as a Query, or as the body of a call
+	Formats, Types []byte   // of them, as in Bind and Parse but without their counts
+}
+
 // Client is one connection of a client.
 type Client interface {
 	// Ask sends one request and waits for its answer.
-	Ask(kind Kind, mark string, within time.Duration) (Verdict, string)
+	Ask(kind Kind, mark string, statement *Statement, within time.Duration) (Verdict, string)
 	// Idle tells whether the connection still stands, between two requests.
 	Idle() Verdict
 	Close()
@@ -124,11 +132,14 @@
 }
 
 // Ask sends one request.
-func (c *HTTP) Ask(kind Kind, mark string, within time.Duration) (Verdict, string) {
+func (c *HTTP) Ask(kind Kind, mark string, statement *Statement, within time.Duration) (Verdict, string) {
 	path, text, head := "lookup", fmt.Sprintf("SELECT part, note FROM stock_3.parts WHERE tag = '%s'", mark), ""
 	if kind == Load {
 		path, text, head = "load", fmt.Sprintf("INSERT INTO stock_3.batches VALUES ('%s')", mark), "Req-Token: "+mark+"\r\n"
 	}
+	if statement != nil {
+		text = statement.Text + " /* " + mark + " */"
+	}
 	c.n++
 	_ = c.conn.SetDeadline(time.Now().Add(within + grace))
 	if _, err := fmt.Fprintf(c.conn, "POST /rpc/%s HTTP/1.1\r\nHost: lab\r\nReq-Id: %016x\r\nReq-Wait-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
@@ -237,14 +248,36 @@
 	return head[0], body, err
 }
 
-// Ask sends one request: every third lookup has its value in the text of a Query, every fifth
+// messages are what a client sends for a recorded statement: a Query, or a Parse and a Bind.
+func (s *Statement) messages(mark string) []byte {
+	text := s.Text + " /* " + mark + " */"
+	if len(s.Values) == 0 {
+		return pgproto.Append(nil, 'Q', pgproto.Str(text))
+	}
+	count := func(n int) []byte { return binary.BigEndian.AppendUint16(nil, uint16(n)) }
+	out := pgproto.Append(nil, 'P', []byte{0}, pgproto.Str(text), append(count(len(s.Types)/4), s.Types...))
+	body := append(append(count(len(s.Formats)/2), s.Formats...), count(len(s.Values))...)
+	for _, v := range s.Values {
+		if v == nil {
+			body = append(body, pgproto.Int32(-1)...)
+			continue
+		}
+		body = append(append(body, pgproto.Int32(len(v))...), v...)
+	}
+	out = pgproto.Append(out, 'B', []byte{0, 0}, append(body, 0, 0))
+	return pgproto.Append(pgproto.Append(out, 'E', []byte{0}, pgproto.Int32(0)), 'S')
+}
+
+// Ask sends one request: a recorded statement as it was recorded; of its own, every third lookup has its value in the text of a Query, every fifth
 // fetches its rows one by one by way of a portal, all others bind.
-func (c *Postgres) Ask(kind Kind, mark string, within time.Duration) (Verdict, string) {
+func (c *Postgres) Ask(kind Kind, mark string, statement *Statement, within time.Duration) (Verdict, string) {
 	c.n++
 	_ = c.conn.SetDeadline(time.Now().Add(within + grace))
 	var out []byte
 	paged := false
 	switch {
+	case statement != nil:
+		out = statement.messages(mark)
 	case kind == Lookup && c.n%3 == 0:
 		out = pgproto.Append(nil, 'Q', pgproto.Str(fmt.Sprintf("SELECT part, note FROM stock_3.parts WHERE tag = '%s'", mark)))
 	default:
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"gannetspur/internal/lab/traffic"
+
 	"gonum.org/v1/gonum/stat/distuv"
 )
 
@@ -24,6 +27,10 @@
 	Within      time.Duration
 	Retries     int // of a load that was refused, failed or in doubt, with its key
 	Seed        uint64
+	// Recorded, where given, are the statements of lookups and reports; when they come, and of
+	// which class each request is, is then as recorded, at Rate. Loads and writes are the
+	// clients' own, whose effects can be told apart. They are played round and round.
+	Recorded []traffic.Record
 }
 
 // Record is what became of one request.
@@ -80,6 +87,9 @@
 			first = err
 		}
 	}
+	if n := len(opts.Recorded); n > 0 && first == nil && opts.Recorded[n-1].At <= opts.Recorded[0].At {
+		first = errors.New("the recorded traffic has no times, or is too short: it would come all at once")
+	}
 	if first != nil {
 		s.Close()
 		return nil, fmt.Errorf("load: %w", first)
@@ -97,13 +107,16 @@
 
 // Run sends requests until the context ends, and returns once the last is answered.
 func (s *Source) Run(ctx context.Context) {
-	gap := distuv.Exponential{Rate: s.opts.Rate, Src: rand.NewPCG(s.opts.Seed, 1)}
-	kinds := rand.New(rand.NewPCG(s.opts.Seed, 2))
+	next := s.drawn()
+	if len(s.opts.Recorded) > 0 {
+		next = s.recorded()
+	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	due := time.Now()
 	for n := 0; ; n++ {
-		due = due.Add(time.Duration(gap.Rand() * float64(time.Second)))
+		gap, kind, statement := next()
+		due = due.Add(gap)
 		t := time.NewTimer(time.Until(due))
 		select {
 		case <-ctx.Done():
@@ -111,6 +124,26 @@
 			return
 		case <-t.C:
 		}
+		r := Record{Mark: fmt.Sprintf("%c-%s-%d", kind, s.opts.Name, n), Kind: kind, Due: due}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			s.one(&r, statement)
+			s.mu.Lock()
+			s.records = append(s.records, r)
+			s.mu.Unlock()
+		}()
+	}
+}
+
+// following tells the gap before the next request, its kind and its statement.
+type following func() (gap time.Duration, kind Kind, statement *Statement)
+
+// drawn are requests that come by themselves, of kinds by their shares.
+func (s *Source) drawn() following {
+	gap := distuv.Exponential{Rate: s.opts.Rate, Src: rand.NewPCG(s.opts.Seed, 1)}
+	kinds := rand.New(rand.NewPCG(s.opts.Seed, 2))
+	return func() (time.Duration, Kind, *Statement) {
 		kind := Lookup
 		switch x := kinds.Float64(); {
 		case x < s.opts.Loads:
@@ -120,22 +153,40 @@
 		case x < s.opts.Loads+s.opts.Writes+s.opts.Reports:
 			kind = Report
 		}
-		r := Record{Mark: fmt.Sprintf("%c-%s-%d", kind, s.opts.Name, n), Kind: kind, Due: due}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			s.one(&r)
-			s.mu.Lock()
-			s.records = append(s.records, r)
-			s.mu.Unlock()
-		}()
+		return time.Duration(gap.Rand() * float64(time.Second)), kind, nil
+	}
+}
+
+// recorded are requests as they were recorded, but for their rate.
+func (s *Source) recorded() following {
+	all := s.opts.Recorded
+	span := float64(all[len(all)-1].At-all[0].At) / 1e6
+	slower := float64(len(all)) / span / s.opts.Rate
+	n := 0
+	return func() (gap time.Duration, kind Kind, statement *Statement) {
+		r := &all[n%len(all)]
+		if n%len(all) > 0 {
+			gap = time.Duration(float64(r.At-all[n%len(all)-1].At) * slower * float64(time.Microsecond))
+		}
+		n++
+		switch r.Class {
+		case "load":
+			return gap, Load, nil
+		case "write":
+			return gap, Write, nil
+		case "report":
+			kind = Report
+		default:
+			kind = Lookup
+		}
+		return gap, kind, &Statement{r.Statement, r.Values, r.Formats, r.Types}
 	}
 }
 
 // one carries out one request with its client's retries.
-func (s *Source) one(r *Record) {
+func (s *Source) one(r *Record, statement *Statement) {
 	for try := 0; ; try++ {
-		r.Verdict, r.Detail = s.try(r)
+		r.Verdict, r.Detail = s.try(r, statement)
 		r.Tries = append(r.Tries, r.Verdict)
 		r.End = time.Now()
 		if r.Kind != Load || try >= s.opts.Retries || r.Verdict != Refused && r.Verdict != Failed && r.Verdict != Doubt {
@@ -145,9 +196,9 @@
 	}
 }
 
-func (s *Source) try(r *Record) (Verdict, string) {
+func (s *Source) try(r *Record, statement *Statement) (Verdict, string) {
 	c := s.take()
-	v, detail := c.Ask(r.Kind, r.Mark, s.opts.Within)
+	v, detail := c.Ask(r.Kind, r.Mark, statement, s.opts.Within)
 	switch v {
 	case Reset, Silent, Spoilt:
 		c = s.anew(c)
@@ -204,12 +255,12 @@
 // absent is the place of a connection that could not be made.
 type absent struct{ s *Source }
 
-func (a *absent) Ask(k Kind, mark string, within time.Duration) (Verdict, string) {
+func (a *absent) Ask(k Kind, mark string, statement *Statement, within time.Duration) (Verdict, string) {
 	c, err := a.s.dial()
 	if err != nil {
 		return Unasked, err.Error()
 	}
-	v, d := c.Ask(k, mark, within)
+	v, d := c.Ask(k, mark, statement, within)
 	c.Close() // the next one connects anew
 	return v, d
 }
--- a/internal/lab/upgrades/upgrades.go
+++ b/internal/lab/upgrades/upgrades.go
@@ -22,6 +22,7 @@
 	"gannetspur/internal/lab/link"
 	"gannetspur/internal/lab/load"
 	"gannetspur/internal/lab/rig"
+	"gannetspur/internal/lab/traffic"
 )
 
 // Good is the kind of an upgrade that must go through.
@@ -60,8 +61,9 @@
 	Loads       float64
 	Writes      float64
 	Churn       float64
-	Kinds       []string // of the upgrades, in order
-	MayReturn   bool     // a good one may be returned from: troubles of the engines are taken for its own
+	Recorded    []traffic.Record // statements in place of the clients' own; of the PostgreSQL front
+	Kinds       []string         // of the upgrades, in order
+	MayReturn   bool             // a good one may be returned from: troubles of the engines are taken for its own
 	Gap         time.Duration
 	ProveFor    time.Duration
 	Link        *link.Options // between gateway and engines; nil: none
@@ -143,13 +145,13 @@
 	dial := func(seed uint64) (load.Client, error) { return load.DialHTTP(addr, seed) }
 	name := "1"
 	if opts.Front == "rest" {
-		opts.Writes = 0 // the toy settings have no class for them
+		opts.Writes, opts.Recorded = 0, nil // the toy settings have no class for them
 	} else {
 		dial, name = func(uint64) (load.Client, error) { return load.DialPostgres(addr) }, "2"
 	}
 	s, err := load.New(load.Options{
 		Name: name, Dial: dial, Connections: opts.Connections, Rate: opts.Rate, Loads: opts.Loads, Writes: opts.Writes, Churn: opts.Churn,
-		Within: 5 * time.Second, Retries: 2, Seed: opts.Seed,
+		Within: 5 * time.Second, Retries: 2, Seed: opts.Seed, Recorded: opts.Recorded,
 	})
 	if err != nil {
 		return nil, err
@@ -258,7 +260,7 @@
 			c, err = load.DialHTTP(g.addr, 1<<30)
 		}
 		if err == nil {
-			v, _ := c.Ask(load.Lookup, "q-0-0", time.Second)
+			v, _ := c.Ask(load.Lookup, "q-0-0", nil, time.Second)
 			c.Close()
 			if v == load.Served {
 				return nil
