Begin the gateway between sites: decisions and link frames, pure and property-tested

Change: internal/decide/site decides what crosses (only where there is next to no room here, within the work that the other site said it takes, once), what is left of a query's time, what is believed of a site (silent, cold by a ramp, slow, draining, gone) and what becomes of what was there; internal/site/frame reads and writes the frames of the link.

Not linked into the gateway.

--- a/internal/house/house_test.go
+++ b/internal/house/house_test.go
@@ -20,7 +20,7 @@
 	{"internal/roster/", "internal/config"},
 	{"internal/core", "internal/netio"},
 	{"internal/decide/"},
-	{"policy", "internal/sqltext", "internal/pgproto", "internal/deadline", "internal/stats", "internal/logs"},
+	{"policy", "internal/sqltext", "internal/pgproto", "internal/deadline", "internal/stats", "internal/logs", "internal/site/frame"},
 }
 
 func floor(pkg string) int {
