Have one piece of code for listeners, resident memory, experiments' gateways and hellos

Both fronts opened a listener in one place and served it in another, memory was read from proc in three, the experiments set a gateway up twice and waited by three copies of a loop, a new process said what it is in two ways, and the descriptors were walked through twice at each start.

Change: netio.Listen opens, Serve accepts, and a front's Listen is ListenOn of a new one; stats.Resident; upgrades.open, close and pause; inherited.say; one walk through the descriptors; TakeLeft without its copies; the build's name is a field, not an argument of every step. A connection given to another front is named as such in the log. Tests of netio share their set-up and keep their assertions.

--- a/cmd/ringwood/serve.go
+++ b/cmd/ringwood/serve.go
@@ -100,7 +100,7 @@
 	}
 	if err != nil {
 		if in != nil {
-			in.refuse(err)
+			in.say(err.Error())
 		}
 		return err
 	}
--- a/cmd/ringwood/serve_upgrade.go
+++ b/cmd/ringwood/serve_upgrade.go
@@ -38,9 +38,10 @@
 	return &inherited{ch, ln, conns, check}, nil
 }
 
-// refuse says why this process can't take over.
-func (in *inherited) refuse(err error) {
-	_ = in.ch.Send(&handover.Hello{Major: handover.Version.Major, Minor: handover.Version.Minor, Problem: err.Error(), Build: buildName()}) // the old one sees the end otherwise
+// say says what this process is, and why it can't take over; "": it can. The old process sees
+// its end where that can't be sent.
+func (in *inherited) say(problem string) {
+	_ = in.ch.Send(&handover.Hello{Major: handover.Version.Major, Minor: handover.Version.Minor, Problem: problem, Build: buildName()})
 }
 
 // room tells whether the connections that wait for this process fit its limits.
@@ -64,7 +65,7 @@
 		return err
 	}
 	if in.check {
-		in.refuseNothing()
+		in.say("")
 		return nil
 	}
 	ln, err := netio.Inherited(in.listener)
@@ -83,11 +84,6 @@
 	return nil
 }
 
-// refuseNothing says that this process would take over.
-func (in *inherited) refuseNothing() {
-	_ = in.ch.Send(&handover.Hello{Major: handover.Version.Major, Minor: handover.Version.Minor, Build: buildName()})
-}
-
 // know is what this process knows, for the one that takes over.
 func (g *gateway) know() *handover.Knowledge {
 	k := &handover.Knowledge{Core: g.core.Known(), Counters: g.counters.All()}
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -42,14 +42,12 @@
 // TakeLeft takes a request whose bytes may come from a process that has died: left is what
 // is known of that, or nil.
 func (c *Core) TakeLeft(r *Request, left *Left) {
-	switch {
-	case left == nil:
-		c.Take(r)
-	case left.Settle:
+	if left != nil {
 		r.Prior = left.Sent
-		c.Settle(r)
-	default:
-		r.Prior = left.Sent
-		c.Take(r)
+		if left.Settle {
+			c.Settle(r)
+			return
+		}
 	}
+	c.Take(r)
 }
--- a/internal/front/pgwire/front.go
+++ b/internal/front/pgwire/front.go
@@ -76,25 +76,22 @@
 
 // Listen accepts at the address.
 func (f *Front) Listen(addr string) error {
-	most := f.opts.MostClients
-	if most > 0 {
-		most += spareClients
-	}
-	ln, err := f.loop.Listen(addr, maxBuffer, most, f.accept)
+	ln, err := netio.Listen(addr)
 	if err != nil {
 		return fmt.Errorf("listen for PostgreSQL clients: %w", err)
 	}
-	f.listener = ln
+	f.ListenOn(ln)
 	return nil
 }
 
-// ListenOn accepts from a listener that another process opened.
+// ListenOn accepts from a listener, which another process may have opened.
 func (f *Front) ListenOn(ln *netio.Listener) {
 	most := f.opts.MostClients
 	if most > 0 {
 		most += spareClients
 	}
-	f.listener = f.loop.Serve(ln, maxBuffer, most, f.accept)
+	f.listener = ln
+	f.loop.Serve(ln, maxBuffer, most, f.accept)
 }
 
 // Listener is where it accepts.
--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -97,18 +97,18 @@
 
 // Listen accepts at the address.
 func (f *Front) Listen(addr string) error {
-	ln, err := f.loop.Listen(addr, maxCall, f.opts.MostClients+spareClients, f.accept)
+	ln, err := netio.Listen(addr)
 	if err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
 	}
-	f.listener = ln
-	f.sweepIdle()
+	f.ListenOn(ln)
 	return nil
 }
 
-// ListenOn accepts from a listener that another process opened.
+// ListenOn accepts from a listener, which another process may have opened.
 func (f *Front) ListenOn(ln *netio.Listener) {
-	f.listener = f.loop.Serve(ln, maxCall, f.opts.MostClients+spareClients, f.accept)
+	f.listener = ln
+	f.loop.Serve(ln, maxCall, f.opts.MostClients+spareClients, f.accept)
 	f.sweepIdle()
 }
 
--- a/internal/handover/new.go
+++ b/internal/handover/new.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -35,6 +36,7 @@
 	log   *slog.Logger
 
 	machine   *decide.New
+	build     string
 	alone     bool // the old process is dead or has left
 	good, bad int64
 	journals  map[core.Client]*journal
@@ -57,7 +59,8 @@
 		err := n.ch.Read(func(m Message, fds []int) { n.loop.Post(func() { n.message(m, fds) }) })
 		n.loop.Post(func() { n.ended(err) })
 	}()
-	n.step(decide.Started{}, build)
+	n.build = build
+	n.step(decide.Started{})
 	n.alive()
 }
 
@@ -88,11 +91,11 @@
 	n.loop.Timers.Add(n.loop.Now()+aliveEvery, n.alive)
 }
 
-func (n *New) step(in any, build string) {
+func (n *New) step(in any) {
 	for _, e := range n.machine.Step(n.loop.Now(), in) {
 		switch e := e.(type) {
 		case decide.SendHello:
-			n.send(&Hello{e.Version.Major, e.Version.Minor, e.Problem, build})
+			n.send(&Hello{e.Version.Major, e.Version.Minor, e.Problem, n.build})
 		case decide.SendReady:
 			n.send(&Ready{})
 		case decide.StopRecording:
@@ -119,11 +122,11 @@
 	case *Go:
 		good, bad := GoodAndBad(n.stats)
 		n.good, n.bad = good, bad
-		n.step(decide.Go{}, "")
+		n.step(decide.Go{})
 	case *Given:
 		n.given(m, fds)
 	case *Commit:
-		n.step(decide.Commit{}, "")
+		n.step(decide.Commit{})
 	case *Reload:
 		n.opts.Reload()
 	case *Counts:
@@ -144,7 +147,7 @@
 // world takes what the old process knows. Where that can't be read, this process is not
 // ready: it ends, and the old one goes on.
 func (n *New) world(w *World) {
-	n.step(decide.State{}, "")
+	n.step(decide.State{})
 	k, unknown, err := w.decode()
 	for _, name := range unknown {
 		n.log.Warn("upgrade.section-passed-by", "section", name)
@@ -160,7 +163,7 @@
 		n.opts.Stop()
 		return
 	}
-	n.step(decide.Warm{}, "")
+	n.step(decide.Warm{})
 }
 
 func (n *New) given(m *Given, fds []int) {
@@ -173,7 +176,7 @@
 	}
 	restore, err := n.front.Restore(m.State)
 	if err == nil && m.Front != n.front.Name() {
-		err = ErrKind
+		err = fmt.Errorf("it is of the front %q", m.Front)
 	}
 	if err != nil {
 		n.log.Warn("upgrade.lost-connection", "error", err)
@@ -200,7 +203,7 @@
 		return
 	}
 	n.stats.Add("upgrade.adopted")
-	n.step(decide.Given{Conn: decide.ConnID(m.Conn)}, "")
+	n.step(decide.Given{Conn: decide.ConnID(m.Conn)})
 }
 
 func (n *New) stopRecording() {
@@ -222,7 +225,7 @@
 	n.front.OnShared(nil)
 	n.front.OnStray(nil)
 	_ = n.ch.Close()
-	n.step(decide.Ended{}, "")
+	n.step(decide.Ended{})
 }
 
 // sending records that a request goes to an engine, before it does.
--- a/internal/handover/old.go
+++ b/internal/handover/old.go
@@ -581,7 +581,7 @@
 	}
 	if o.proc != nil && now-o.memory >= memoryEvery {
 		o.memory = now
-		o.step(decide.Memory{Bytes: o.proc.memory()})
+		o.step(decide.Memory{Bytes: stats.Resident(o.proc.cmd.Process.Pid)})
 	}
 	o.step(decide.Tick{})
 }
--- a/internal/handover/spawn.go
+++ b/internal/handover/spawn.go
@@ -6,7 +6,6 @@
 	"os"
 	"os/exec"
 	"strconv"
-	"strings"
 	"syscall"
 	"time"
 )
@@ -77,20 +76,6 @@
 // kill ends the process and all that it has started.
 func (p *process) kill() { _ = syscall.Kill(-p.cmd.Process.Pid, syscall.SIGKILL) } // one that has ended needs none
 
-// memory is what the process takes of the machine's memory, in bytes (proc(5), statm).
-func (p *process) memory() int64 {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
-	f := strings.Fields(string(b))
-	if err != nil || len(f) < 2 {
-		return 0
-	}
-	pages, err := strconv.ParseInt(f[1], 10, 64)
-	if err != nil {
-		return 0
-	}
-	return pages * int64(os.Getpagesize())
-}
-
 // Check asks a program whether it would take over: it is started, says what it is after it
 // has read its files, and is ended. It blocks, at the most for within.
 func Check(p Program, listener *os.File, conns int, within time.Duration) (build string, err error) {
--- a/internal/lab/shapes/flood.go
+++ b/internal/lab/shapes/flood.go
@@ -6,11 +6,10 @@
 	"os"
 	"runtime"
 	"runtime/debug"
-	"strconv"
-	"strings"
 
 	decide "gannetspur/internal/decide/shape"
 	"gannetspur/internal/shape"
+	"gannetspur/internal/stats"
 )
 
 // FloodOptions say how a cache is flooded with shapes that never come again while others
@@ -80,7 +79,7 @@
 	res.Held, res.Counted = book.Len(), book.Bytes()
 	res.HeapBytes = heap() - before
 	debug.FreeOSMemory()
-	res.RSSBytes = resident("self")
+	res.RSSBytes = int(stats.Resident(os.Getpid()))
 	runtime.KeepAlive(book)
 	return res, nil
 }
@@ -97,16 +96,3 @@
 	runtime.ReadMemStats(&m)
 	return int(m.HeapAlloc)
 }
-
-// resident is the resident memory of a process in bytes, from proc(5); 0: not known.
-func resident(pid string) int {
-	b, err := os.ReadFile("/proc/" + pid + "/statm")
-	if err != nil {
-		return 0
-	}
-	if f := strings.Fields(string(b)); len(f) > 1 {
-		n, _ := strconv.Atoi(f[1])
-		return n * os.Getpagesize()
-	}
-	return 0
-}
--- a/internal/lab/upgrades/service.go
+++ b/internal/lab/upgrades/service.go
@@ -6,9 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
-	"log/slog"
 	"math/rand/v2"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -93,13 +91,11 @@
 // PlayService plays one event and tells what it cost.
 func PlayService(ctx context.Context, opts ServiceOptions) (res *Service, err error) {
 	ledger := emul.NewLedger(window)
-	addr, err := rig.Free()
-	if err != nil {
-		return nil, err
-	}
-	r, err := rig.New(rig.Options{
-		Root: opts.Root, Dir: opts.Dir, Engines: opts.Engines, HTTP: addr, Postgres: addr, Clients: opts.Connections, User: "ringwood", Ledger: ledger,
-		Log: slog.New(slog.DiscardHandler), Ask: query,
+	g, err := open(ctx, Options{
+		Front: "postgres", Root: opts.Root, Dir: opts.Dir, Program: opts.Program, Engines: opts.Engines, Connections: opts.Connections,
+		ProveFor: time.Second, Log: opts.Log,
+	}, rig.Options{
+		Ledger: ledger, Ask: query,
 		Machine: func(i int) *emul.Machine {
 			m := emul.NewMachine(model.Usual())
 			if i < opts.Crowded {
@@ -111,20 +107,9 @@
 	if err != nil {
 		return nil, err
 	}
-	defer r.Close()
-	g := &gate{opts: Options{Front: "postgres", Root: opts.Root, Dir: opts.Dir, Program: opts.Program, ProveFor: time.Second}, rig: r, addr: addr, admin: filepath.Join(opts.Dir, "admin")}
-	if err := g.write(); err != nil {
-		return nil, err
-	}
-	if g.first, err = rig.Start(opts.Program, opts.Log, g.args...); err != nil {
-		return nil, err
-	}
-	defer func() { g.stop() }()
-	if err := g.settled(ctx); err != nil {
-		return nil, err
-	}
+	defer g.close()
 	s, err := load.New(load.Options{
-		Name: "5", Dial: func(uint64) (load.Client, error) { return load.DialPostgres(addr) }, Connections: opts.Connections,
+		Name: "5", Dial: func(uint64) (load.Client, error) { return load.DialPostgres(g.addr) }, Connections: opts.Connections,
 		Rate: opts.Rate, Loads: 0.06, Reports: 0.14, Within: 20 * time.Second, Seed: opts.Seed,
 	})
 	if err != nil {
@@ -136,15 +121,7 @@
 	running.Go(func() { s.Run(traffic) })
 	defer running.Wait()
 	defer stop()
-	pause := func(d time.Duration) error {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(d):
-			return nil
-		}
-	}
-	if err := pause(opts.Warm + opts.Span); err != nil {
+	if err := pause(ctx, opts.Warm+opts.Span); err != nil {
 		return nil, err
 	}
 	event := time.Now()
@@ -175,7 +152,7 @@
 	default:
 		return nil, fmt.Errorf("there is no way %q", opts.Way)
 	}
-	if err := pause(time.Until(event.Add(opts.Span))); err != nil {
+	if err := pause(ctx, time.Until(event.Add(opts.Span))); err != nil {
 		return nil, err
 	}
 	stop()
--- a/internal/lab/upgrades/upgrades.go
+++ b/internal/lab/upgrades/upgrades.go
@@ -23,6 +23,7 @@
 	"gannetspur/internal/lab/load"
 	"gannetspur/internal/lab/rig"
 	"gannetspur/internal/lab/traffic"
+	"gannetspur/internal/stats"
 )
 
 // Good is the kind of an upgrade that must go through.
@@ -115,33 +116,61 @@
 	first *rig.Gateway
 }
 
-// Play plays the upgrades.
-func Play(ctx context.Context, opts Options) (res *Result, err error) {
-	ledger := emul.NewLedger(window)
+// open sets a gateway up between engines, and returns once it serves. set says what is set up
+// beside what the options say.
+func open(ctx context.Context, opts Options, set rig.Options) (g *gate, err error) {
 	addr, err := rig.Free()
 	if err != nil {
 		return nil, err
 	}
-	o := rig.Options{
-		Root: opts.Root, Dir: opts.Dir, Engines: opts.Engines, HTTP: addr, Postgres: addr, Clients: opts.Connections, User: "ringwood", Ledger: ledger,
-		Link: opts.Link, Log: slog.New(slog.DiscardHandler), Work: func(string) (time.Duration, float64) { return opts.Work, 1 },
-	}
-	r, err := rig.New(o)
+	set.Root, set.Dir, set.Engines, set.Clients = opts.Root, opts.Dir, opts.Engines, opts.Connections
+	set.HTTP, set.Postgres, set.User, set.Log = addr, addr, "ringwood", slog.New(slog.DiscardHandler)
+	r, err := rig.New(set)
 	if err != nil {
 		return nil, err
 	}
-	defer r.Close()
-	g := &gate{opts: opts, rig: r, addr: addr, admin: filepath.Join(opts.Dir, "admin")}
-	if err := g.write(); err != nil {
+	g = &gate{opts: opts, rig: r, addr: addr, admin: filepath.Join(opts.Dir, "admin")}
+	if err = g.write(); err == nil {
+		g.first, err = rig.Start(opts.Program, opts.Log, g.args...)
+	}
+	if err != nil {
+		r.Close()
 		return nil, err
 	}
-	if g.first, err = rig.Start(opts.Program, opts.Log, g.args...); err != nil {
+	if err := g.settled(ctx); err != nil {
+		g.close()
 		return nil, err
 	}
-	defer g.stop()
-	if err := rig.Up(ctx, addr); err != nil {
+	return g, nil
+}
+
+// close ends the gateway, and what is round it.
+func (g *gate) close() {
+	g.stop()
+	g.rig.Close()
+}
+
+// pause waits, unless the context ends.
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// Play plays the upgrades.
+func Play(ctx context.Context, opts Options) (res *Result, err error) {
+	ledger := emul.NewLedger(window)
+	g, err := open(ctx, opts, rig.Options{
+		Ledger: ledger, Link: opts.Link, Work: func(string) (time.Duration, float64) { return opts.Work, 1 },
+	})
+	if err != nil {
 		return nil, err
 	}
+	defer g.close()
+	r, addr := g.rig, g.addr
 	dial := func(seed uint64) (load.Client, error) { return load.DialHTTP(addr, seed) }
 	name := "1"
 	if opts.Front == "rest" {
@@ -157,23 +186,12 @@
 		return nil, err
 	}
 	defer s.Close()
-	if err := g.settled(ctx); err != nil {
-		return nil, err
-	}
 	traffic, stop := context.WithCancel(ctx)
 	ended := make(chan struct{})
 	go func() { s.Run(traffic); close(ended) }()
 	res = &Result{}
 	defer func() { stop(); <-ended }()
-	pause := func(d time.Duration) error {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(d):
-			return nil
-		}
-	}
-	if err := pause(2 * time.Second); err != nil {
+	if err := pause(ctx, 2*time.Second); err != nil {
 		return nil, err
 	}
 	res.Stable = time.Now()
@@ -198,15 +216,15 @@
 		}
 		res.Upgrades = append(res.Upgrades, u)
 		opts.Each(u)
-		if err := pause(opts.Gap); err != nil {
+		if err := pause(ctx, opts.Gap); err != nil {
 			return nil, err
 		}
 	}
-	if err := pause(time.Second); err != nil {
+	if err := pause(ctx, time.Second); err != nil {
 		return nil, err
 	}
 	if st, err := g.status(ctx); err == nil {
-		res.Resident = resident(st.PID)
+		res.Resident = stats.Resident(st.PID)
 	}
 	stop()
 	<-ended
@@ -266,10 +284,8 @@
 				return nil
 			}
 		}
-		select {
-		case <-ctx.Done():
-			return errors.Join(errors.New("the gateway never served"), err, ctx.Err())
-		case <-time.After(50 * time.Millisecond):
+		if over := pause(ctx, 50*time.Millisecond); over != nil {
+			return errors.Join(errors.New("the gateway never served"), err, over)
 		}
 	}
 }
@@ -378,12 +394,10 @@
 		}
 		u.Done, u.Why = time.Now(), strings.ReplaceAll(last.Why, g.opts.Dir+"/", "")
 		if strings.Contains(u.Why, "not through") {
-			select {
-			case <-ctx.Done():
-				return u, ctx.Err()
-			case <-time.After(20 * time.Millisecond):
-				continue
+			if err := pause(ctx, 20*time.Millisecond); err != nil {
+				return u, err
 			}
+			continue
 		}
 		u.Right = (u.Why == "") == (kind == Good) || kind == Good && g.opts.MayReturn
 		return u, nil
@@ -405,7 +419,7 @@
 	if !on || err != nil {
 		return func() int64 { return 0 }
 	}
-	start := resident(st.PID)
+	start := stats.Resident(st.PID)
 	stop, most := make(chan struct{}), make(chan int64, 1)
 	go func() {
 		t := time.NewTicker(20 * time.Millisecond)
@@ -414,9 +428,9 @@
 		for {
 			select {
 			case <-t.C:
-				sum := resident(st.PID)
+				sum := stats.Resident(st.PID)
 				for _, pid := range children(st.PID) {
-					sum += resident(pid)
+					sum += stats.Resident(pid)
 				}
 				extra = max(extra, sum-start)
 			case <-stop:
@@ -459,15 +473,3 @@
 	}
 	g.first.Stop()
 }
-
-func resident(pid int) int64 {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
-	var size, pages int64
-	if err == nil {
-		_, err = fmt.Sscan(string(b), &size, &pages)
-	}
-	if err != nil {
-		return 0
-	}
-	return pages * int64(os.Getpagesize())
-}
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -120,7 +120,6 @@
 		return nil, fmt.Errorf("start the poller: %w", err)
 	}
 	l.polls = pollers()
-	keepPrivate()
 	return l, nil
 }
 
@@ -247,15 +246,13 @@
 	}
 }
 
-// Listen accepts connections at the address until the returned listener is closed.
-// While most of them are open (0: no such limit) the next ones wait unaccepted.
-// Guards against clients that leave no descriptor for the engines.
-func (l *Loop) Listen(addr string, limit, most int, accept func(*Conn) Handler) (*Listener, error) {
+// Listen opens a listener at an address, for Serve.
+func Listen(addr string) (*Listener, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	return l.Serve(&Listener{tcp: ln.(*net.TCPListener)}, limit, most, accept), nil // of "tcp"
+	return &Listener{tcp: ln.(*net.TCPListener)}, nil // of "tcp"
 }
 
 // Inherited is a listener over a socket that another process opened; it accepts nothing
@@ -276,8 +273,10 @@
 	return in, nil
 }
 
-// Serve accepts from a listener as Listen does.
-func (l *Loop) Serve(ln *Listener, limit, most int, accept func(*Conn) Handler) *Listener {
+// Serve accepts connections until the listener is closed. While most of them are open (0: no
+// such limit) the next ones wait unaccepted. Guards against clients that leave no descriptor
+// for the engines.
+func (l *Loop) Serve(ln *Listener, limit, most int, accept func(*Conn) Handler) {
 	room := make(chan struct{}, most)
 	done := func() {
 		if most > 0 {
@@ -309,7 +308,6 @@
 			}
 		}
 	}()
-	return ln
 }
 
 // convert makes an accepted connection nbio's, for which it takes a second
--- a/internal/netio/place.go
+++ b/internal/netio/place.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strconv"
 	"strings"
 	"syscall"
 
@@ -169,36 +170,21 @@
 	return false
 }
 
-// keepPrivate has no program that is started from here inherit the descriptors that nbio has
-// opened for itself.
-func keepPrivate() {
-	entries, err := os.ReadDir("/proc/self/fd")
-	if err != nil {
-		return
-	}
-	for _, e := range entries {
-		fd := 0
-		if to, err := os.Readlink("/proc/self/fd/" + e.Name()); err != nil || !strings.HasPrefix(to, "anon_inode:") {
-			continue
-		}
-		if _, err := fmt.Sscan(e.Name(), &fd); err == nil {
-			unix.CloseOnExec(fd)
-		}
-	}
-}
-
-// pollers are the epoll descriptors of this process. There are two: Go's own and nbio's.
+// pollers are the epoll descriptors of this process: Go's own and nbio's. These, and what
+// else nbio has opened for itself, are kept from programs that are started from here.
 func pollers() (fds []int) {
 	entries, err := os.ReadDir("/proc/self/fd")
 	if err != nil {
 		return nil
 	}
 	for _, e := range entries {
-		if to, err := os.Readlink("/proc/self/fd/" + e.Name()); err != nil || !strings.Contains(to, "eventpoll") {
+		to, err := os.Readlink("/proc/self/fd/" + e.Name())
+		fd, bad := strconv.Atoi(e.Name())
+		if err != nil || bad != nil || !strings.HasPrefix(to, "anon_inode:") {
 			continue
 		}
-		fd := 0
-		if _, err := fmt.Sscan(e.Name(), &fd); err == nil {
+		unix.CloseOnExec(fd)
+		if strings.Contains(to, "eventpoll") {
 			fds = append(fds, fd)
 		}
 	}
--- a/internal/netio/place_test.go
+++ b/internal/netio/place_test.go
@@ -86,6 +86,34 @@
 }
 func (h *taker) Closed(_ *Conn, err error) { h.closed <- err }
 
+// running is a loop that turns until the test's end.
+func running(t *testing.T) *Loop {
+	t.Helper()
+	l, err := New(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go l.Run()
+	t.Cleanup(func() { l.Post(l.Stop) })
+	return l
+}
+
+// served is a listener of a loop whose connections the taker has, and a client of it.
+func served(t *testing.T, l *Loop, h *taker) (*Listener, net.Conn) {
+	t.Helper()
+	ln, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Serve(ln, 1<<16, 10, func(c *Conn) Handler { h.c <- c; return h })
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close(); ln.Close() })
+	return ln, client
+}
+
 func newTaker() *taker {
 	return &taker{got: make(chan string, 10), closed: make(chan error, 1), c: make(chan *Conn, 1)}
 }
@@ -106,25 +134,10 @@
 func TestDetachAttach(t *testing.T) {
 	loops := [2]*Loop{}
 	for i := range loops {
-		l, err := New(0)
-		if err != nil {
-			t.Fatal(err)
-		}
-		loops[i] = l
-		go l.Run()
-		t.Cleanup(func() { l.Post(l.Stop) })
+		loops[i] = running(t)
 	}
 	first, second := newTaker(), newTaker()
-	ln, err := loops[0].Listen("127.0.0.1:0", 1<<16, 10, func(c *Conn) Handler { first.c <- c; return first })
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	client, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
+	ln, client := served(t, loops[0], first)
 	_, _ = client.Write([]byte("abcdef"))
 	if got := await(t, "data", first.got); got != "abcdef" {
 		t.Errorf("the first loop read %q", got)
@@ -192,12 +205,7 @@
 // A journal hears of bytes before they are consumed or written, at the places that the
 // kernel tells of, and of the connection's end.
 func TestJournal(t *testing.T) {
-	l, err := New(0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	go l.Run()
-	defer l.Post(l.Stop)
+	l := running(t)
 	client, server, fd := pair(t)
 	start, err := PlaceOf(fd)
 	if err != nil {
@@ -237,23 +245,9 @@
 // A program that is started from here inherits none of the loop's descriptors: neither the
 // poller's own nor those of connections.
 func TestDescriptorsArePrivate(t *testing.T) {
-	l, err := New(0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	go l.Run()
-	defer l.Post(l.Stop)
+	l := running(t)
 	h := newTaker()
-	ln, err := l.Listen("127.0.0.1:0", 1<<16, 10, func(c *Conn) Handler { h.c <- c; return h })
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	client, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
+	served(t, l, h)
 	await(t, "connection", h.c)
 	out, err := exec.Command("ls", "-l", "/proc/self/fd").Output()
 	if err != nil {
