--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -4,6 +4,7 @@
 
 // admit puts a request before the module, which sends or refuses it.
 func (c *Core) admit(r *Request) {
+	r.admitted = true
 	c.tell(policy.Arrive{
 		Query: r.query, Class: r.Class, Set: r.Set, Deadline: r.Deadline,
 		Work: r.Work, MemoryMB: r.MemoryMB, Repeat: r.Repeat,
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -19,6 +19,9 @@
 		a.neverRan = true
 	}
 	c.stats.Add("ended." + end.String())
+	if c.sites != nil {
+		c.sites.Ended(a, end, rep)
+	}
 	// Of what may have run and is not safe to repeat, the word of an attempt that never
 	// ran says nothing: it must not stand for the one in doubt.
 	if !a.neverRan || rep.Detail != nil && !c.Doubt(r) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -54,9 +54,14 @@
 	Repeat    bool
 	Client    Client
 	Note      any // the front's own, for the Learner
-	// Prior is when another process, which has died, first sent the request to an engine;
-	// 0: none did. It may have run since.
+	// Prior is when another process, which has died, or another site first sent the request
+	// to an engine; 0: none did. It may have run since.
 	Prior time.Duration
+	// Foreign is that it came from another site: it goes to no third one.
+	Foreign bool
+	// MostSends bounds the sends of it over all sites, of which Spent were made elsewhere; 0:
+	// the module's own bound alone.
+	MostSends, Spent int
 
 	query    uint64
 	tries    []*Attempt
@@ -65,6 +70,12 @@
 	grant    float64
 	priority int
 	detail   any // of its latest error
+
+	admitted bool            // the module has it
+	base     int             // tries of an earlier life in the module
+	away     *deadline.Entry // it is at another site, until then at the latest
+	crossed  time.Duration   // since then
+	turned   *Answer         // the module's, while it is at another site as well
 }
 
 // Attempt is one send of a request to one engine.
@@ -126,6 +137,7 @@
 	learner Learner                       // nil: nobody
 	sending func(*Request, time.Duration) // hears of first sends before they are made; may be nil
 	stats   *stats.Counters
+	sites   Sites // nil: there is no other
 	log     *slog.Logger
 	round   time.Duration
 	classes map[string]policy.Class
@@ -220,7 +232,7 @@
 	}
 	for _, e := range engines {
 		ev.Engines = append(ev.Engines, e.Engine)
-		c.links.Engine(e) // before the module may name it in a send
+		c.engine(e) // before the module may name it in a send
 		if c.engines[e.ID] = e; e.State == policy.EngineGone {
 			delete(c.engines, e.ID)
 		}
@@ -229,12 +241,20 @@
 	for id, e := range before {
 		if _, ok := c.engines[id]; !ok && e.State != policy.EngineGone {
 			e.State = policy.EngineGone
-			c.links.Engine(e)
+			c.engine(e)
 		}
 	}
 	c.tell(ev)
 }
 
+// engine tells of an entry of the roster.
+func (c *Core) engine(e Engine) {
+	c.links.Engine(e)
+	if c.sites != nil {
+		c.sites.Engine(e)
+	}
+}
+
 // tell hands an event to the module and carries out what it says. Events that
 // come up meanwhile wait their turn: a Gateway is not called from within a call.
 func (c *Core) tell(ev policy.Event) {
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -40,12 +40,16 @@
 	}
 	a.Late = a.Verdict != Served && c.clock.Now() >= r.Deadline-c.round
 	a.Doubt = c.Doubt(r)
-	a.Sent, a.Detail = r.Prior > 0 || len(r.tries) > 0, r.detail
+	if a.Detail == nil {
+		a.Detail = r.detail
+	}
+	a.Sent = a.Sent || r.Prior > 0 || len(r.tries) > 0
 	c.stats.Add("answered." + a.Verdict.String() + "." + r.Class)
 	if a.Late {
 		c.stats.Add("answered-late." + r.Class)
 	}
 	c.close(r)
+	c.bringBack(r)
 	r.Client.Answer(r, a)
 	c.forget(r)
 }
@@ -53,9 +57,11 @@
 // Doubt tells whether a request that is open may have run and is not safe to repeat.
 func (c *Core) Doubt(r *Request) bool {
 	return c.classes[r.Class].Effect != policy.Safe &&
-		(r.Prior > 0 || slices.ContainsFunc(r.tries, func(a *Attempt) bool { return !a.neverRan }))
+		(r.Prior > 0 || r.away != nil || slices.ContainsFunc(r.tries, mayHaveRun))
 }
 
+func mayHaveRun(a *Attempt) bool { return !a.neverRan }
+
 // FailAll gives every open request its final answer. For the very end of a stop,
 // when those who wait would else be left with none.
 func (c *Core) FailAll() {
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -19,9 +19,9 @@
 			c.cancel(r, a.Attempt)
 		}
 	case policy.Refuse:
-		c.final(a.Query, Answer{Verdict: Refused, ComeBack: a.ComeBack})
+		c.givenUp(a.Query, Answer{Verdict: Refused, ComeBack: a.ComeBack})
 	case policy.Fail:
-		c.final(a.Query, Answer{Verdict: Failed})
+		c.givenUp(a.Query, Answer{Verdict: Failed})
 	case policy.Wake:
 		c.timers.Add(c.clock.Now()+a.After, func() { c.tell(policy.Timer{Token: a.Token}) })
 	case policy.Log:
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -14,24 +14,31 @@
 func (c *Core) send(r *Request, s policy.Send) {
 	a := &Attempt{
 		Request: r, Engine: s.Engine, Within: s.Within, Sent: c.clock.Now(),
-		MemoryMB: r.grant, Priority: r.priority, n: len(r.tries),
+		MemoryMB: r.grant, Priority: r.priority, n: len(r.tries) - r.base,
 	}
 	a.notAfter = c.lastRepeat(r)
 	r.tries = append(r.tries, a)
 	r.out++
 	c.stats.Add("sent." + r.Class)
-	if a.n > 0 {
+	if len(r.tries) > 1 {
 		c.stats.Add("sent-again." + r.Class)
 	}
 	if r.answered { // the module asked before it heard that the client has left
 		c.End(a, EndNotSent, Report{})
 		return
 	}
+	if r.MostSends > 0 && r.sends() > r.MostSends { // repeats don't multiply over sites
+		c.End(a, EndNotSent, Report{})
+		return
+	}
+	if c.sites != nil {
+		c.sites.Sending(a)
+	}
 	a.timer = c.timers.Add(a.Sent+max(s.Within, time.Millisecond), func() {
 		c.links.Drop(a)
 		c.End(a, EndTimeout, Report{})
 	})
-	if c.sending != nil && a.n == 0 {
+	if c.sending != nil && len(r.tries) == 1 {
 		c.sending(r, a.Sent)
 	}
 	c.links.Send(a)
@@ -73,7 +80,8 @@
 
 // cancel gives one attempt up; an end that is on its way comes too late.
 func (c *Core) cancel(r *Request, n int) {
-	if n < 0 || n >= len(r.tries) || r.tries[n].ended {
+	n += r.base
+	if n < r.base || n >= len(r.tries) || r.tries[n].ended {
 		return
 	}
 	a := r.tries[n]
--- /dev/null
+++ b/internal/core/sites.go
@@ -0,0 +1,148 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"gannetspur/policy"
+)
+
+// Sites takes requests to other sites, before the module hears of them or once it has turned
+// them away. It is called on the core's goroutine, and may call back from within.
+type Sites interface {
+	// Cross may take a request to another site, by Away, or settle it, by Settled. It tells
+	// whether it did either. turned: the module has just turned it away.
+	Cross(r *Request, turned bool) bool
+	// Drop gives up what is at another site: the request is over.
+	Drop(r *Request)
+	// Sending tells of an attempt at an engine of this site before it is made, Ended of its end.
+	Sending(a *Attempt)
+	Ended(a *Attempt, end End, rep Report)
+	// Engine tells of an engine's entry or of a change to it.
+	Engine(e Engine)
+}
+
+// SetSites names who takes requests to other sites.
+func (c *Core) SetSites(s Sites) { c.sites = s }
+
+// Away marks that a request is at another site from now on, where no engine here has it. until
+// is when it is given up at the latest. Exactly one of Settled, Here or the request's end follows.
+func (c *Core) Away(r *Request, until time.Duration) {
+	c.stats.Add("away." + r.Class)
+	r.crossed = c.clock.Now()
+	r.away = c.timers.Add(until, func() {
+		c.Crossed(r, r.crossed)
+		c.sites.Drop(r)
+		c.Settled(r, Answer{Verdict: Failed})
+	})
+}
+
+// IsAway tells whether a request is at another site.
+func (c *Core) IsAway(r *Request) bool { return r.away != nil }
+
+// Crossed marks that a request may have run at another site, where it was first sent at an
+// instant.
+func (c *Core) Crossed(r *Request, at time.Duration) {
+	if first := r.FirstSent(); first == 0 || at < first {
+		r.Prior = at
+	}
+}
+
+// Settled gives a request its final answer on word of another site.
+func (c *Core) Settled(r *Request, a Answer) {
+	r.away.Stop()
+	r.away = nil
+	if c.requests[r.query] != r || r.answered {
+		return
+	}
+	c.final(r.query, a)
+	c.leave(r) // a copy of it may be out here
+}
+
+// Here has the module take a request that was at another site, or is there still (copy). Where
+// it may have run there, Crossed was called.
+func (c *Core) Here(r *Request, copy bool) {
+	if !copy {
+		r.away.Stop()
+		r.away = nil
+	}
+	if c.requests[r.query] != r || r.answered || r.admitted {
+		return
+	}
+	if a := r.turned; a != nil { // the module had a copy of it, and has given that up
+		if !copy {
+			c.final(r.query, *a)
+		}
+		return
+	}
+	// To the module it is a new query: it has forgotten the one that it turned away.
+	delete(c.requests, r.query)
+	c.last++
+	r.query, r.base = c.last, len(r.tries)
+	c.requests[r.query] = r
+	c.admit(r)
+}
+
+// bringBack ends what another site has of a request that is over.
+func (c *Core) bringBack(r *Request) {
+	if r.away == nil {
+		return
+	}
+	r.away.Stop()
+	r.away = nil
+	c.sites.Drop(r)
+}
+
+// givenUp takes the module's word that a request is not to be served here. Another site may
+// have it, or be given it.
+func (c *Core) givenUp(query uint64, a Answer) {
+	r := c.requests[query]
+	if r == nil || r.answered {
+		return
+	}
+	r.admitted = false
+	switch {
+	case r.away != nil: // its end there decides
+		r.turned = &a
+		return
+	case c.sites == nil:
+	case a.Verdict == Refused && r.out == 0 && c.sites.Cross(r, true):
+		return
+	case a.Verdict == Refused && c.Doubt(r) && !c.harmless(r):
+		// The module knows nothing of what ran elsewhere.
+		a = Answer{Verdict: Failed}
+	}
+	c.final(query, a)
+}
+
+// harmless tells whether a request that may have run can be tried again without harm.
+func (c *Core) harmless(r *Request) bool {
+	class := c.classes[r.Class]
+	switch class.Effect {
+	case policy.Safe:
+		return true
+	case policy.Keyed:
+		by := c.lastRepeat(r)
+		return class.Group == policy.GroupAll && (by == 0 || c.clock.Now() < by)
+	}
+	return false
+}
+
+// Sends is how often a request was sent to an engine, at any site, as far as is known here.
+func (r *Request) Sends() int { return r.sends() }
+
+func (r *Request) sends() int { return r.Spent + len(r.tries) }
+
+// FirstSent is when a request that may have run was first sent, at any site; 0: none was.
+func (r *Request) FirstSent() time.Duration {
+	if r.Prior > 0 {
+		return r.Prior
+	}
+	if i := slices.IndexFunc(r.tries, mayHaveRun); i >= 0 {
+		return r.tries[i].Sent
+	}
+	return 0
+}
+
+// NeverRan tells whether an attempt's end proves that it never ran.
+func (a *Attempt) NeverRan() bool { return a.neverRan }
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -4,6 +4,9 @@
 // is owed. The answer may be given before Take returns.
 func (c *Core) Take(r *Request) {
 	c.enter(r)
+	if c.sites != nil && c.sites.Cross(r, false) {
+		return
+	}
 	c.admit(r)
 }
 
@@ -30,6 +33,7 @@
 	}
 	c.stats.Add("gone." + r.Class)
 	c.close(r)
+	c.bringBack(r)
 	c.leave(r)
 }
 
--- /dev/null
+++ b/internal/decide/site/meter.go
@@ -0,0 +1,217 @@
+package site
+
+import (
+	"math"
+	"time"
+)
+
+// Meter measures what room this gateway's part of its own site has, from what it has out
+// there, what its module turns away and what engines report. Its zero value is not ready:
+// see NewMeter.
+type Meter struct {
+	cfg      Config
+	gateways float64 // of this site, which share its engines
+	engines  map[string]*station
+	classes  map[string]*measure
+	held     float64 // threads out at engines, of this gateway
+	busy     float64 // reported share of cores in use, smoothed
+	busyAt   time.Duration
+}
+
+// Station is an engine as the meter sees it.
+type Station struct {
+	Cores     float64
+	Live      bool          // it may be sent to
+	ColdUntil time.Duration // it reaches its capacity then
+	ColdFor   time.Duration
+	ColdStart float64
+}
+
+type station struct{ Station }
+
+// measure is what is known of a class.
+type measure struct {
+	came, turned float64 // of late; both fade
+	at           time.Duration
+	quick        float64 // time that an answer takes at the least, s for a second of usual work
+	work         float64 // usual, s
+	n            int
+}
+
+// Times and shares of the meter.
+const (
+	turnFades = 2 * time.Second // in which what came and was turned away fades to a third
+	turnCount = 4.0             // a quarter turned away is as no room at all
+	busyFades = time.Second     // in which a report counts
+	quickDown = 0.2             // weight of an answer that was quicker than the quickest usual
+	quickUp   = 0.02            // and of one that was slower: some tenth of all are quicker
+	quickPart = 0.7             // of that, without which a query is not begun for another site
+	quickN    = 10              // answers before that is known
+)
+
+// NewMeter returns a meter for one of so many gateways of a site.
+func NewMeter(cfg Config, gateways int) *Meter {
+	return &Meter{cfg: cfg, gateways: float64(max(gateways, 1)), engines: map[string]*station{}, classes: map[string]*measure{}}
+}
+
+// Engine takes an engine of this site, or a change to it.
+func (m *Meter) Engine(id string, s Station) {
+	if !s.Live {
+		delete(m.engines, id)
+		return
+	}
+	m.engines[id] = &station{s}
+}
+
+func (m *Meter) class(name string) *measure {
+	c := m.classes[name]
+	if c == nil {
+		c = &measure{}
+		m.classes[name] = c
+	}
+	return c
+}
+
+func (c *measure) fade(now time.Duration) {
+	f := math.Exp(-float64(max(now-c.at, 0)) / float64(turnFades))
+	c.came, c.turned, c.at = c.came*f, c.turned*f, now
+}
+
+// Came counts a query of a class, and whether this site's module turned it away.
+func (m *Meter) Came(now time.Duration, class string, turned bool) {
+	c := m.class(class)
+	c.fade(now)
+	c.came++
+	if turned {
+		c.turned++
+	}
+}
+
+// Sent and Ended count threads that are out at engines.
+func (m *Meter) Sent(threads float64) { m.held += threads }
+
+// Ended takes the end of an attempt.
+func (m *Meter) Ended(threads float64) { m.held = max(m.held-threads, 0) }
+
+// Took takes how long an engine took to answer, and the query's work, s (0: unknown).
+func (m *Meter) Took(class string, took time.Duration, work float64) {
+	c := m.class(class)
+	if c.n++; c.n == 1 {
+		c.quick, c.work = took.Seconds(), work
+	}
+	if work > 0 {
+		c.work += (work - c.work) / 20
+	}
+	x := took.Seconds() / c.scale(work)
+	if x < c.quick {
+		c.quick += (x - c.quick) * quickDown
+	} else {
+		c.quick += (x - c.quick) * quickUp
+	}
+}
+
+// scale is how much more work than usual a query has.
+func (c *measure) scale(work float64) float64 {
+	if work <= 0 || c.work <= 0 {
+		return 1
+	}
+	return min(max(work/c.work, 0.1), 10)
+}
+
+// Reported takes an engine's report of the share of its cores in use.
+func (m *Meter) Reported(now time.Duration, busy float64) {
+	if !(busy >= 0) {
+		return
+	}
+	m.busy += (min(busy, 1) - m.busy) / 10
+	m.busyAt = now
+}
+
+// Capacity is what the engines of this site have, in cores, cold ones what they have by now.
+func (m *Meter) Capacity(now time.Duration) (cores float64) {
+	for _, e := range m.engines {
+		warm := 1.0
+		if left := e.ColdUntil - now; left > 0 && e.ColdFor > 0 {
+			warm = 1 - (1-e.ColdStart)*min(float64(left)/float64(e.ColdFor), 1)
+		}
+		cores += e.Cores * warm
+	}
+	return cores
+}
+
+// threads is what this site's engines can hold, and what they do, as this gateway sees it.
+func (m *Meter) threads(now time.Duration) (can, held float64) {
+	cores := m.Capacity(now)
+	can, held = cores*m.cfg.Threads, m.held*m.gateways
+	if age := now - m.busyAt; m.busyAt > 0 && age < busyFades {
+		held = max(held, m.busy*cores*(1-float64(age)/float64(busyFades)))
+	}
+	return can, held
+}
+
+// passes is the share of a class that the module lets in, counted sharply.
+func (m *Meter) passes(now time.Duration, class string) float64 {
+	c := m.classes[class]
+	if c == nil {
+		return 1
+	}
+	c.fade(now)
+	return max(1-turnCount*c.turned/max(c.came, 1), 0)
+}
+
+// Room is what this site has for a class, as a share of its capacity.
+func (m *Meter) Room(now time.Duration, class string) float64 {
+	can, held := m.threads(now)
+	if can <= 0 {
+		return 0
+	}
+	return max(1-held/can, 0) * m.passes(now, class)
+}
+
+// Accept tells whether a query of another site is begun here: not where its answer could not be
+// in time, nor where the room is kept for this site's own clients. What is turned away
+// by it never ran.
+func (m *Meter) Accept(now time.Duration, q *Query) bool {
+	if m.Room(now, q.Class) <= m.cfg.Reserve || q.Left <= 0 {
+		return false
+	}
+	c := m.classes[q.Class]
+	return c == nil || c.n < quickN || q.Left.Seconds() >= quickPart*c.quick*c.scale(q.Work)
+}
+
+// Digest is what this gateway says of itself: the room, and the work that it takes from all
+// other sites together until its next word, within its part of what the engines have free
+// beyond the reserve.
+func (m *Meter) Digest(now time.Duration, classes []string) Digest {
+	d := Digest{Room: make(map[string]float64, len(classes))}
+	most := 0.0
+	for _, name := range classes {
+		d.Room[name] = m.Room(now, name)
+		most = max(most, m.passes(now, name))
+	}
+	can, held := m.threads(now)
+	spare := max(can*(1-m.cfg.Reserve)-held, 0) / m.gateways
+	d.Takes = spare * most * m.cfg.WordEvery.Seconds()
+	return d
+}
+
+// Divide divides what a gateway takes among its peers: half evenly, half by what each has
+// asked of late. Their sum is never above what it takes, so that it isn't pushed over when
+// several turn to it at once.
+func Divide(takes float64, asked []float64) []float64 {
+	parts := make([]float64, len(asked))
+	if len(asked) == 0 || !(takes > 0) {
+		return parts
+	}
+	sum := 0.0
+	for _, a := range asked {
+		sum += max(a, 0)
+	}
+	for i, a := range asked {
+		parts[i] = takes / float64(len(asked))
+		if sum > 0 {
+			parts[i] = parts[i]/2 + takes/2*max(a, 0)/sum
+		}
+	}
+	return parts
+}
--- /dev/null
+++ b/internal/decide/site/peer.go
@@ -0,0 +1,221 @@
+package site
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// State is what is believed of a peer.
+type State uint8
+
+// States. Only Up, Slow and Cold are sent to.
+const (
+	Silent   State = iota // nothing is heard of it: what is there is in doubt
+	Up                    // it answers in time
+	Slow                  // it answers, and the way there takes long
+	Cold                  // it is back after a silence: it is fed by a ramp
+	Draining              // it takes nothing new, by its own word or an operator's here
+	Gone                  // it has left, by its own word
+)
+
+var stateNames = [...]string{"silent", "up", "slow", "cold", "draining", "gone"}
+
+func (s State) String() string { return stateNames[s] }
+
+// Digest is what a peer says of itself: the room that it has for each class, as a share of
+// its capacity, and the work that it would take from here until its next word, in seconds of
+// one core.
+type Digest struct {
+	Room   map[string]float64
+	Takes  float64
+	Drains bool // it takes nothing new
+}
+
+// Peer is a gateway at another site, as this one sees it. Its zero value is silent.
+type Peer struct {
+	heard    time.Duration // the latest word; 0: never
+	back     time.Duration // since then, after a silence
+	rtt      time.Duration // smoothed
+	vary     time.Duration // mean deviation from it
+	slow     bool
+	shut     bool // an operator here has drained it
+	gone     bool
+	digest   Digest
+	told     time.Duration
+	credit   float64 // of Digest.Takes, not used yet; below 0 after one query larger than it
+	distrust float64 // 0 to 1: of late, what it did not do of what it said it takes
+	judged   time.Duration
+	last     State // as Watch told it
+	watched  bool
+}
+
+// Heard takes any word of the peer, with a round trip where one was measured (0: none).
+// Word after a silence, the first one too, begins the ramp: its engines may have restarted.
+func (p *Peer) Heard(cfg Config, now, rtt time.Duration) {
+	if p.heard == 0 || now-p.heard >= cfg.SilentAfter {
+		p.back, p.digest = now, Digest{}
+		p.credit = 0 // what it said before is not known to hold
+	}
+	p.heard, p.gone = now, false
+	if rtt <= 0 {
+		return
+	}
+	if p.rtt == 0 {
+		p.rtt, p.vary = rtt, rtt/2
+	}
+	off := rtt - p.rtt
+	p.vary += (max(off, -off) - p.vary) / 4 // gains as in RFC 6298
+	p.rtt += off / 8
+	switch {
+	case p.rtt > cfg.SlowAbove:
+		p.slow = true
+	case p.rtt < cfg.SlowAbove*3/4:
+		p.slow = false
+	}
+}
+
+// Told takes what the peer says of itself.
+func (p *Peer) Told(cfg Config, now time.Duration, d Digest) {
+	p.Heard(cfg, now, 0)
+	p.digest, p.told = d, now
+	takes := d.Takes
+	if !(takes > 0) || math.IsInf(takes, 1) { // nonsense is nothing
+		takes = 0
+	}
+	p.credit = min(p.credit, 0) + takes*p.Ramp(cfg, now)
+	if d.Drains {
+		p.credit = 0
+	}
+}
+
+// Leaves takes its word that it has left: what it said holds no more.
+func (p *Peer) Leaves() { p.gone, p.credit = true, 0 }
+
+// Shut is an operator's word here that nothing new is sent to it, or that it may be again.
+func (p *Peer) Shut(on bool) { p.shut = on }
+
+// IsShut tells whether an operator here has drained it.
+func (p *Peer) IsShut() bool { return p.shut }
+
+// State is what is believed of the peer.
+func (p *Peer) State(cfg Config, now time.Duration) State {
+	switch {
+	case p.gone:
+		return Gone
+	case p.heard == 0 || now-p.heard >= cfg.SilentAfter:
+		return Silent
+	case p.shut || p.digest.Drains:
+		return Draining
+	case now-p.back < cfg.ColdFor:
+		return Cold
+	case p.slow:
+		return Slow
+	}
+	return Up
+}
+
+// Change is a change of what is believed, with its evidence.
+type Change struct {
+	From, To State
+	Why      string
+}
+
+// Watch tells whether what is believed has changed since it was called last. Its first call
+// tells of the state at the start, where that is not silent.
+func (p *Peer) Watch(cfg Config, now time.Duration) (c Change, changed bool) {
+	c = Change{From: p.last, To: p.State(cfg, now)}
+	if c.From == c.To {
+		return c, false
+	}
+	switch c.To {
+	case Silent:
+		c.Why = fmt.Sprintf("no word for %v", (now - p.heard).Round(time.Millisecond))
+	case Up:
+		c.Why = fmt.Sprintf("heard for %v since its silence; round trip %v", (now - p.back).Round(time.Second), p.rtt.Round(time.Millisecond))
+	case Slow:
+		c.Why = fmt.Sprintf("round trip %v", p.rtt.Round(time.Millisecond))
+	case Cold:
+		c.Why = "heard again after a silence"
+		if !p.watched {
+			c.Why = "heard for the first time"
+		}
+	case Draining:
+		if c.Why = "by its own word"; p.shut {
+			c.Why = "drained by an operator here"
+		}
+	case Gone:
+		c.Why = "by its own word"
+	}
+	p.last, p.watched = c.To, true
+	return c, true
+}
+
+// Ramp is the share of what it takes that it is sent.
+func (p *Peer) Ramp(cfg Config, now time.Duration) float64 {
+	age := now - p.back
+	if cfg.ColdFor <= 0 || age >= cfg.ColdFor {
+		return 1
+	}
+	return cfg.ColdStart + (1-cfg.ColdStart)*max(float64(age)/float64(cfg.ColdFor), 0)
+}
+
+// Way is the time that one way to the peer takes: half of a round trip, which is all that can
+// be known without trusting its clock, and its usual deviation.
+func (p *Peer) Way() time.Duration { return p.rtt/2 + min(p.vary, p.rtt/2) }
+
+// RTT is the smoothed round trip; 0: none was measured.
+func (p *Peer) RTT() time.Duration { return p.rtt }
+
+// Age is how long ago it was heard; below 0: never.
+func (p *Peer) Age(now time.Duration) time.Duration {
+	if p.heard == 0 {
+		return -1
+	}
+	return now - p.heard
+}
+
+// Room is what it said last of its room for a class, and Credit what is left of the work that
+// it said it takes.
+func (p *Peer) Room(class string) float64 { return p.digest.Room[class] }
+
+// Credit is the work, in seconds of one core, that may still cross until its next word.
+func (p *Peer) Credit() float64 { return p.credit }
+
+// Weights of one crossing in the trust of a peer, and the time in which distrust fades to
+// a third by itself: a liar is tried again now and then.
+const (
+	trustDown  = 0.15
+	trustUp    = 0.1
+	trustFades = 5 * time.Second
+)
+
+// Did takes how a crossing ended: whether the peer did what it said it would take.
+func (p *Peer) Did(now time.Duration, well bool) {
+	p.distrust = p.Distrust(now)
+	p.judged = now
+	if well {
+		p.distrust -= p.distrust * trustUp
+	} else {
+		p.distrust += (1 - p.distrust) * trustDown
+	}
+}
+
+// Distrust is the share of what it says that is not believed just now.
+func (p *Peer) Distrust(now time.Duration) float64 {
+	return p.distrust * math.Exp(-float64(max(now-p.judged, 0))/float64(trustFades))
+}
+
+// offers is the room for a class that the peer is believed to have: what it said, less for
+// its age and for what it did not do of late.
+func (p *Peer) offers(cfg Config, now time.Duration, class string) float64 {
+	age := now - p.told
+	if age >= cfg.StaleAfter || p.credit <= 0 {
+		return 0
+	}
+	room := min(p.digest.Room[class], 1)
+	if !(room > 0) {
+		return 0
+	}
+	return room * (1 - float64(age)/float64(cfg.StaleAfter)) * (1 - p.Distrust(now))
+}
--- a/internal/site/frame/frame.go
+++ b/internal/site/frame/frame.go
@@ -42,11 +42,12 @@
 	Digest                 // number of the digest; the body is CBOR: room by class
 	Ping                   // number; Pong has the same
 	Pong                   //
-	Leave                  // 1: it drains, 2: it has left
+	Leave                  // 0; whoever sends it takes no new streams on this link: dial another
+	Keys                   // 0; the body is CBOR: keys that were sent to engines
 	kinds
 )
 
-var names = [kinds]string{"", "greet", "ask", "data", "answer", "cancel", "credit", "digest", "ping", "pong", "leave"}
+var names = [kinds]string{"", "greet", "ask", "data", "answer", "cancel", "credit", "digest", "ping", "pong", "leave", "keys"}
 
 func (k Kind) String() string {
 	if k == 0 || k >= kinds {
@@ -113,7 +114,7 @@
 // check tells whether a frame has what its kind needs, and nothing more.
 func (f *Frame) check(length int) error {
 	bad := func(what string) error { return fmt.Errorf("%w: %v: %s", ErrForm, f.Kind, what) }
-	link := f.Kind == Greet || f.Kind == Digest || f.Kind == Ping || f.Kind == Pong || f.Kind == Leave
+	link := f.Kind == Greet || f.Kind == Digest || f.Kind == Ping || f.Kind == Pong || f.Kind == Leave || f.Kind == Keys
 	switch {
 	case link && f.Stream != 0:
 		return bad("it belongs to no stream")
@@ -121,10 +122,12 @@
 		return bad("it needs a stream")
 	}
 	switch f.Kind {
-	case Greet, Ask, Answer, Digest:
+	case Greet, Ask, Answer, Digest, Keys:
 		if length == 0 {
 			return bad("it has no body")
 		}
+	}
+	switch f.Kind {
 	case Data:
 		if f.Value > 1 {
 			return bad("its value is 0 or 1")
@@ -133,9 +136,9 @@
 		if f.Value == 0 {
 			return bad("it gives nothing")
 		}
-	case Leave:
-		if f.Value != 1 && f.Value != 2 {
-			return bad("its value is 1 or 2")
+	case Leave, Ask, Answer, Keys, Cancel:
+		if f.Value != 0 {
+			return bad("its value is 0")
 		}
 	}
 	if length > 0 && (f.Kind == Cancel || f.Kind == Credit || f.Kind == Ping || f.Kind == Pong || f.Kind == Leave) {
--- /dev/null
+++ b/internal/site/mux/mux_test.go
@@ -0,0 +1,280 @@
+package mux
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+
+	"gannetspur/internal/site/frame"
+	"gannetspur/internal/site/head"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// end is one side for tests: it writes down what it hears, and may answer what it is asked.
+type end struct {
+	t       testing.TB
+	link    *Link
+	heard   []string
+	answers map[uint32][]byte // by stream
+	asks    map[uint32][]byte
+	answer  func(stream uint32, statement []byte)
+}
+
+func (e *end) Greeted(g head.Greet) error {
+	if g.Form != "lines" {
+		return errors.New("another form")
+	}
+	return nil
+}
+func (e *end) Asked(id uint32, _ head.Ask, s []byte) {
+	e.asks[id] = bytes.Clone(s)
+	if e.answer != nil {
+		e.answer(id, s)
+	}
+}
+func (e *end) Answered(id uint32, a head.Answer, b []byte) {
+	e.answers[id] = bytes.Clone(b)
+	e.heard = append(e.heard, fmt.Sprintf("answer %d %d", id, a.Verdict))
+}
+func (e *end) Cancelled(id uint32)  { e.heard = append(e.heard, fmt.Sprintf("cancel %d", id)) }
+func (e *end) Digest(d head.Digest) { e.heard = append(e.heard, fmt.Sprintf("takes %g", d.Takes)) }
+func (e *end) Keys(k head.Keys)     { e.heard = append(e.heard, fmt.Sprintf("%d keys", len(k.Sent))) }
+func (e *end) Ponged(n uint32)      { e.heard = append(e.heard, fmt.Sprintf("pong %d", n)) }
+func (e *end) Leaves()              { e.heard = append(e.heard, "leaves") }
+func (e *end) Ready()               {}
+func (e *end) must(err error)       { e.t.Helper(); fatal(e.t, err) }
+func fatal(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func newEnd(t testing.TB, cfg Config) *end {
+	e := &end{t: t, answers: map[uint32][]byte{}, asks: map[uint32][]byte{}}
+	cfg.Greet = head.Greet{Site: "s", Gateway: "g", Form: "lines"}
+	l, err := New(cfg, e)
+	fatal(t, err)
+	e.link = l
+	return e
+}
+
+// pass moves what waits from one end to the other, in pieces, until neither has more.
+func pass(t testing.TB, a, b *end, piece func() int) {
+	t.Helper()
+	type way struct {
+		from, to *end
+		held     []byte
+	}
+	ways := []*way{{a, b, nil}, {b, a, nil}}
+	for moved := true; moved; {
+		moved = false
+		for _, w := range ways {
+			out := w.from.link.Pull(nil, piece())
+			moved = moved || len(out) > 0
+			for len(out) > 0 {
+				n := min(max(piece(), 1), len(out))
+				w.held = append(w.held, out[:n]...)
+				out = out[n:]
+				took, err := w.to.link.Input(w.held)
+				fatal(t, err)
+				w.held = w.held[took:]
+			}
+		}
+	}
+}
+
+func pair(t testing.TB, cfg Config) (a, b *end) {
+	d := cfg
+	d.Dialled = true
+	a, b = newEnd(t, d), newEnd(t, cfg)
+	pass(t, a, b, func() int { return 1 << 20 })
+	return a, b
+}
+
+// Whatever is asked and answered, in whatever pieces it travels: each comes whole and as it
+// was, once; nothing is left behind; and what is held stays within the bounds.
+func TestAnythingPassesWhole(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cfg := Config{Window: 1 << rapid.IntRange(4, 17).Draw(rt, "window"), Held: 1 << rapid.IntRange(10, 20).Draw(rt, "held")}
+		a, b := pair(t, cfg)
+		size := rapid.OneOf(rapid.IntRange(0, 100), rapid.IntRange(0, 150_000))
+		want := map[uint32][]byte{}
+		refused := 0
+		for _, e := range []*end{a, b} {
+			e.answer = func(id uint32, s []byte) {
+				e.must(e.link.Answer(id, head.Answer{Verdict: 2, Ran: true}, bytes.Repeat(s, 2)))
+			}
+		}
+		for range rapid.IntRange(1, 20).Draw(rt, "asks") {
+			from := []*end{a, b}[rapid.IntRange(0, 1).Draw(rt, "side")]
+			body := bytes.Repeat([]byte{byte(rapid.IntRange(1, 255).Draw(rt, "fill"))}, 1+size.Draw(rt, "size"))
+			id, ok, err := from.link.Ask(head.Ask{ID: "i", Class: "c", Left: 1, Sends: 1}, body)
+			if err != nil || !ok {
+				rt.Fatal(ok, err)
+			}
+			if rapid.IntRange(0, 4).Draw(rt, "cancel") == 0 {
+				from.link.Cancel(id)
+				continue
+			}
+			want[id] = bytes.Repeat(body, 2)
+		}
+		pieces, n := rapid.SliceOfN(rapid.IntRange(500, 50_000), 1, 8).Draw(rt, "pieces"), 0
+		pass(t, a, b, func() int { n++; return pieces[n%len(pieces)] })
+		got := map[uint32][]byte{}
+		for _, e := range []*end{a, b} {
+			for id, s := range e.answers {
+				if len(s) == 0 { // turned away for want of room: nothing of it ran
+					delete(want, id)
+					refused++
+					continue
+				}
+				got[id] = s
+			}
+			if e.link.Open() != 0 || e.link.Held() != 0 || e.link.Waiting() {
+				rt.Fatalf("left behind: %d streams, %d bytes, waiting %v", e.link.Open(), e.link.Held(), e.link.Waiting())
+			}
+		}
+		if !cmp.Equal(want, got) {
+			rt.Fatalf("%d of %d answers are as they were, %d refused", len(got), len(want), refused)
+		}
+	})
+}
+
+// One large answer starves nobody: a small one that is asked for later passes it.
+func TestSmallPassesLarge(t *testing.T) {
+	a, b := pair(t, Config{})
+	b.answer = func(id uint32, s []byte) {
+		b.must(b.link.Answer(id, head.Answer{Verdict: 2, Ran: true}, bytes.Repeat([]byte("x"), len(s))))
+	}
+	large, _, err := a.link.Ask(head.Ask{ID: "large", Class: "c", Left: 1, Sends: 1}, make([]byte, 4<<20))
+	fatal(t, err)
+	for range 40 { // its answer is on its way
+		pass1(t, a, b)
+		if b.link.Waiting() && len(b.asks) > 0 {
+			break
+		}
+	}
+	small, _, err := a.link.Ask(head.Ask{ID: "small", Class: "c", Left: 1, Sends: 1}, []byte("s"))
+	fatal(t, err)
+	pass(t, a, b, func() int { return 32 << 10 })
+	want := []string{fmt.Sprintf("answer %d 2", small), fmt.Sprintf("answer %d 2", large)}
+	if diff := cmp.Diff(want, a.heard); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// pass1 moves one piece each way.
+func pass1(t *testing.T, a, b *end) {
+	t.Helper()
+	for _, w := range [][2]*end{{a, b}, {b, a}} {
+		out := w[0].link.Pull(nil, 256<<10)
+		if n, err := w[1].link.Input(out); err != nil || n != len(out) {
+			t.Fatal(n, err)
+		}
+	}
+}
+
+// The rest of what a link says.
+func TestWords(t *testing.T) {
+	a, b := pair(t, Config{Streams: 1})
+	one, _, err := a.link.Ask(head.Ask{ID: "1", Class: "c", Left: 1, Sends: 1}, []byte("s"))
+	fatal(t, err)
+	two, _, err := a.link.Ask(head.Ask{ID: "2", Class: "c", Left: 1, Sends: 1}, []byte("s"))
+	fatal(t, err)
+	pass(t, a, b, func() int { return 100 })
+	a.link.Cancel(one)
+	a.link.Ping(7)
+	fatal(t, b.link.Digest(1, head.Digest{Takes: 3}))
+	fatal(t, b.link.Keys(head.Keys{Sent: []head.Key{{Key: "k", Ago: 1}}}))
+	b.link.Leave()
+	fatal(t, b.link.Answer(one, head.Answer{Verdict: 2, Ran: true}, []byte("too late")))
+	pass(t, a, b, func() int { return 100 })
+	if _, ok, _ := a.link.Ask(head.Ask{ID: "3", Class: "c", Left: 1, Sends: 1}, []byte("s")); ok {
+		t.Error("asked on a link that the other side has left")
+	}
+	if a.link.Late == 0 {
+		t.Error("a late answer was not counted")
+	}
+	want := [][]string{{fmt.Sprintf("answer %d 1", two), "takes 3", "1 keys", "leaves", "pong 7"}, {fmt.Sprintf("cancel %d", one)}}
+	if diff := cmp.Diff(want, [][]string{a.heard, b.heard}); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// hostile is what a peer may send that must end the link, and is told from a good one.
+func TestHostile(t *testing.T) {
+	enc := func(h any) []byte {
+		b, err := head.Append(nil, h)
+		fatal(t, err)
+		return b
+	}
+	greet := frame.Frame{Kind: frame.Greet, Value: frame.Version, Body: enc(&head.Greet{Site: "s", Gateway: "g", Form: "lines"})}
+	ask := func(id uint32, size int) frame.Frame {
+		return frame.Frame{Kind: frame.Ask, Stream: id, Body: enc(&head.Ask{ID: "i", Class: "c", Left: 1, Sends: 1, Size: size})}
+	}
+	data := func(id uint32, n int, last uint32) frame.Frame {
+		return frame.Frame{Kind: frame.Data, Stream: id, Value: last, Body: make([]byte, n)}
+	}
+	answer := func(id uint32) frame.Frame {
+		return frame.Frame{Kind: frame.Answer, Stream: id, Body: enc(&head.Answer{Verdict: 1})}
+	}
+	for name, tt := range map[string]struct {
+		frames []frame.Frame
+		want   error
+	}{
+		"no greeting":            {[]frame.Frame{ask(1, 1)}, ErrOrder},
+		"two greetings":          {[]frame.Frame{greet, greet}, ErrOrder},
+		"another version":        {[]frame.Frame{{Kind: frame.Greet, Value: 99, Body: greet.Body}}, ErrVersion},
+		"a stream of ours":       {[]frame.Frame{greet, ask(2, 1)}, ErrOrder},
+		"a number twice":         {[]frame.Frame{greet, ask(3, 1), ask(3, 1)}, ErrOrder},
+		"a number that went by":  {[]frame.Frame{greet, ask(3, 1), ask(1, 1)}, ErrOrder},
+		"3 GB announced":         {[]frame.Frame{greet, ask(1, 3<<30)}, head.ErrBounds},
+		"more than credit":       {[]frame.Frame{greet, ask(1, 1<<20), data(1, 17<<10, 0)}, ErrCredit},
+		"more than announced":    {[]frame.Frame{greet, ask(1, 10), data(1, 11, 1)}, ErrOrder},
+		"less than announced":    {[]frame.Frame{greet, ask(1, 10), data(1, 9, 1)}, ErrOrder},
+		"no end":                 {[]frame.Frame{greet, ask(1, 10), data(1, 10, 0)}, ErrOrder},
+		"data behind the end":    {[]frame.Frame{greet, ask(1, 1), data(1, 1, 1), data(1, 1, 1)}, ErrOrder},
+		"an answer to nothing":   {[]frame.Frame{greet, answer(2)}, ErrOrder},
+		"data of no stream":      {[]frame.Frame{greet, data(5, 1, 1)}, ErrOrder},
+		"cancels what we asked":  {[]frame.Frame{greet, {Kind: frame.Cancel, Stream: 2}}, ErrOrder},
+		"boundless credit":       {[]frame.Frame{greet, ask(1, 1), {Kind: frame.Credit, Stream: 1, Value: 1 << 31}}, ErrCredit},
+		"room that is no number": {[]frame.Frame{greet, {Kind: frame.Digest, Body: []byte("\xa2\x01\xa1\x61c\xfb\x7f\xf8\x00\x00\x00\x00\x00\x00\x02\x01")}}, head.ErrBounds},
+	} {
+		e := newEnd(t, Config{Window: 16 << 10})
+		var b []byte
+		for _, f := range tt.frames {
+			b = frame.Append(b, f)
+		}
+		if _, err := e.link.Input(b); !errors.Is(err, tt.want) {
+			t.Errorf("%s: %v, want %v", name, err, tt.want)
+		}
+		if e.link.Held() > Held {
+			t.Errorf("%s: holds %d bytes", name, e.link.Held())
+		}
+	}
+}
+
+// Any bytes behind a greeting end in an error or in wishes for more, and within bounds.
+func FuzzInput(f *testing.F) {
+	h, err := head.Append(nil, &head.Ask{ID: "i", Class: "c", Left: 1, Sends: 1, Size: 3})
+	fatal(f, err)
+	f.Add(frame.Append(frame.Append(nil, frame.Frame{Kind: frame.Ask, Stream: 1, Body: h}), frame.Frame{Kind: frame.Data, Stream: 1, Value: 1, Body: []byte("abc")}))
+	f.Add(frame.Append(nil, frame.Frame{Kind: frame.Digest, Body: []byte{0xa1, 1, 0xa0}}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		e := newEnd(t, Config{})
+		greet := e.link.Pull(nil, 1)
+		if _, err := e.link.Input(greet); err != nil {
+			t.Fatal(err)
+		}
+		if n, err := e.link.Input(b); n > len(b) || err == nil && len(b)-n > frame.HeadLen+frame.MostBody {
+			t.Errorf("took %d of %d: %v", n, len(b), err)
+		}
+		if e.link.Held() > Held || e.link.Held() < 0 {
+			t.Errorf("holds %d bytes", e.link.Held())
+		}
+	})
+}
