--- a/internal/site/crossing/crossing.go
+++ b/internal/site/crossing/crossing.go
@@ -58,6 +58,8 @@
 	// ticksAWord is how often a tick comes for each word: keys go out and silences are seen.
 	ticksAWord = 5
 	pingsOut   = 8
+	// staleTicks is after how many ticks, once or twice that, a query that is not whole is turned away.
+	staleTicks = 40 * ticksAWord
 	// redialAfter is after how many SilentAfter without a reply a link is given up for another:
 	// what the system sends again for it comes ever seldomer.
 	redialAfter = 4
@@ -271,8 +273,10 @@
 	return found
 }
 
-// Leave says on all links that this process takes nothing new on them, and that it goes.
+// Leave says on all links that this process takes nothing new, and that it goes.
 func (s *Service) Leave() {
+	s.draining = true
+	s.word()
 	s.leaving = true
 	for _, p := range s.peers {
 		for _, l := range p.links {
@@ -283,12 +287,15 @@
 	}
 }
 
-// Linked tells whether there is a link to a peer that new streams may go on.
+// Linked tells whether there is a link to a peer that neither side has left.
 func (s *Service) Linked(n Name) bool {
 	p := s.peer(n)
-	return p != nil && p.link() != nil
+	return p != nil && slices.ContainsFunc(p.links, (*Link).fresh)
 }
 
+// Aged has all that is remembered of keys be so much older. For tests: a window is long.
+func (s *Service) Aged(by time.Duration) { s.keys.Age(by) }
+
 // Idle tells whether nothing is on its way to another site or from one.
 func (s *Service) Idle() bool {
 	for _, p := range s.peers {
@@ -320,6 +327,15 @@
 	if s.ticked++; s.ticked%ticksAWord == 0 {
 		s.word()
 	}
+	if s.ticked%staleTicks == 0 {
+		for _, p := range s.peers {
+			for _, l := range p.links {
+				if err := l.mux.Stale(); err != nil {
+					l.t.Close(err)
+				}
+			}
+		}
+	}
 }
 
 // watch takes back what is at a peer that has fallen silent.
@@ -346,6 +362,9 @@
 
 // word tells all peers how much room there is, and asks how long the way is.
 func (s *Service) word() {
+	if s.leaving { // a new version may speak for this gateway by now
+		return
+	}
 	now := s.clock.Now()
 	var to []*Link
 	var asked []float64
@@ -387,14 +406,18 @@
 	s.fresh = nil
 }
 
-// link is where new streams to a peer are opened: the newest that it has not left; nil: none.
-func (p *peer) link() *Link {
+// link is where new streams to a peer are opened: the newest that neither side has left, else one
+// that was left just now, as its successor is on its way; nil: none.
+func (p *peer) link() (left *Link) {
 	for _, l := range slices.Backward(p.links) {
-		if l.greeted && l.leftAt == 0 && !l.mux.Left() {
+		switch {
+		case l.fresh():
 			return l
+		case left == nil && l.greeted && l.s.clock.Now()-max(l.leftAt, l.theyLeft) < leftFor/2:
+			left = l
 		}
 	}
-	return nil
+	return left
 }
 
 func (s *Service) peer(n Name) *peer {
--- a/internal/site/crossing/link.go
+++ b/internal/site/crossing/link.go
@@ -23,20 +23,21 @@
 
 // Link is one link to a peer whose name is proven.
 type Link struct {
-	s       *Service
-	peer    *peer
-	mux     *mux.Link
-	t       Transport
-	since   time.Duration
-	dialled bool
-	greeted bool
-	closed  bool
-	leftAt  time.Duration // this side takes nothing new on it since; 0: it does
-	packs   bool          // the other side reads packed bodies
-	mine    map[uint32]*crossed
-	theirs  map[uint32]*foreign
-	pings   [pingsOut]ping
-	pinged  uint32
+	s        *Service
+	peer     *peer
+	mux      *mux.Link
+	t        Transport
+	since    time.Duration
+	dialled  bool
+	greeted  bool
+	closed   bool
+	leftAt   time.Duration // this side wants new streams elsewhere since; 0: it does not
+	theyLeft time.Duration // the other side does
+	packs    bool          // the other side reads packed bodies
+	mine     map[uint32]*crossed
+	theirs   map[uint32]*foreign
+	pings    [pingsOut]ping
+	pinged   uint32
 }
 
 type ping struct {
@@ -111,8 +112,11 @@
 // Ready passes on that there is something to Pull.
 func (l *Link) Ready() { l.t.Ready() }
 
-// Renew has the peer's next streams go on another link: this one was made with keys that were
-// replaced.
+// fresh tells whether neither side has left the link.
+func (l *Link) fresh() bool { return l.greeted && !l.closed && l.leftAt == 0 && l.theyLeft == 0 }
+
+// Renew has the peer dial another link for what comes next: this one was made with keys that
+// were replaced.
 func (l *Link) Renew() {
 	if l.greeted {
 		l.leave()
@@ -129,7 +133,8 @@
 // done tells whether the link is of no use any more: left, with nothing open for a while that
 // covers what may be on its way.
 func (l *Link) done(now time.Duration) bool {
-	return (l.leftAt > 0 && now-l.leftAt > leftFor || l.mux.Left() && now-l.since > leftFor) && l.Idle() && !l.s.leaving
+	left := max(l.leftAt, l.theyLeft)
+	return left > 0 && now-left > leftFor && l.Idle() && !l.s.leaving
 }
 
 // Closed tells that the link is no more. What is at the other side is in doubt; what is here
@@ -140,7 +145,9 @@
 	}
 	l.closed = true
 	l.peer.links = slices.DeleteFunc(l.peer.links, func(o *Link) bool { return o == l })
-	l.peer.Linked(l.peer.link() != nil)
+	if l.peer.Linked(len(l.peer.links) > 0); l.theyLeft > 0 && len(l.peer.links) == 0 {
+		l.peer.Leaves()
+	}
 	l.takeBack("broken")
 	for _, id := range sorted(l.theirs) {
 		f := l.theirs[id]
@@ -236,14 +243,9 @@
 	}
 }
 
-// Leaves takes that the other side takes nothing new on this link. Where there is no other, it
-// has left.
-func (l *Link) Leaves() {
-	if l.peer.link() == nil {
-		l.peer.Leaves()
-	}
-	l.s.watch(l.peer, l.s.clock.Now())
-}
+// Leaves takes that the other side wants new streams on another link, which the side that dials
+// makes. Where it closes this one and there is no other, it has left.
+func (l *Link) Leaves() { l.theyLeft = max(l.s.clock.Now(), 1) }
 
 // send takes a request to a peer. It tells whether it is on its way.
 func (s *Service) send(r *core.Request, q *decide.Query, p *peer) bool {
--- a/internal/site/frame/frame.go
+++ b/internal/site/frame/frame.go
@@ -42,7 +42,7 @@
 	Digest                 // number of the digest; the body is CBOR: room by class
 	Ping                   // number; Pong has the same
 	Pong                   //
-	Leave                  // 0; whoever sends it takes no new streams on this link: dial another
+	Leave                  // 0; whoever sends it wants new streams on another link
 	Keys                   // 0; the body is CBOR: keys that were sent to engines
 	kinds
 )
--- a/internal/site/link/link.go
+++ b/internal/site/link/link.go
@@ -69,6 +69,7 @@
 	dialling bool
 	failed   int           // dials in a row
 	next     time.Duration // not before
+	anew     bool          // the link that there is was made with keys that were replaced
 }
 
 // New returns a runner. Start begins.
@@ -129,12 +130,12 @@
 	for c := range r.conns {
 		if r.keys.Revoked(c.proven.leaf) {
 			c.Close(ErrRevoked)
-		} else if c.link != nil {
-			c.link.Renew()
+		} else if !c.dialled {
+			c.link.Renew() // the other side dials
 		}
 	}
-	for _, p := range r.peers {
-		p.next = 0
+	for _, p := range r.peers { // once the new link is up, the old one is left
+		p.next, p.anew = 0, true
 	}
 	return nil
 }
@@ -150,7 +151,7 @@
 	now := r.loop.Now()
 	r.timers.Add(now+look, r.look)
 	for _, p := range r.peers {
-		if r.dials(p.Name) && !p.dialling && now >= p.next && !r.service.Linked(p.Name) {
+		if r.dials(p.Name) && !p.dialling && now >= p.next && (p.anew || !r.service.Linked(p.Name)) {
 			r.dial(p)
 		}
 	}
@@ -177,7 +178,7 @@
 				err = r.up(c, got, true)
 			}
 			if err == nil {
-				p.failed = 0
+				p.failed, p.anew = 0, false
 				p.next = r.loop.Now() + redialLeast
 				return
 			}
@@ -233,7 +234,7 @@
 
 // up makes a link of a connection whose peer has proven who it is.
 func (r *Runner) up(c *tls.Conn, got proven, dialled bool) error {
-	k := &conn{runner: r, tls: c, proven: got, out: make(chan []byte, pulled), taken: make(chan struct{}, 1)}
+	k := &conn{runner: r, tls: c, proven: got, dialled: dialled, out: make(chan []byte, pulled), taken: make(chan struct{}, 1)}
 	link, err := r.service.Connect(k, got.name, dialled)
 	if err != nil {
 		_ = c.Close()
@@ -252,11 +253,12 @@
 
 // conn is the connection of a link. It is a crossing.Transport.
 type conn struct {
-	runner *Runner
-	tls    *tls.Conn
-	proven proven
-	link   *crossing.Link
-	ends   *deadline.Entry
+	runner  *Runner
+	tls     *tls.Conn
+	proven  proven
+	dialled bool
+	link    *crossing.Link
+	ends    *deadline.Entry
 
 	// For the loop's goroutine:
 	busy  int // buffers that wait for the socket
--- a/internal/site/mux/mux.go
+++ b/internal/site/mux/mux.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 
 	"gannetspur/internal/site/frame"
 	"gannetspur/internal/site/head"
@@ -45,7 +46,7 @@
 	Keys(k head.Keys)
 	// Ponged tells that a ping of that number has come back.
 	Ponged(number uint32)
-	// Leaves tells that the other side takes nothing new on this link.
+	// Leaves tells that the other side wants new streams on another link.
 	Leaves()
 	// Ready tells that there is something to Pull, where there was nothing.
 	Ready()
@@ -92,6 +93,7 @@
 	given  int // credit that is with the other side
 	booked int // of Link.held
 	short  bool
+	old    bool // it was not whole the last time that Stale was called
 }
 
 // New returns an end whose greeting waits to be pulled.
@@ -123,7 +125,7 @@
 // Held is how many bytes of bodies have come in part, or may come as it stands.
 func (l *Link) Held() int { return l.held }
 
-// Left tells whether the other side takes nothing new on this link.
+// Left tells whether the other side wants new streams on another link.
 func (l *Link) Left() bool { return l.left }
 
 func (l *Link) put(f frame.Frame) {
@@ -235,10 +237,10 @@
 	l.held += n
 }
 
-// Ask opens a stream with a query. ok is false where the link takes none: the other side has
-// left it, or all numbers are used.
+// Ask opens a stream with a query. ok is false where the link takes none: it has not been greeted, or
+// all numbers are used.
 func (l *Link) Ask(a head.Ask, statement []byte) (id uint32, ok bool, err error) {
-	if !l.greeted || l.left || l.next >= 1<<31 {
+	if !l.greeted || l.next >= 1<<31 {
 		return 0, false, nil
 	}
 	a.Size = len(statement)
@@ -278,6 +280,28 @@
 	return nil
 }
 
+// Stale turns away what the other side has begun to ask and not gone on with since Stale was
+// called last. Guards against queries that never become whole.
+func (l *Link) Stale() error {
+	var all []uint32
+	for id, s := range l.streams {
+		if s.mine || s.ask == nil {
+			continue
+		}
+		if s.old {
+			all = append(all, id)
+		}
+		s.old = true
+	}
+	slices.Sort(all)
+	for _, id := range all {
+		if err := l.Answer(id, head.Answer{Verdict: 1}, nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Ping asks for a Pong of the number.
 func (l *Link) Ping(number uint32) { l.put(frame.Frame{Kind: frame.Ping, Value: number}) }
 
@@ -294,7 +318,7 @@
 // Keys tells of keys that were sent to engines.
 func (l *Link) Keys(k head.Keys) error { return l.say(frame.Keys, 0, &k) }
 
-// Leave says that this side takes nothing new on this link.
+// Leave says that this side wants new streams on another link.
 func (l *Link) Leave() { l.put(frame.Frame{Kind: frame.Leave}) }
 
 // Input takes what has come, and returns how much of it was whole frames: the rest is to be
@@ -453,7 +477,7 @@
 	case len(s.in)+n > s.wanted || last != (len(s.in)+n == s.wanted):
 		return fmt.Errorf("%w: %d bytes in place of %d on stream %d", ErrOrder, len(s.in)+n, s.wanted, f.Stream)
 	}
-	s.given -= n
+	s.given, s.old = s.given-n, false
 	s.in = append(s.in, f.Body...)
 	if last {
 		l.end(s)
