Measure the link between sites; keep what is pulled in order

ringlab sitelink measures one link, with both cores and modules, against a bare relay. It found that a stream which had its turn again while it was pulled could overtake itself: Ready is not called from within Pull any more, and the property test fails where it is.

--- /dev/null
+++ b/cmd/ringlab/fleet.go
@@ -0,0 +1,313 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"gannetspur/internal/config"
+	decide "gannetspur/internal/decide/site"
+	"gannetspur/internal/lab/fleet"
+	"gannetspur/internal/lab/model"
+	"gannetspur/internal/lab/report"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// fleetCommon is what experiments with several sites have in common.
+type fleetCommon struct {
+	Name      string
+	Title     string
+	Kind      string
+	Seeds     []uint64
+	Gateways  int // of a site
+	Engines   int // of a site
+	Rate      float64
+	Loads     float64
+	Reports   float64
+	Writes    float64
+	Elsewhere float64
+	Estimates bool
+	DelayMS   float64 `toml:"delay_ms"` // between sites, one way
+	Stall     float64
+	StallMS   float64 `toml:"stall_ms"`
+	MBps      float64 `toml:"mb_per_s"`
+	WarmS     float64 `toml:"warm_s"`
+	SpanS     float64 `toml:"span_s"`
+	ToldMS    float64 `toml:"told_after_ms"`
+}
+
+func (f *fleetCommon) check(bad func(ok bool, format string, args ...any)) {
+	named(bad, f.Name, f.Seeds, f.Engines, f.Rate)
+	bad(f.Gateways >= 1 && f.Gateways <= 64, "gateways: %d is not from 1 to 64", f.Gateways)
+	bad(f.SpanS >= 10 && f.SpanS <= 864000, "span_s: %g is not from 10 to 864000", f.SpanS)
+	bad(f.WarmS >= 0 && f.WarmS <= 3600, "warm_s: %g is not from 0 to 3600", f.WarmS)
+	bad(f.DelayMS >= 0 && f.DelayMS <= 5000, "delay_ms: %g is not from 0 to 5000", f.DelayMS)
+	for _, s := range []float64{f.Loads, f.Reports, f.Writes, f.Elsewhere, f.Stall, f.Loads + f.Reports + f.Writes} {
+		bad(s >= 0 && s <= 1, "loads, reports, writes, elsewhere, stall: a share is not from 0 to 1")
+	}
+}
+
+// options are those of one run.
+func (f *fleetCommon) options(set config.Site) fleet.Options {
+	ms := func(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
+	cfg := decide.Defaults()
+	cfg.KeysShared = true
+	return fleet.Options{
+		Site: set, Config: cfg, Way: fleet.Ours, Sites: 2, Gateways: f.Gateways, Engines: f.Engines, Engine: model.Usual(), Rate: f.Rate,
+		Loads: f.Loads, Reports: f.Reports, Writes: f.Writes, Elsewhere: f.Elsewhere, Estimates: f.Estimates, Delay: ms(f.DelayMS),
+		Stall: f.Stall, StallFor: ms(f.StallMS), Bandwidth: f.MBps * 1e6, Pack: true, ToldAfter: ms(f.ToldMS),
+		Warm: ms(1000 * f.WarmS), Span: ms(1000 * f.SpanS),
+	}
+}
+
+// settings are those that the PostgreSQL front is deployed with.
+func settings() (config.Site, error) {
+	p, err := config.LoadPostgres("deploy/postgres.toml")
+	if err != nil {
+		return config.Site{}, fmt.Errorf("start this from the repository's root: %w", err)
+	}
+	return p.Site, nil
+}
+
+type fleetExperiment struct {
+	fleetCommon
+	Sites     int
+	Ways      []string
+	Scenarios []string
+}
+
+// many runs jobs on all cores.
+func many(n int, job func(i int) error) error {
+	var wg sync.WaitGroup
+	errs := make([]error, n)
+	room := make(chan struct{}, runtime.NumCPU())
+	for i := range n {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			room <- struct{}{}
+			defer func() { <-room }()
+			errs[i] = job(i)
+		}()
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
+func runFleet(c *runCommand) error {
+	var e fleetExperiment
+	err := readFile(c.File, &e, func(bad func(ok bool, format string, args ...any)) {
+		e.check(bad)
+		bad(e.Sites >= 2 && e.Sites <= 50, "sites: %d is not from 2 to 50", e.Sites)
+		for _, w := range e.Ways {
+			bad(slices.Contains([]string{fleet.Alone, fleet.Ours, fleet.Random, fleet.Nearest}, w), "ways: there is no %q", w)
+		}
+		for _, s := range e.Scenarios {
+			bad(fleet.ScenarioOf(s) != nil, "scenarios: there is no %q", s)
+		}
+		bad(len(e.Ways) > 0 && len(e.Scenarios) > 0, "ways, scenarios: none")
+	})
+	if err != nil {
+		return err
+	}
+	set, err := settings()
+	if err != nil {
+		return err
+	}
+	type run struct {
+		scenario, way string
+		seed          uint64
+		res           *fleet.Result
+	}
+	var runs []*run
+	for _, s := range e.Scenarios {
+		for _, w := range e.Ways {
+			for _, seed := range e.Seeds {
+				runs = append(runs, &run{scenario: s, way: w, seed: seed})
+			}
+		}
+	}
+	bar := progress(c.Quiet, e.Name, len(runs))
+	var mu sync.Mutex
+	err = many(len(runs), func(i int) (err error) {
+		r := runs[i]
+		o := e.options(set)
+		o.Way, o.Seed, o.Sites = r.way, r.seed, e.Sites
+		o.Events = fleet.ScenarioOf(r.scenario).Events(o.Span, o.Sites)
+		r.res, err = fleet.Play(o)
+		mu.Lock()
+		bar.step()
+		mu.Unlock()
+		return err
+	})
+	bar.end()
+	if err != nil {
+		return err
+	}
+	t := report.Table{Columns: []string{"what happens", "way", "service, median (least to most)", "worst 10 s", "crossed, of requests", "wasted, of work", "rules broken"}}
+	raw := report.Table{Columns: []string{"scenario", "way", "seed", "service", "worst", "requests", "crossed", "spent_s", "wasted_s", "messages", "bytes", "faults"}}
+	chart := report.Bars{Title: e.Title, Axis: "worth answered in time over worth asked for", Series: e.Ways, Values: make([][]float64, len(e.Ways))}
+	var faults []string
+	for _, s := range e.Scenarios {
+		chart.Groups = append(chart.Groups, s)
+		for i, w := range e.Ways {
+			var service, worst, crossed, wasted []float64
+			broken := 0
+			for _, r := range runs {
+				if r.scenario != s || r.way != w {
+					continue
+				}
+				service, worst = append(service, r.res.Service()), append(worst, r.res.Worst)
+				crossed = append(crossed, float64(r.res.Crossed)/float64(max(r.res.Requests, 1)))
+				wasted = append(wasted, r.res.Wasted/max(r.res.Spent, 1e-9))
+				broken += len(r.res.Faults)
+				if w != fleet.Ours { // the others are for comparison: alone, nothing is told of keys
+					continue
+				}
+				for _, f := range r.res.Faults {
+					faults = append(faults, fmt.Sprintf("%s, %s, seed %d: %s", s, w, r.seed, f))
+				}
+			}
+			for _, r := range runs {
+				if r.scenario == s && r.way == w {
+					raw.Add(s, w, r.seed, fmt.Sprintf("%.4f", r.res.Service()), fmt.Sprintf("%.4f", r.res.Worst), r.res.Requests, r.res.Crossed,
+						fmt.Sprintf("%.1f", r.res.Spent), fmt.Sprintf("%.1f", r.res.Wasted), r.res.Messages, r.res.Bytes, len(r.res.Faults))
+				}
+			}
+			t.Add(s, w, around(service), fmt.Sprintf("%.3f", middle(worst)), fmt.Sprintf("%.3f", middle(crossed)), fmt.Sprintf("%.3f", middle(wasted)), broken)
+			chart.Values[i] = append(chart.Values[i], middle(service))
+		}
+	}
+	if err := keep(c.Out, e.Name, &t, &raw, chart.SVG); err != nil {
+		return err
+	}
+	if len(faults) > 0 {
+		return fmt.Errorf("%d rules broken:\n%s", len(faults), strings.Join(faults, "\n"))
+	}
+	fmt.Println("no rule was broken")
+	return nil
+}
+
+func middle(x []float64) float64 {
+	y := slices.Clone(x)
+	slices.Sort(y)
+	return stat.Quantile(0.5, stat.Empirical, y, nil)
+}
+
+func around(x []float64) string {
+	return fmt.Sprintf("%.3f (%.3f to %.3f)", middle(x), slices.Min(x), slices.Max(x))
+}
+
+// growthExperiment asks how cost grows with the number of sites.
+type growthExperiment struct {
+	fleetCommon
+	Sites     []int
+	Neighbour int     // sites on each side, on a ring, that a site is linked to
+	DayS      float64 `toml:"day_s"` // length of a day, whose hours are a curve of load
+	Swing     float64 // of it, 0 to 1; each site's noon is at another time
+	Lose      float64 // part of a day after which a site in ten loses all its engines, for a tenth of a day
+}
+
+func runGrowth(c *runCommand) error {
+	var e growthExperiment
+	err := readFile(c.File, &e, func(bad func(ok bool, format string, args ...any)) {
+		e.check(bad)
+		bad(len(e.Sites) > 0 && slices.Min(e.Sites) >= 1 && slices.Max(e.Sites) <= 50, "sites: wanted are numbers from 1 to 50")
+		bad(e.DayS >= 10, "day_s: %g is below 10", e.DayS)
+		bad(e.Swing >= 0 && e.Swing < 1, "swing: %g is not from 0 to below 1", e.Swing)
+	})
+	if err != nil {
+		return err
+	}
+	set, err := settings()
+	if err != nil {
+		return err
+	}
+	t := report.Table{Columns: []string{"sites", "gateways", "engines", "requests", "service", "alone", "crossed, of requests", "messages per request", "bytes per request",
+		"bytes per s and link", "site decision, us", "played in (s)", "same bytes again", "rules broken"}}
+	raw := report.Table{Columns: []string{"sites", "seed", "way", "requests", "service", "crossed", "messages", "bytes", "decisions", "decision_us", "played_s", "faults"}}
+	var points [3][][2]float64
+	broken := 0
+	for _, n := range e.Sites {
+		var service, alone, crossed, messages, bytes, line, cost, played []float64
+		requests, faults, same := 0, 0, true
+		for i, seed := range e.Seeds {
+			for _, way := range []string{fleet.Ours, fleet.Alone, "again"} {
+				if way == "again" && i > 0 {
+					continue
+				}
+				o := e.options(set)
+				o.Sites, o.Seed, o.Neighbour, o.Way = n, seed, e.Neighbour, fleet.Ours
+				if way == fleet.Alone {
+					o.Way = way
+				}
+				o.Shape = func(site int, at time.Duration) float64 {
+					return 1 + e.Swing*math.Sin(2*math.Pi*(at.Seconds()/e.DayS+float64(site)/float64(n)))
+				}
+				if e.Lose > 0 {
+					for s := 0; s < n; s += 10 {
+						at := time.Duration(e.Lose * e.DayS * float64(time.Second))
+						o.Events = append(o.Events, fleet.Event{At: at, Do: fleet.Lose, Site: s, Part: 1},
+							fleet.Event{At: at + time.Duration(e.DayS/10*float64(time.Second)), Do: fleet.Return, Site: s})
+					}
+				}
+				decisions, spent := 0, time.Duration(0)
+				o.Cost = func(began time.Time) { decisions++; spent += time.Since(began) }
+				began := time.Now()
+				r, err := fleet.Play(o)
+				if err != nil {
+					return err
+				}
+				took := time.Since(began).Seconds()
+				us := float64(spent.Nanoseconds()) / 1000 / float64(max(decisions, 1))
+				raw.Add(n, seed, way, r.Requests, fmt.Sprintf("%.4f", r.Service()), r.Crossed, r.Messages, r.Bytes, decisions, fmt.Sprintf("%.3f", us), fmt.Sprintf("%.1f", took), len(r.Faults))
+				switch way {
+				case "again":
+					if again, err := fleet.Play(o); err != nil || again.Sum() != r.Sum() {
+						same = false
+					}
+				case fleet.Alone:
+					alone = append(alone, r.Service())
+				default:
+					per := float64(max(r.Requests, 1))
+					links := float64(max(lines(n, e.Neighbour)*e.Gateways, 1))
+					requests += r.Requests
+					service, crossed, messages = append(service, r.Service()), append(crossed, float64(r.Crossed)/per), append(messages, float64(r.Messages)/per)
+					bytes, line = append(bytes, float64(r.Bytes)/per), append(line, float64(r.Bytes)/(o.Span+o.Warm).Seconds()/links)
+					cost, played = append(cost, us), append(played, took)
+					faults += len(r.Faults)
+				}
+			}
+		}
+		broken += faults
+		t.Add(n, n*e.Gateways, n*e.Engines, requests, around(service), around(alone), middle(crossed), middle(messages), fmt.Sprintf("%.0f", middle(bytes)),
+			fmt.Sprintf("%.0f", middle(line)), middle(cost), fmt.Sprintf("%.1f", middle(played)), same, faults)
+		for i, v := range [][]float64{service, messages, cost} {
+			points[i] = append(points[i], [2]float64{float64(n), middle(v)})
+		}
+		fmt.Printf("%d sites: %s\n", n, around(service))
+	}
+	chart := report.Lines{Title: e.Title, X: "sites", Y: "service; messages per request; us per site decision",
+		Series: []string{"service", "messages per request", "site decision, us"}, Points: points[:]}
+	if err := keep(c.Out, e.Name, &t, &raw, chart.SVG); err != nil {
+		return err
+	}
+	if broken > 0 {
+		return fmt.Errorf("%d rules broken", broken)
+	}
+	return nil
+}
+
+// lines is how many pairs of sites are linked.
+func lines(sites, neighbour int) int {
+	if neighbour <= 0 || 2*neighbour >= sites-1 {
+		return sites * (sites - 1) / 2
+	}
+	return sites * neighbour
+}
--- a/cmd/ringlab/main.go
+++ b/cmd/ringlab/main.go
@@ -11,11 +11,12 @@
 )
 
 type cli struct {
-	Traffic trafficCommand `cmd:"" help:"Recorded traffic: make it, look at it, sum it up."`
-	Shapes  shapesCommand  `cmd:"" help:"Judge the classifier of statements, and flood its cache."`
-	Run     runCommand     `cmd:"" help:"Play an experiment, and keep its table, figures and chart."`
-	Compare compareCommand `cmd:"" help:"Set the figures of two runs of an experiment side by side."`
-	Try     tryCommand     `cmd:"" help:"Start emulated engines, a bus, a Consul stand-in and both fronts on loopback, until Ctrl-C."`
+	Traffic  trafficCommand  `cmd:"" help:"Recorded traffic: make it, look at it, sum it up."`
+	Shapes   shapesCommand   `cmd:"" help:"Judge the classifier of statements, and flood its cache."`
+	Run      runCommand      `cmd:"" help:"Play an experiment, and keep its table, figures and chart."`
+	Compare  compareCommand  `cmd:"" help:"Set the figures of two runs of an experiment side by side."`
+	Sitelink sitelinkCommand `cmd:"" help:"Measure the link between sites against a bare relay."`
+	Try      tryCommand      `cmd:"" help:"Start emulated engines, a bus, a Consul stand-in and both fronts on loopback, until Ctrl-C."`
 
 	Scripted scriptedCommand `cmd:"" hidden:"" help:"Act as a process that was started to take over."`
 }
--- a/cmd/ringlab/run.go
+++ b/cmd/ringlab/run.go
@@ -175,14 +175,21 @@
 	}
 	var e *experiment
 	var service *serviceExperiment
+	var sockets *sitesExperiment
 	var err error
 	switch kind.Kind {
 	case "upgrades":
 		e, err = readExperiment(c.File)
 	case "service":
 		service, err = readService(c.File)
+	case "fleet":
+		return runFleet(c)
+	case "growth":
+		return runGrowth(c)
+	case "sites":
+		sockets, err = readSites(c.File)
 	default:
-		err = fmt.Errorf("%s: kind: there is no %q; wanted is upgrades or service", c.File, kind.Kind)
+		err = fmt.Errorf("%s: kind: there is no %q; wanted is upgrades, service, fleet, growth or sites", c.File, kind.Kind)
 	}
 	if err != nil {
 		return err
@@ -219,6 +226,9 @@
 		defer f.Close()
 		log = f
 	}
+	if sockets != nil {
+		return sockets.run(ctx, c, program, dir, log)
+	}
 	if service != nil {
 		return service.run(ctx, c, program, lab, dir, log)
 	}
--- a/internal/decide/site/meter.go
+++ b/internal/decide/site/meter.go
@@ -151,9 +151,9 @@
 	return cores
 }
 
-// coldMost is the work of a query that is taken of other sites while an engine here is cold:
-// what the coldest does in a second, divided among the gateways. Guards a cold engine against
-// large queries of several gateways at once, beyond what its own module sees.
+// coldMost is the work of a query that is better not begun here while an engine is cold: what
+// the coldest does in a second, divided among the gateways. Guards a cold engine against large
+// queries of several gateways at once, beyond what the module of each sees.
 func (m *Meter) coldMost(now time.Duration) float64 {
 	most := math.Inf(1)
 	for _, e := range m.engines {
@@ -193,6 +193,16 @@
 	return max(1-held/can, 0) * m.passes(now, class)
 }
 
+// RoomFor is what this site has for one of its own queries: none where an engine is cold and the
+// query is more than such a one should get, so that it goes where engines are warm, if anywhere
+// takes it.
+func (m *Meter) RoomFor(now time.Duration, q *Query) float64 {
+	if q.Work > m.coldMost(now) {
+		return 0
+	}
+	return m.Room(now, q.Class)
+}
+
 // Accept tells whether a query of another site is begun here: not where its answer could not be
 // in time, nor where the room is kept for this site's own clients. What is turned away
 // by it never ran.
--- a/internal/lab/fleet/engine.go
+++ b/internal/lab/fleet/engine.go
@@ -15,9 +15,6 @@
 // lan is the way between a gateway and its engines.
 const lan = 300 * time.Microsecond
 
-// toldAfter is how much later the roster tells of what happens to an engine.
-const toldAfter = time.Second
-
 type engine struct {
 	w       *World
 	site    *site
@@ -62,7 +59,7 @@
 // tell has the gateways of the site hear of the engine, a little later.
 func (e *engine) tell(state policy.EngineState) {
 	entry := e.entry(state)
-	e.w.after(toldAfter, func() {
+	e.w.after(e.w.opts.ToldAfter, func() {
 		e.listed = state != policy.EngineGone
 		for _, g := range e.site.gateways {
 			g.do(func() { g.core.Roster(policy.ListChanges, []core.Engine{entry}) })
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -69,6 +69,7 @@
 	Reports   float64
 	Writes    float64
 	Estimates bool          // clients tell what they expect a request to need
+	ToldAfter time.Duration // the roster tells of what happens to an engine so much later
 	Elsewhere float64       // share of a load's further tries that go to a gateway of another site
 	Delay     time.Duration // of the links between sites, one way
 	Stall     float64       // share of what is sent there that comes StallFor later
--- a/internal/site/crossing/crossing.go
+++ b/internal/site/crossing/crossing.go
@@ -85,7 +85,7 @@
 	hedge    decide.Hedge
 	keys     *decide.Keys
 	fresh    []head.Key // not told yet; Ago is when, µs of the clock
-	packer   packer
+	packer   Packer
 	away     map[*core.Request]*crossed
 	ticked   int
 	words    uint32
@@ -131,7 +131,7 @@
 	}
 	if opts.Pack {
 		var err error
-		if s.packer, err = newPacker(); err != nil {
+		if s.packer, err = NewPacker(); err != nil {
 			return nil, err
 		}
 	}
@@ -226,7 +226,7 @@
 			return s.chooser.Choose(s.cfg, now, q, room, peers)
 		}
 	}
-	choice := choose(now, &q, s.meter.Room(now, r.Class), s.views)
+	choice := choose(now, &q, s.meter.RoomFor(now, &q), s.views)
 	return choice.Where == decide.There && s.send(r, &q, s.peers[choice.Peer])
 }
 
--- a/internal/site/crossing/link.go
+++ b/internal/site/crossing/link.go
@@ -268,7 +268,7 @@
 		a.Before = q.Ago.Microseconds() + 1
 	}
 	if l.packs {
-		statement, a.Raw = s.packer.pack(statement)
+		statement, a.Raw = s.packer.Pack(statement)
 	}
 	id, ok, err := l.mux.Ask(a, statement)
 	if err != nil || !ok {
@@ -354,7 +354,7 @@
 	}
 	now := s.clock.Now()
 	answer := core.Answer{ComeBack: time.Duration(a.ComeBack) * time.Microsecond, Sent: a.Sends > 0}
-	body, err := s.packer.unpack(body, a.Raw)
+	body, err := s.packer.Unpack(body, a.Raw)
 	if err == nil && a.Verdict == 2 {
 		answer.Result, err = s.opts.Codec.ReadResult(body)
 	} else if err == nil && a.Detail {
@@ -400,7 +400,7 @@
 		s.stats.Add("site.not-taken." + why)
 		l.answer(stream, head.Answer{Verdict: uint8(core.Refused)}, nil)
 	}
-	raw, err := s.packer.unpack(statement, a.Raw)
+	raw, err := s.packer.Unpack(statement, a.Raw)
 	var read any
 	if err == nil {
 		read, err = s.opts.Codec.ReadStatement(raw)
@@ -468,7 +468,7 @@
 		h.Detail = len(body) > 0
 	}
 	if l.packs {
-		body, h.Raw = s.packer.pack(body)
+		body, h.Raw = s.packer.Pack(body)
 	}
 	l.answer(f.stream, h, body)
 }
--- a/internal/site/crossing/pack.go
+++ b/internal/site/crossing/pack.go
@@ -9,8 +9,8 @@
 	"github.com/klauspost/compress/zstd"
 )
 
-// packer packs bodies by zstd (RFC 8878) where that pays. Its zero value packs and reads none.
-type packer struct {
+// Packer packs bodies by zstd (RFC 8878) where that pays. Its zero value packs and reads none.
+type Packer struct {
 	enc *zstd.Encoder
 	dec *zstd.Decoder
 }
@@ -26,19 +26,20 @@
 
 var errPacked = errors.New("site link: a packed body can't be read")
 
-func newPacker() (p packer, err error) {
+// NewPacker returns one that packs.
+func NewPacker() (p Packer, err error) {
 	p.enc, err = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithWindowSize(packWindow), zstd.WithLowerEncoderMem(true))
 	if err == nil {
 		p.dec, err = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(head.MostBody), zstd.WithDecoderMaxWindow(packWindow), zstd.WithDecoderLowmem(true))
 	}
 	if err != nil {
-		return packer{}, fmt.Errorf("zstd: %w", err)
+		return Packer{}, fmt.Errorf("zstd: %w", err)
 	}
 	return p, nil
 }
 
-// pack returns a body as it is to travel, and its length as it was; 0: it is not packed.
-func (p packer) pack(b []byte) (body []byte, raw int) {
+// Pack returns a body as it is to travel, and its length as it was; 0: it is not packed.
+func (p Packer) Pack(b []byte) (body []byte, raw int) {
 	if p.enc == nil || len(b) < packLeast {
 		return b, 0
 	}
@@ -49,9 +50,9 @@
 	return packed, len(b)
 }
 
-// unpack reads a body that was raw bytes long; 0: it is not packed. Guards against one that
+// Unpack reads a body that was raw bytes long; 0: it is not packed. Guards against one that
 // unpacks to more than it said.
-func (p packer) unpack(b []byte, raw int) ([]byte, error) {
+func (p Packer) Unpack(b []byte, raw int) ([]byte, error) {
 	if raw == 0 {
 		return b, nil
 	}
--- a/internal/site/mux/mux.go
+++ b/internal/site/mux/mux.go
@@ -48,7 +48,8 @@
 	Ponged(number uint32)
 	// Leaves tells that the other side wants new streams on another link.
 	Leaves()
-	// Ready tells that there is something to Pull, where there was nothing.
+	// Ready tells that there is something to Pull, where there was nothing. It is not called from
+	// within Pull: ask Waiting behind it.
 	Ready()
 }
 
@@ -67,6 +68,7 @@
 	streams map[uint32]*stream
 	ring    []*stream // those with Data to send, in turn
 	greeted bool
+	pulling bool // Ready is not called from within Pull: what it would pull goes out first
 	left    bool
 	next    uint32 // stream to open
 	seen    uint32 // the latest that the other side opened
@@ -129,7 +131,7 @@
 func (l *Link) Left() bool { return l.left }
 
 func (l *Link) put(f frame.Frame) {
-	first := !l.Waiting()
+	first := !l.pulling && !l.Waiting()
 	l.control = frame.Append(l.control, f)
 	if first {
 		l.h.Ready()
@@ -154,6 +156,8 @@
 // Pull appends about so many bytes to go out: first all that is no body, then bodies within
 // their credit, a piece of each stream in turn.
 func (l *Link) Pull(b []byte, about int) []byte {
+	l.pulling = true
+	defer func() { l.pulling = false }()
 	b = append(b, l.control...)
 	about -= len(l.control)
 	if l.control = l.control[:0]; cap(l.control) > 1<<20 {
@@ -188,7 +192,7 @@
 	if s.ringed || len(s.out) == 0 || s.credit <= 0 {
 		return
 	}
-	first := !l.Waiting()
+	first := !l.pulling && !l.Waiting()
 	s.ringed = true
 	l.ring = append(l.ring, s)
 	if first {
--- a/internal/site/mux/mux_test.go
+++ b/internal/site/mux/mux_test.go
@@ -22,6 +22,13 @@
 	answers map[uint32][]byte // by stream
 	asks    map[uint32][]byte
 	answer  func(stream uint32, statement []byte)
+	pulling bool
+}
+
+func (e *end) pull(about int) []byte {
+	e.pulling = true
+	defer func() { e.pulling = false }()
+	return e.link.Pull(nil, about)
 }
 
 func (e *end) Greeted(g head.Greet) error {
@@ -45,8 +52,12 @@
 func (e *end) Keys(k head.Keys)     { e.heard = append(e.heard, fmt.Sprintf("%d keys", len(k.Sent))) }
 func (e *end) Ponged(n uint32)      { e.heard = append(e.heard, fmt.Sprintf("pong %d", n)) }
 func (e *end) Leaves()              { e.heard = append(e.heard, "leaves") }
-func (e *end) Ready()               {}
-func (e *end) must(err error)       { e.t.Helper(); fatal(e.t, err) }
+func (e *end) Ready() {
+	if e.pulling { // what is pulled from here would overtake
+		e.t.Fatal("told that there is something to pull while it is pulled")
+	}
+}
+func (e *end) must(err error) { e.t.Helper(); fatal(e.t, err) }
 func fatal(t testing.TB, err error) {
 	t.Helper()
 	if err != nil {
@@ -74,7 +85,7 @@
 	for moved := true; moved; {
 		moved = false
 		for _, w := range ways {
-			out := w.from.link.Pull(nil, piece())
+			out := w.from.pull(piece())
 			moved = moved || len(out) > 0
 			for len(out) > 0 {
 				n := min(max(piece(), 1), len(out))
@@ -172,7 +183,7 @@
 func pass1(t *testing.T, a, b *end) {
 	t.Helper()
 	for _, w := range [][2]*end{{a, b}, {b, a}} {
-		out := w[0].link.Pull(nil, 256<<10)
+		out := w[0].pull(256 << 10)
 		if n, err := w[1].link.Input(out); err != nil || n != len(out) {
 			t.Fatal(n, err)
 		}
