--- a/cmd/ringwood/main.go
+++ b/cmd/ringwood/main.go
@@ -30,6 +30,7 @@
 	Site       siteCommand       `cmd:"" help:"How other sites stand, and draining."`
 	Check      checkCommand      `cmd:"" help:"Read settings and deploy files and name every fault in them."`
 	Shapes     shapesCommand     `cmd:"" help:"What is known of the shapes of statements."`
+	Users      usersCommand      `cmd:"" help:"Users of the PostgreSQL front."`
 	Completion completionCommand `cmd:"" help:"Print a script that completes commands and flags in a shell."`
 	Version    versionCommand    `cmd:"" help:"Print the version."`
 }
--- a/cmd/ringwood/serve.go
+++ b/cmd/ringwood/serve.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -19,6 +21,7 @@
 	"gannetspur/internal/front/pgwire"
 	"gannetspur/internal/front/rest"
 	"gannetspur/internal/handover"
+	"gannetspur/internal/logins"
 	"gannetspur/internal/netio"
 	"gannetspur/internal/roster/bus"
 	"gannetspur/internal/roster/consul"
@@ -309,6 +312,11 @@
 	for _, name := range p.ReadOnly {
 		opts.ReadOnly[name] = true
 	}
+	if len(p.Logins) > 0 {
+		opts.Users = logins.NewUsers(p.Logins)
+	} else if a, err := netip.ParseAddrPort(strings.Replace(p.Listen, "localhost:", "127.0.0.1:", 1)); err != nil || !a.Addr().IsLoopback() {
+		g.log.Warn("trust", "listen", p.Listen, "why", "no file of users: everybody who reaches this address is let in")
+	}
 	if p.MostClients > 0 {
 		opts.MostClients = min(opts.MostClients, p.MostClients)
 	}
--- a/internal/config/postgres.go
+++ b/internal/config/postgres.go
@@ -1,28 +1,32 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"iter"
 	"os"
 	"path/filepath"
 	"strings"
 
+	"gannetspur/internal/logins"
 	"gannetspur/internal/sqltext"
 	"gannetspur/policy"
 )
 
 // Postgres is the deploy file of the second front.
 type Postgres struct {
-	Listen        string      // where clients connect; "": the front is off
-	Settings      string      // the settings, as JSON, in a file beside this one
-	MemoryMB      int         `toml:"memory_mb"`
-	Sockets       int         // descriptor limit
-	MostClients   int         `toml:"most_clients"`
-	DefaultClass  string      `toml:"default_class"`
-	WriteClass    string      `toml:"write_class"`         // of what may write and has no class of its own; "": the first that runs once at most
-	ReadOnly      []string    `toml:"read_only_functions"` // names, with their schema where they need one
-	Statements    []Statement `toml:"statement"`
-	User          string      // that engines are told
+	Listen        string        // where clients connect; "": the front is off
+	Settings      string        // the settings, as JSON, in a file beside this one
+	MemoryMB      int           `toml:"memory_mb"`
+	Sockets       int           // descriptor limit
+	MostClients   int           `toml:"most_clients"`
+	DefaultClass  string        `toml:"default_class"`
+	WriteClass    string        `toml:"write_class"`         // of what may write and has no class of its own; "": the first that runs once at most
+	ReadOnly      []string      `toml:"read_only_functions"` // names, with their schema where they need one
+	Statements    []Statement   `toml:"statement"`
+	Users         string        // a file of those who may log in, beside this one; "": everybody may, unasked
+	Logins        []logins.User `toml:"-"`
+	User          string        // that engines are told
 	Database      string
 	ConnectWithin float64 `toml:"connect_timeout_ms"`
 	IdleClose     float64 `toml:"idle_close_ms"`
@@ -119,6 +123,26 @@
 		c.must(!ok || !writes || effect != policy.Safe, at("class"), "%q writes, and class %q is safe to repeat", s.Starts, s.Class)
 	}
 	p.Shapes.check(c, "shapes.", p.Site.Policy.Classes)
+	if p.Users != "" {
+		p.users(c, dir)
+	}
+}
+
+// users reads the file of users that the file names.
+func (p *Postgres) users(c *checker, dir string) {
+	file := p.Users
+	if !filepath.IsAbs(file) {
+		file = filepath.Join(dir, file)
+	}
+	all, err := loadUsers(file, p.Site.Policy.Classes)
+	var faults Faults
+	switch {
+	case errors.As(err, &faults):
+		c.faults = append(c.faults, faults...)
+	case err != nil:
+		c.add("users", "%v", err)
+	}
+	p.Logins = all
 }
 
 // site reads the settings that the file names.
--- a/internal/front/pgwire/extended.go
+++ b/internal/front/pgwire/extended.go
@@ -413,6 +413,10 @@
 	if d, ok := f.core.Class(f.opts.DefaultClass); ok && want.Describe && d.Effect == policy.Safe {
 		class = d // a description runs nothing, whatever its statement would do
 	}
+	if e := k.mayAsk(class.Name); e != nil {
+		k.failed(e)
+		return
+	}
 	wait := class.Deadline
 	if k.timeout > 0 {
 		wait = k.timeout
--- a/internal/front/pgwire/front.go
+++ b/internal/front/pgwire/front.go
@@ -16,6 +16,8 @@
 
 	"gannetspur/internal/core"
 	"gannetspur/internal/deadline"
+	"gannetspur/internal/decide/login"
+	"gannetspur/internal/logins"
 	"gannetspur/internal/netio"
 	"gannetspur/internal/pgproto"
 	"gannetspur/internal/shape"
@@ -50,6 +52,7 @@
 	Shapes       *shape.Service // classes and estimates by the shapes of statements; nil: off
 	MostClients  int            // connections at once; 0: no limit of its own
 	MostHeld     int            // bytes of rows in all open portals together
+	Users        *logins.Users  // who may log in, by password; nil: everybody, unasked
 }
 
 // Front accepts clients.
@@ -61,6 +64,7 @@
 	listener *netio.Listener
 	conns    map[uint32]*conn // by the process number that each was told
 	last     uint32
+	throttle *login.Throttle
 	held     int // bytes of rows in open portals
 	draining bool
 	accepted func(*netio.Conn)
@@ -69,7 +73,7 @@
 
 // New returns a front that puts its requests to the core.
 func New(loop *netio.Loop, c *core.Core, opts Options, counters *stats.Counters) *Front {
-	f := &Front{loop: loop, core: c, stats: counters, conns: map[uint32]*conn{}}
+	f := &Front{loop: loop, core: c, stats: counters, throttle: login.New(login.Defaults()), conns: map[uint32]*conn{}}
 	f.SetOptions(opts)
 	return f
 }
@@ -175,6 +179,9 @@
 	conn    *netio.Conn
 	process uint32
 	secret  [4]byte
+	user    string
+	login   *logins.Login // under way
+	proving bool          // its first message has come
 	started bool
 	ended   bool
 	timeout time.Duration // statement_timeout; 0: the class's
@@ -269,6 +276,9 @@
 // startup reads one of a connection's first messages. Like next it consumes a message
 // before it acts on it: an answer at once stands behind it. Its bytes stay where they are.
 func (k *conn) startup(in *netio.Buffer) (more bool, err error) {
+	if k.login != nil {
+		return k.proof(in)
+	}
 	code, body, n, err := pgproto.Startup(in.Bytes())
 	if err != nil || n == 0 {
 		return false, err
@@ -325,11 +335,21 @@
 		k.fatal(fail("53300", "too many clients already"))
 		return nil
 	}
-	k.started = true
+	k.user = user
 	if code > pgproto.Version || len(unknown) > 0 {
 		parts := append([][]byte{pgproto.Int32(0), pgproto.Int32(len(unknown))}, unknown...)
 		k.out = pgproto.Append(k.out, 'v', parts...)
 	}
+	if k.front.opts.Users != nil {
+		return k.askPassword()
+	}
+	k.welcome()
+	return nil
+}
+
+// welcome ends a startup well.
+func (k *conn) welcome() {
+	k.started = true
 	k.out = pgproto.Append(k.out, 'R', pgproto.Int32(0))
 	for _, p := range [][2]string{
 		{"server_version", "16.0 (ringwood)"}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"},
@@ -340,7 +360,6 @@
 	_, _ = rand.Read(k.secret[:]) // it never fails
 	k.out = pgproto.Append(k.out, 'K', binary.BigEndian.AppendUint32(nil, k.process), k.secret[:])
 	k.ready()
-	return nil
 }
 
 // setOptions takes the server options of a startup packet, as in
--- a/internal/front/pgwire/move.go
+++ b/internal/front/pgwire/move.go
@@ -26,6 +26,7 @@
 	Describing string           `cbor:"7,keyasint,omitempty"`
 	Statements []statementState `cbor:"8,keyasint,omitempty"`
 	Portals    []portalState    `cbor:"9,keyasint,omitempty"`
+	User       string           `cbor:"10,keyasint,omitempty"`
 }
 
 type statementState struct {
@@ -90,8 +91,8 @@
 	return nil
 }
 
-// Settled tells whether no request is open.
-func (k *conn) Settled() bool { return k.request == nil }
+// Settled tells whether no request is open, and no login under way.
+func (k *conn) Settled() bool { return k.request == nil && k.login == nil }
 
 // Ending tells whether the connection is about to end.
 func (k *conn) Ending() bool { return k.ended || k.ending }
@@ -99,7 +100,7 @@
 // State is what another process needs to go on with a connection that is settled.
 func (k *conn) State() []byte {
 	s := connState{
-		Process: k.process, Secret: k.secret, Started: k.started, Timeout: k.timeout, Skip: k.skip,
+		Process: k.process, Secret: k.secret, Started: k.started, Timeout: k.timeout, Skip: k.skip, User: k.user,
 		Describe: k.describe, Describing: k.describing,
 	}
 	place := map[*statement]int{}
@@ -136,7 +137,7 @@
 	return func(c *netio.Conn) netio.Handler {
 		f.last = max(f.last, s.Process)
 		k := f.enter(c, s.Process)
-		k.secret, k.started, k.timeout, k.skip = s.Secret, s.Started, s.Timeout, s.Skip
+		k.secret, k.user, k.started, k.timeout, k.skip = s.Secret, s.User, s.Started, s.Timeout, s.Skip
 		k.describe, k.describing = s.Describe, s.Describing
 		all := make([]*statement, len(s.Statements))
 		for i, st := range s.Statements {
--- /dev/null
+++ b/internal/stories/logins_test.go
@@ -0,0 +1,171 @@
+package stories
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gannetspur/internal/logins"
+	"gannetspur/internal/pgproto"
+
+	"github.com/xdg-go/scram"
+)
+
+// guarded starts the second front with two users: desk may all, guest lookups by one connection.
+func guarded(t *testing.T) *gateway {
+	t.Helper()
+	engine, _ := pgEngine(t, func(pgCall) []byte { return pgRows("bell") })
+	g := newGateway(t, nil)
+	var users []logins.User
+	for _, u := range []logins.User{{Name: "desk"}, {Name: "guest", Classes: []string{"lookup"}, MostClients: 1}} {
+		v, err := logins.NewVerifier("pässword of " + u.Name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if u.Verifier, err = logins.ParseVerifier(v.String()); err != nil { // as from a file
+			t.Fatal(err)
+		}
+		users = append(users, u)
+	}
+	g.pgwire.DefaultClass, g.pgwire.WriteClass = "lookup", "write"
+	g.pgwire.Users = logins.NewUsers(users)
+	return g.postgres(engine)
+}
+
+// proofs are a client's messages of a login, which a test may spoil.
+type proofs struct {
+	first, final func(string) string
+}
+
+func asIs(s string) string { return s }
+
+// logIn goes through a login and words what came of it.
+func logIn(t *testing.T, addr, user, password string, p proofs) (*pgClient, string) {
+	t.Helper()
+	k := &pgClient{t: t, c: dial(t, addr)}
+	_, _ = k.c.Write(pgproto.AppendStartup(nil, pgproto.Version, append(append(pgproto.Str("user"), pgproto.Str(user)...), 0)))
+	if w := k.until('R'); w != "R" || !strings.Contains(string(k.last), logins.Mechanism) {
+		return k, w + " " + k.until('Z')
+	}
+	c, err := scram.SHA256.NewClient("", password, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conv := c.NewConversation()
+	first, err := conv.Step("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	first = p.first(first)
+	k.send(pgproto.Append(nil, 'p', pgproto.Str(logins.Mechanism), pgproto.Int32(len(first)), []byte(first)))
+	if w := k.until('R'); w != "R" {
+		return k, w
+	}
+	final, err := conv.Step(string(k.last[4:]))
+	if err != nil {
+		t.Fatal(err)
+	}
+	k.send(pgproto.Append(nil, 'p', []byte(p.final(final))))
+	w := k.until('R')
+	if w == "R" {
+		if _, err := conv.Step(string(k.last[4:])); err != nil || !conv.Valid() {
+			t.Errorf("the server has not proved itself: %v", err)
+		}
+		return k, k.until('Z')
+	}
+	return k, w
+}
+
+// Who has the password is let in, and asks for what it may; nobody else is, and an unknown user
+// hears what a wrong password does.
+func TestLogins(t *testing.T) {
+	g := guarded(t)
+	good := proofs{asIs, asIs}
+	k, w := logIn(t, g.addr, "desk", "pässword of desk", good)
+	if !strings.HasPrefix(w, "R S") || !strings.HasSuffix(w, "Z") {
+		t.Fatalf("the right password: %s", w)
+	}
+	k.send(query("SELECT part FROM stock_1.parts"))
+	if w := k.until('Z'); w != "T D(bell) C(SELECT 1) Z" {
+		t.Errorf("a statement: %s", w)
+	}
+	for name, tt := range map[string]struct {
+		user, password string
+		p              proofs
+		want           string
+	}{
+		"a wrong password":      {"desk", "password of desk", good, "E(28P01) end"},
+		"an unknown user":       {"nobody", "pässword of desk", good, "E(28P01) end"},
+		"another's password":    {"guest", "pässword of desk", good, "E(28P01) end"},
+		"no message":            {"desk", "pässword of desk", proofs{func(string) string { return "" }, asIs}, "E(08P01) end"},
+		"cut short":             {"desk", "pässword of desk", proofs{func(s string) string { return s[:5] }, asIs}, "E(08P01) end"},
+		"wants channel binding": {"desk", "pässword of desk", proofs{func(s string) string { return "p=tls-unique" + s[1:] }, asIs}, "E(08P01) end"},
+		"a proof cut short":     {"desk", "pässword of desk", proofs{asIs, func(s string) string { return s[:len(s)-10] }}, "E(28P01) end"},
+		"another's nonce":       {"desk", "pässword of desk", proofs{asIs, func(s string) string { return strings.Replace(s, "r=", "r=x", 1) }}, "E(28P01) end"},
+	} {
+		if _, w := logIn(t, g.addr, tt.user, tt.password, tt.p); w != tt.want {
+			t.Errorf("%s: %s, want %s", name, w, tt.want)
+		}
+	}
+}
+
+// A recorded login is of no use, a statement before its login ends the connection, and a message of a
+// megabyte does too.
+func TestLoginOutOfOrder(t *testing.T) {
+	g := guarded(t)
+	var first, final string
+	keep := func(to *string) func(string) string { return func(s string) string { *to = s; return s } }
+	if _, w := logIn(t, g.addr, "desk", "pässword of desk", proofs{keep(&first), keep(&final)}); !strings.HasSuffix(w, "Z") {
+		t.Fatal(w)
+	}
+	again := func(s string) func(string) string { return func(string) string { return s } }
+	k := &pgClient{t: t, c: dial(t, g.addr)}
+	_, _ = k.c.Write(pgproto.AppendStartup(nil, pgproto.Version, append(append(pgproto.Str("user"), pgproto.Str("desk")...), 0)))
+	k.until('R')
+	k.send(pgproto.Append(nil, 'p', pgproto.Str(logins.Mechanism), pgproto.Int32(len(first)), []byte(again(first)(""))))
+	k.until('R')
+	k.send(pgproto.Append(nil, 'p', []byte(final)))
+	if w := k.until('Z'); w != "E(28P01) end" {
+		t.Errorf("replayed: %s", w)
+	}
+	for name, m := range map[string][]byte{
+		"a statement first": query("SELECT 1"), "a long one": append([]byte{'p'}, pgproto.Int32(1<<20)...),
+		"another mechanism": pgproto.Append(nil, 'p', pgproto.Str("PLAIN"), pgproto.Int32(1), []byte("x")),
+		"a wrong length":    pgproto.Append(nil, 'p', pgproto.Str(logins.Mechanism), pgproto.Int32(99), []byte("x")),
+	} {
+		k := &pgClient{t: t, c: dial(t, g.addr)}
+		_, _ = k.c.Write(pgproto.AppendStartup(nil, pgproto.Version, append(append(pgproto.Str("user"), pgproto.Str("desk")...), 0)))
+		k.until('R')
+		k.send(m)
+		if w := k.until('Z'); w != "E(08P01) end" {
+			t.Errorf("%s: %s", name, w)
+		}
+	}
+}
+
+// A user has its rights and no more, and an address that guesses is held off, whoever it claims to be.
+func TestLoginLimits(t *testing.T) {
+	g := guarded(t)
+	good := proofs{asIs, asIs}
+	k, w := logIn(t, g.addr, "guest", "pässword of guest", good)
+	if !strings.HasSuffix(w, "Z") {
+		t.Fatal(w)
+	}
+	k.send(query("UPDATE stock_1.parts SET seen = 1"))
+	if w := k.until('Z'); w != "E(42501) Z" {
+		t.Errorf("a class that it may not ask for: %s", w)
+	}
+	if _, w := logIn(t, g.addr, "guest", "pässword of guest", good); w != "R E(53300) end" && w != "E(53300) end" {
+		t.Errorf("a second connection: %s", w)
+	}
+	last := ""
+	for i := range 12 {
+		_, last = logIn(t, g.addr, fmt.Sprint("user", i), "guess", good)
+	}
+	if last != "E(28000) end " && last != "E(28000) end end" {
+		t.Errorf("after a dozen guesses: %q", last)
+	}
+	if _, w := logIn(t, g.addr, "desk", "pässword of desk", good); !strings.HasPrefix(w, "E(28000)") {
+		t.Errorf("the next from there: %s", w)
+	}
+}
--- a/internal/stories/peers_test.go
+++ b/internal/stories/peers_test.go
@@ -342,10 +342,11 @@
 
 // pgClient is a PostgreSQL client that writes messages as it is told.
 type pgClient struct {
-	t   *testing.T
-	c   net.Conn
-	in  []byte
-	key []byte
+	t    *testing.T
+	c    net.Conn
+	in   []byte
+	key  []byte
+	last []byte // body of the latest message
 }
 
 func connect(t *testing.T, addr string, params ...string) *pgClient {
@@ -432,6 +433,7 @@
 			k.key = append([]byte{}, body...)
 		}
 		words = append(words, word)
+		k.last = append(k.last[:0], body...)
 		k.in = k.in[n:]
 		if kind == last {
 			return strings.Join(words, " ")
