Encrypt clients' connections of the PostgreSQL front, without a goroutine for each

TLS was declined, so passwords' users and their rows travelled in the clear. [tls] in the deploy file takes it negotiated or direct, 1.2 and 1.3; only the handshake has a goroutine. Encrypted clients can't be handed to a new version: they end behind their statement. Off by default.

--- a/cmd/ringwood/serve.go
+++ b/cmd/ringwood/serve.go
@@ -312,6 +312,7 @@
 	for _, name := range p.ReadOnly {
 		opts.ReadOnly[name] = true
 	}
+	opts.TLS, opts.RequireTLS = p.TLS.Config, p.TLS.Require
 	if len(p.Logins) > 0 {
 		opts.Users = logins.NewUsers(p.Logins)
 	} else if a, err := netip.ParseAddrPort(strings.Replace(p.Listen, "localhost:", "127.0.0.1:", 1)); err != nil || !a.Addr().IsLoopback() {
--- a/cmd/ringwood/serve_sites.go
+++ b/cmd/ringwood/serve_sites.go
@@ -76,6 +76,14 @@
 // sitesIdle tells whether nothing is on its way to or from other sites.
 func (g *gateway) sitesIdle() bool { return g.sites == nil || g.sites.service.Idle() }
 
+// takenOver ends what can't be handed to the process that is the owner now.
+func (g *gateway) takenOver() {
+	g.leaveSites()
+	if f, ok := g.front.(interface{ CloseUnmovable() }); ok {
+		f.CloseUnmovable()
+	}
+}
+
 // exitPoll is how often a process that was taken over from looks whether it may end.
 const exitPoll = 20 * time.Millisecond
 
--- a/cmd/ringwood/serve_upgrade.go
+++ b/cmd/ringwood/serve_upgrade.go
@@ -143,7 +143,7 @@
 	}
 	g.old = handover.NewOld(g.loop, g.core, g.front, handover.OldOptions{
 		Program: handover.Program{Path: path, Args: os.Args[1:]}, Config: u.Decide(),
-		Know: g.know, Counts: g.counters.All, Stop: g.stop, Over: g.leaveSites, Exit: g.exit,
+		Know: g.know, Counts: g.counters.All, Stop: g.stop, Over: g.takenOver, Exit: g.exit,
 	}, g.counters, g.log)
 	_, err := admin.Listen(u.Admin, g.answer)
 	return err
--- a/internal/config/postgres.go
+++ b/internal/config/postgres.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"iter"
@@ -31,6 +32,7 @@
 	ConnectWithin float64 `toml:"connect_timeout_ms"`
 	IdleClose     float64 `toml:"idle_close_ms"`
 	Consul        Consul
+	TLS           TLS
 	Shapes        Shapes
 	Site          Site `toml:"-"`
 }
@@ -44,6 +46,14 @@
 	ReadOnly bool `toml:"read_only"`
 }
 
+// TLS is how clients' connections are encrypted. Files are in PEM, beside the deploy file.
+type TLS struct {
+	Certificate string // with what leads to its authority; "": encryption is declined
+	Key         string
+	Require     bool        // nobody is let in without
+	Config      *tls.Config `toml:"-"`
+}
+
 // Consul is where the roster of engines is read.
 type Consul struct{ Address, Service, Token, Zone, Kind string }
 
@@ -126,6 +136,28 @@
 	if p.Users != "" {
 		p.users(c, dir)
 	}
+	p.TLS.load(c, dir)
+}
+
+// load reads the certificate and its key.
+func (t *TLS) load(c *checker, dir string) {
+	if t.Certificate == "" {
+		c.must(t.Key == "", "tls.certificate", "missing; there is a key")
+		c.must(!t.Require, "tls.require", "there is no certificate")
+		return
+	}
+	beside := func(file string) string {
+		if filepath.IsAbs(file) {
+			return file
+		}
+		return filepath.Join(dir, file)
+	}
+	cert, err := tls.LoadX509KeyPair(beside(t.Certificate), beside(t.Key))
+	if err != nil {
+		c.add("tls.certificate", "%v", err)
+		return
+	}
+	t.Config = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12, NextProtos: []string{"postgresql"}}
 }
 
 // users reads the file of users that the file names.
--- a/internal/front/pgwire/front.go
+++ b/internal/front/pgwire/front.go
@@ -6,6 +6,7 @@
 import (
 	"crypto/rand"
 	"crypto/subtle"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -53,6 +54,8 @@
 	MostClients  int            // connections at once; 0: no limit of its own
 	MostHeld     int            // bytes of rows in all open portals together
 	Users        *logins.Users  // who may log in, by password; nil: everybody, unasked
+	TLS          *tls.Config    // nil: encryption is declined
+	RequireTLS   bool           // nobody is let in without
 }
 
 // Front accepts clients.
@@ -148,6 +151,19 @@
 	}
 }
 
+// CloseUnmovable closes each connection that can't be given to another process, as soon as nothing is
+// open on it.
+func (f *Front) CloseUnmovable() {
+	for _, k := range f.conns {
+		if !k.conn.Secured() {
+			continue
+		}
+		if k.leaving = true; k.request == nil && k.started {
+			k.fatal(stopping())
+		}
+	}
+}
+
 // Idle tells whether no client is left.
 func (f *Front) Idle() bool { return len(f.conns) == 0 }
 
@@ -197,6 +213,7 @@
 	request    *core.Request
 	then       func(core.Answer)
 	ending     bool       // its last words are being written
+	leaving    bool       // it ends once nothing is open on it
 	left       *core.Left // of the request that comes first, where a process that died had it
 }
 
@@ -279,12 +296,24 @@
 	if k.login != nil {
 		return k.proof(in)
 	}
+	if b := in.Bytes(); len(b) > 0 && b[0] == tlsHandshake && k.front.opts.TLS != nil && !k.conn.Secured() {
+		k.encrypt(true)
+		return false, nil
+	}
 	code, body, n, err := pgproto.Startup(in.Bytes())
 	if err != nil || n == 0 {
 		return false, err
 	}
 	in.Consume(n)
 	switch {
+	case code == pgproto.SSLReq && k.front.opts.TLS != nil && !k.conn.Secured():
+		if in.Len() > 0 { // what came before the handshake could be another's than what comes in it (CVE-2021-23222)
+			return false, fail("08P01", "received unencrypted data after SSL request")
+		}
+		k.out = append(k.out, 'S')
+		k.flush()
+		k.encrypt(false)
+		return false, nil
 	case code == pgproto.SSLReq || code == pgproto.GSSReq:
 		k.out = append(k.out, 'N')
 	case code == pgproto.CancelReq:
@@ -335,6 +364,10 @@
 		k.fatal(fail("53300", "too many clients already"))
 		return nil
 	}
+	if k.front.opts.RequireTLS && !k.conn.Secured() {
+		k.fatal(fail("28000", "this gateway takes encrypted connections only"))
+		return nil
+	}
 	k.user = user
 	if code > pgproto.Version || len(unknown) > 0 {
 		parts := append([][]byte{pgproto.Int32(0), pgproto.Int32(len(unknown))}, unknown...)
@@ -454,7 +487,7 @@
 
 func (k *conn) ready() {
 	k.out = pgproto.Append(k.out, 'Z', []byte{'I'})
-	if k.front.draining {
+	if k.front.draining || k.leaving {
 		k.fatal(stopping())
 	}
 }
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -415,6 +415,7 @@
 	then    func()       // called once all is written
 	pending atomic.Int64 // bytes not yet written
 	waiting atomic.Bool  // the loop wants to know when there are none
+	secure  *secure      // nil: plain
 
 	mu      sync.Mutex
 	journal Journal // nil: none
@@ -491,7 +492,11 @@
 	c.told = false
 	if !c.over {
 		before := c.in.Len()
-		c.handler.Data(c, &c.in)
+		if c.secure != nil {
+			c.secure.data()
+		} else {
+			c.handler.Data(c, &c.in)
+		}
 		c.loop.filled.Add(int64(c.in.Len() - before))
 	}
 	resume := c.paused && c.in.Len() < c.room()
@@ -517,6 +522,11 @@
 	c.mu.Lock()
 	c.loop.filled.Add(-int64(c.in.Len()))
 	c.in = Buffer{}
+	if s := c.secure; s != nil {
+		c.loop.filled.Add(-int64(s.plain.Len()))
+		s.plain = Buffer{}
+		s.pipe.end()
+	}
 	c.mu.Unlock()
 	c.done()
 	c.handler.Closed(c, err)
@@ -524,6 +534,20 @@
 
 // Write sends, or queues what the socket does not take at once.
 func (c *Conn) Write(p []byte) {
+	if c.over || c.closing || len(p) == 0 {
+		return
+	}
+	if s := c.secure; s != nil {
+		if s.up {
+			_, _ = s.conn.Write(p) // a failure closes the connection, and Closed tells
+		}
+		return
+	}
+	c.writeRaw(p)
+}
+
+// writeRaw sends bytes as they are.
+func (c *Conn) writeRaw(p []byte) {
 	if c.over || c.closing || len(p) == 0 {
 		return
 	}
@@ -566,6 +590,9 @@
 	if c.closing || c.over {
 		return
 	}
+	if s := c.secure; s != nil && s.up {
+		_ = s.conn.CloseWrite() // tells the peer that nothing was cut off
+	}
 	c.closing = true
 	if c.pending.Load() == 0 {
 		_ = c.nc.Close()
@@ -609,6 +636,9 @@
 func (c *Conn) Unread() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.secure != nil {
+		return c.in.Len() + c.secure.plain.Len()
+	}
 	return c.in.Len()
 }
 
--- a/internal/stories/peers_test.go
+++ b/internal/stories/peers_test.go
@@ -41,6 +41,7 @@
 	rest    *rest.Front
 	options rest.Options
 	pgwire  pgwire.Options
+	front   *pgwire.Front
 }
 
 // newGateway reads the settings of the deploy folder; change may change them.
@@ -150,7 +151,7 @@
 	if err := f.Listen("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
-	g.addr = f.Addr()
+	g.addr, g.front = f.Addr(), f
 	g.run()
 	g.roster(policy.EngineLive, engines...)
 	return g
