--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -109,9 +109,15 @@
 // HTTP is a client of the platform's front.
 type HTTP struct {
 	wire
-	n uint64
+	n    uint64
+	addr string
+	used time.Time
 }
 
+// idleMost is how long a client keeps a connection that it does not use: the gateway closes those that
+// are idle for 30 s.
+const idleMost = 20 * time.Second
+
 // DialHTTP connects and asks how the gateway is: a connection that makes no call within 2 s
 // is closed.
 func DialHTTP(addr string, seed uint64) (*HTTP, error) {
@@ -119,7 +125,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &HTTP{w, seed << 24}
+	c := &HTTP{wire: w, n: seed << 24, addr: addr, used: time.Now()}
 	_ = c.conn.SetDeadline(time.Now().Add(10 * time.Second))
 	if _, err = io.WriteString(c.conn, "GET /health HTTP/1.1\r\nHost: lab\r\n\r\n"); err == nil {
 		_, _, err = c.answer()
@@ -141,6 +147,15 @@
 		text = statement.Text + " /* " + mark + " */"
 	}
 	c.n++
+	if time.Since(c.used) > idleMost {
+		w, err := dial(c.addr)
+		if err != nil {
+			return Unasked, err.Error()
+		}
+		c.Close()
+		c.wire = w
+	}
+	c.used = time.Now()
 	_ = c.conn.SetDeadline(time.Now().Add(within + grace))
 	if _, err := fmt.Fprintf(c.conn, "POST /rpc/%s HTTP/1.1\r\nHost: lab\r\nReq-Id: %016x\r\nReq-Wait-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
 		path, c.n, within.Milliseconds(), head, len(text), text); err != nil {
--- a/internal/lab/sites/sites.go
+++ b/internal/lab/sites/sites.go
@@ -372,8 +372,18 @@
 			<-p.gateway.Ended
 		}
 		time.Sleep(500 * time.Millisecond)
-		p.gateway, err = rig.Start(b.opts.Program, b.opts.Log, p.args...)
-		return err
+		if p.gateway, err = rig.Start(b.opts.Program, b.opts.Log, p.args...); err != nil {
+			return err
+		}
+		if err := rig.Up(ctx, p.addr); err != nil {
+			return err
+		}
+		for _, s := range append([]*load.Source{p.source}, p.more...) { // clients see at once that their connections have ended
+			if err := s.Reconnect(); err != nil {
+				return err
+			}
+		}
+		return nil
 	case e.Do == Upgrade:
 		last, err := admin.Call(ctx, p.admin, admin.Request{Do: "upgrade"}, func(admin.Reply) {})
 		if err == nil && last.Why != "" {
