Run transactions of the PostgreSQL front on one engine session, never repeated

BEGIN was refused. A transaction is one request now whose attempt goes on: the module chooses the engine for its first statement, the others follow on that connection, and COMMIT's answer is the final one. Lost before COMMIT it is rolled back and said to be (40000), behind it 40003; a client that leaves, cancels or idles has it rolled back; the session is told DISCARD ALL before another client has it. Savepoints, SET LOCAL and cursors within. Stories with an emulated engine that knows transactions.

--- a/cmd/ringwood/serve.go
+++ b/cmd/ringwood/serve.go
@@ -312,6 +312,7 @@
 	for _, name := range p.ReadOnly {
 		opts.ReadOnly[name] = true
 	}
+	opts.TxIdle, opts.TxMost = config.FromMS(1000*p.TxIdle), config.FromMS(1000*p.TxMost)
 	opts.TLS, opts.RequireTLS = p.TLS.Config, p.TLS.Require
 	if len(p.Logins) > 0 {
 		opts.Users = logins.NewUsers(p.Logins)
--- a/internal/config/postgres.go
+++ b/internal/config/postgres.go
@@ -21,6 +21,8 @@
 	MemoryMB      int           `toml:"memory_mb"`
 	Sockets       int           // descriptor limit
 	MostClients   int           `toml:"most_clients"`
+	TxIdle        float64       `toml:"transaction_idle_s"` // its client may say nothing for so long; 0: 10 s
+	TxMost        float64       `toml:"transaction_most_s"` // and it may take so long; 0: 60 s
 	DefaultClass  string        `toml:"default_class"`
 	WriteClass    string        `toml:"write_class"`         // of what may write and has no class of its own; "": the first that runs once at most
 	ReadOnly      []string      `toml:"read_only_functions"` // names, with their schema where they need one
@@ -98,6 +100,8 @@
 	c.must(p.Consul.Service != "", "consul.service", "missing; wanted is the name that engines are registered under")
 	c.must(p.User != "", "user", "missing; wanted is the name that engines are spoken to in")
 	c.must(p.MemoryMB >= 0, "memory_mb", "%d is below 0", p.MemoryMB)
+	c.must(p.TxIdle >= 0 && p.TxIdle <= 86400, "transaction_idle_s", "%g is not from 0 to 86400", p.TxIdle)
+	c.must(p.TxMost >= 0 && p.TxMost <= 86400, "transaction_most_s", "%g is not from 0 to 86400", p.TxMost)
 	c.must(p.Sockets >= 0, "sockets", "%d is below 0", p.Sockets)
 	if p.Database == "" {
 		p.Database = p.User
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -14,5 +14,11 @@
 // leave tells the module that a client is gone; it gives up what is out.
 func (c *Core) leave(r *Request) {
 	c.tell(policy.Gone{Query: r.query})
+	for _, a := range r.tries {
+		if a.began && !a.ended { // the module leaves what goes on to its end
+			c.links.Drop(a)
+			c.End(a, EndCancelled, Report{})
+		}
+	}
 	c.forget(r)
 }
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -27,7 +27,7 @@
 	if !a.neverRan || rep.Detail != nil && !c.Doubt(r) {
 		r.detail = rep.Detail
 	}
-	if c.learner != nil && r.Note != nil {
+	if c.learner != nil && r.Note != nil && !a.began {
 		switch elapsed := c.clock.Now() - a.Sent; end {
 		case EndServed:
 			c.learner.Served(r, rep, elapsed)
@@ -41,8 +41,12 @@
 	case EndRejected, EndTooLarge: // another engine would say the same
 		c.final(r.query, Answer{Verdict: Failed})
 	}
+	result := end.Result()
+	if a.began && end == EndServed { // how long its client took tells nothing of the engine
+		result = policy.Cancelled
+	}
 	c.tell(policy.Outcome{
-		Query: r.query, Attempt: a.n, Result: end.Result(), Elapsed: c.clock.Now() - a.Sent,
+		Query: r.query, Attempt: a.n, Result: result, Elapsed: c.clock.Now() - a.Sent,
 		Final: r.answered, Work: rep.Work, MemoryMB: rep.MemoryMB, Load: rep.Load,
 	})
 	c.forget(r)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -59,6 +59,9 @@
 	Prior time.Duration
 	// Foreign is that it came from another site: it goes to no third one.
 	Foreign bool
+	// Stream is that it goes on behind its first answer, as a transaction does: its attempt stays
+	// out, its Client is a Streamer too, and Continue gives the engine what comes next.
+	Stream bool
 	// MostSends bounds the sends of it over all sites, of which Spent were made elsewhere; 0:
 	// the module's own bound alone.
 	MostSends, Spent int
@@ -92,6 +95,7 @@
 	ended    bool
 	neverRan bool          // its end proves it
 	told     bool          // other sites' service has heard of it
+	began    bool          // a part of its answer has come, and it goes on
 	notAfter time.Duration // it may not be written later; 0: no such limit
 	timer    *deadline.Entry
 }
--- a/internal/engine/pg/codec.go
+++ b/internal/engine/pg/codec.go
@@ -46,6 +46,9 @@
 	if err := reader.Unmarshal(b, &s); err != nil {
 		return nil, fmt.Errorf("%w: %w", errCodec, err)
 	}
+	if s.Begin != "" || s.Ends {
+		return nil, fmt.Errorf("%w: a part of a transaction", errCodec)
+	}
 	if s.Query == "" || !utf8.ValidString(s.Query) || strings.IndexByte(s.Query, 0) >= 0 {
 		return nil, fmt.Errorf("%w: a statement that is no text", errCodec)
 	}
--- a/internal/engine/pg/codec_test.go
+++ b/internal/engine/pg/codec_test.go
@@ -44,6 +44,7 @@
 	}
 	good := pgproto.Statement{Query: "SELECT 1", Types: []byte{0, 0}, Bind: []byte{0, 0, 0, 0, 0, 0}}
 	for name, change := range map[string]func(*pgproto.Statement){
+		"a transaction":      func(s *pgproto.Statement) { s.Begin = "BEGIN" },
 		"no text":            func(s *pgproto.Statement) { s.Query = "" },
 		"a zero":             func(s *pgproto.Statement) { s.Query = "SELECT\x00" },
 		"not UTF-8":          func(s *pgproto.Statement) { s.Query = "\xff" },
--- a/internal/engine/pg/links.go
+++ b/internal/engine/pg/links.go
@@ -82,6 +82,8 @@
 	parsing string // the name that this attempt's Parse gives
 	result  *pgproto.Result
 	bound   bool // BindComplete has come: it may be running
+	begins  int  // completions of a transaction's beginning that come ahead of the answer
+	clean   bool // DISCARD ALL is under way: nobody may use it yet
 	whole   bool // CommandComplete or the like has come
 	failure *pgproto.Error
 }
@@ -98,7 +100,7 @@
 	}
 	var l *link
 	for _, o := range e.Links {
-		if !o.retired && o.attempt == nil {
+		if !o.retired && o.attempt == nil && !o.clean {
 			l = o
 			break
 		}
@@ -106,7 +108,8 @@
 	if l == nil {
 		l = ls.dial(e)
 	}
-	l.attempt, l.written, l.result, l.bound, l.whole, l.failure = a, false, &pgproto.Result{}, false, false, nil
+	l.attempt, l.written = a, false
+	l.fresh()
 	a.Link = l
 	if l.ready {
 		l.write()
@@ -148,6 +151,10 @@
 	}
 	l.written = true
 	name, b := l.prepare(s)
+	if s.Begin != "" {
+		l.begins = 1
+		b = append(begin(s.Begin), b...)
+	}
 	if s.Describe {
 		b = pgproto.Append(b, 'D', []byte("S"), name)
 	} else {
@@ -158,9 +165,54 @@
 	l.conn.Write(pgproto.Append(b, 'S'))
 }
 
+// fresh makes room for the next answer.
+func (l *link) fresh() {
+	l.result, l.bound, l.begins, l.whole, l.failure = &pgproto.Result{}, false, 0, false, nil
+}
+
+// begin is the messages that begin a transaction. No Sync follows: what is behind them runs only if
+// they do.
+func begin(text string) []byte {
+	b := pgproto.Append(nil, 'P', []byte{0}, pgproto.Str(text), []byte{0, 0})
+	b = pgproto.Append(b, 'B', []byte{0, 0}, make([]byte, 6))
+	return pgproto.Append(b, 'E', []byte{0}, pgproto.Int32(0))
+}
+
+// Continue puts the next statement of a transaction on its connection.
+func (ls *Links) Continue(a *core.Attempt) {
+	l, ok := a.Link.(*link)
+	if !ok || l.attempt != a || l.conn == nil { // its end is on its way
+		return
+	}
+	l.fresh()
+	l.write()
+}
+
+// tidy has a connection forget what a transaction has left in its session, before another
+// client's statement comes on it. Guards against settings and temporary things of one client
+// that another would see.
+func (l *link) tidy() {
+	if l.retired || l.conn == nil {
+		return
+	}
+	clear(l.named)
+	l.clean = true
+	l.conn.Write(pgproto.Append(nil, 'Q', pgproto.Str("DISCARD ALL")))
+	l.all.loop.Timers.Add(l.all.core.Now()+l.all.opts.ConnectTimeout, func() {
+		if l.clean {
+			l.close(core.EndIdle)
+		}
+	})
+}
+
 // prepare names the statement, and has it parsed if it has no name here yet. A long
-// one, and one past maxNamed, goes without.
+// one, one past maxNamed and one of a transaction go without: in a transaction a name that the
+// engine has dropped would be its end.
 func (l *link) prepare(s *pgproto.Statement) (name, out []byte) {
+	if l.attempt.Request.Stream {
+		l.using, l.parsing = "", ""
+		return []byte{0}, pgproto.Append(nil, 'P', []byte{0}, pgproto.Str(s.Query), s.Types)
+	}
 	key := s.Query + "\x00" + string(s.Types)
 	l.using, l.parsing = key, ""
 	if known, ok := l.named[key]; ok {
@@ -292,6 +344,9 @@
 	if !l.ready {
 		return l.startup(kind, body)
 	}
+	if l.clean {
+		return nil
+	}
 	if l.attempt == nil {
 		return fmt.Errorf("message %q on an idle connection", kind)
 	}
@@ -342,6 +397,11 @@
 		l.all.size += len(whole)
 		r.Count++
 	case 'C':
+		if l.begins > 0 { // of the transaction, not of its statement
+			l.begins--
+			l.bound = false
+			return nil
+		}
 		tag := pgproto.Reader{B: body}
 		r.Tag, l.whole = tag.Str(), true
 		if !tag.End() {
@@ -384,8 +444,20 @@
 
 // idle takes a ReadyForQuery: the startup, or an answer, is over.
 func (l *link) idle(body []byte) error {
-	if len(body) != 1 || body[0] != 'I' {
+	stream := l.attempt != nil && l.attempt.Request.Stream
+	switch {
+	case len(body) != 1 || !l.ready && body[0] != 'I' || body[0] != 'I' && !stream:
 		return errors.New("its session is left in a transaction")
+	case l.clean && l.failure != nil:
+		return l.failure
+	case l.clean:
+		l.clean, l.used = false, l.all.core.Now()
+		if l.retired {
+			l.close(core.EndIdle)
+		}
+		return nil
+	case body[0] != 'I':
+		return l.goesOn()
 	}
 	if !l.ready {
 		l.ready = true
@@ -404,6 +476,8 @@
 	}
 	s, _ := l.attempt.Request.Statement.(*pgproto.Statement)
 	switch {
+	case l.failure != nil && s.Ends: // it was rolled back, and the engine says why
+		l.finish(core.EndRejected, core.Report{Detail: l.failure})
 	case l.failure != nil && l.stale(l.failure.Code):
 		l.finish(core.EndNotSent, core.Report{})
 	case l.failure != nil:
@@ -416,6 +490,21 @@
 	return nil
 }
 
+// goesOn passes on an answer within a transaction: a result, or the error that has failed it.
+func (l *link) goesOn() error {
+	if l.failure == nil && !l.whole {
+		return errors.New("an answer without an end")
+	}
+	rep := core.Report{Result: l.result}
+	if l.failure != nil {
+		rep = core.Report{Detail: l.failure}
+	}
+	l.all.size -= len(l.result.Rows)
+	l.fresh()
+	l.all.core.Part(l.attempt, rep)
+	return nil
+}
+
 // errorEnd sorts the error that ended the link's attempt. Of what runs once at most, an
 // engine that was short of something in the middle has done some of it for good where
 // that is outside its transaction (a sequence, say): no other is asked.
@@ -453,8 +542,11 @@
 	a := l.attempt
 	l.clear()
 	l.used = l.all.core.Now()
-	if l.retired {
+	switch {
+	case l.retired:
 		l.close(core.EndIdle)
+	case a.Request.Stream:
+		l.tidy()
 	}
 	l.all.core.End(a, end, rep)
 }
--- a/internal/front/pgwire/extended.go
+++ b/internal/front/pgwire/extended.go
@@ -48,12 +48,12 @@
 	default:
 		read = shapes.Read(query, k.front.opts.ReadOnly)
 	}
-	empty, e := check(query, read)
+	empty, control, e := check(query, read, k.tx != nil)
 	if e != nil {
 		return nil, e
 	}
-	s := &statement{query: query, types: types, empty: empty}
-	if !empty {
+	s := &statement{query: query, types: types, empty: empty, control: control}
+	if !empty && control == "" {
 		if s.sorted, e = k.front.sort(query, read); e != nil {
 			return nil, e
 		}
@@ -91,7 +91,7 @@
 	if s.read != nil {
 		p.binds = binds
 	}
-	if !s.empty {
+	if !s.empty && s.control == "" {
 		var e *pgproto.Error
 		if p.token, e = keyOf(s.sorted, values); e != nil {
 			return e
@@ -169,7 +169,7 @@
 }
 
 func (k *conn) describeStatement(s *statement) {
-	if s.known == nil { // an empty one
+	if s.known == nil { // an empty one, or one that the gateway carries out
 		k.out = pgproto.Append(k.out, 't', s.types)
 		k.out = pgproto.Append(k.out, 'n')
 		return
@@ -188,7 +188,7 @@
 
 // known has an engine describe a statement, unless one has, and goes on then.
 func (k *conn) known(s *statement, then func()) {
-	if s.known != nil || s.empty {
+	if s.known != nil || s.empty || s.control != "" {
 		then()
 		return
 	}
@@ -243,6 +243,11 @@
 		return fail("34000", "portal %q does not exist", name)
 	case p.statement.empty:
 		k.out = pgproto.Append(k.out, 'I')
+	case p.statement.control != "":
+		if describe {
+			k.rowDescription(nil)
+		}
+		return k.control(p.statement, p.bind, func(tag string) { k.out = pgproto.Append(k.out, 'C', pgproto.Str(tag)) })
 	case p.result != nil:
 		k.front.held -= len(p.rest)
 		e := k.rows(p, most)
@@ -350,7 +355,14 @@
 		k.ready()
 		return nil
 	}
-	if _, e = keyOf(s.sorted, nil); e != nil {
+	if s.control != "" {
+		return k.control(s, noValues, func(tag string) {
+			k.out = pgproto.Append(k.out, 'C', pgproto.Str(tag))
+			k.simple = false
+			k.ready()
+		})
+	}
+	if _, e = keyOf(s.sorted, nil); e != nil && k.tx == nil {
 		return e
 	}
 	want := &pgproto.Statement{Query: query, Types: noTypes, Bind: noValues}
@@ -402,6 +414,10 @@
 
 // ask puts one request to the core. The answer may come before it returns.
 func (k *conn) ask(s *statement, want *pgproto.Statement, token string, binds *sqltext.Binds, served func(*pgproto.Result)) {
+	if k.tx != nil && !want.Describe {
+		k.inTransaction(want, served)
+		return
+	}
 	f := k.front
 	class := s.class
 	var sorted *shape.Execution
@@ -426,7 +442,7 @@
 		came = left.Came
 	}
 	r := &core.Request{
-		ID: fmt.Sprintf("pg%d", k.process), Class: class.Name, Token: token, Statement: want,
+		ID: k.id(), Class: class.Name, Token: token, Statement: want,
 		Deadline: came + wait, Client: k,
 	}
 	switch {
@@ -452,8 +468,20 @@
 	f.core.TakeLeft(r, left)
 }
 
+// id is what the connection's requests are called.
+func (k *conn) id() string { return fmt.Sprintf("pg%d", k.process) }
+
 // Answer takes the core's final answer.
-func (k *conn) Answer(_ *core.Request, a core.Answer) {
+func (k *conn) Answer(r *core.Request, a core.Answer) {
+	if tx := k.tx; tx != nil && tx.request == r {
+		tx.request = nil
+		if tx.then == nil { // its engine is lost between two statements
+			k.request, tx.failed = nil, true
+			return
+		}
+		k.word(a)
+		return
+	}
 	then := k.then
 	k.request, k.then = nil, nil
 	if k.ended || then == nil {
--- a/internal/front/pgwire/front.go
+++ b/internal/front/pgwire/front.go
@@ -56,6 +56,8 @@
 	Users        *logins.Users  // who may log in, by password; nil: everybody, unasked
 	TLS          *tls.Config    // nil: encryption is declined
 	RequireTLS   bool           // nobody is let in without
+	TxIdle       time.Duration  // a transaction's client may say nothing for so long; 0: 10 s
+	TxMost       time.Duration  // and the whole may take so long; 0: 60 s
 }
 
 // Front accepts clients.
@@ -145,7 +147,7 @@
 func (f *Front) Drain() {
 	f.draining = true
 	for _, k := range f.conns {
-		if k.request == nil {
+		if k.request == nil && k.tx == nil { // a transaction has until the process ends
 			k.fatal(stopping())
 		}
 	}
@@ -158,7 +160,7 @@
 		if !k.conn.Secured() {
 			continue
 		}
-		if k.leaving = true; k.request == nil && k.started {
+		if k.leaving = true; k.request == nil && k.tx == nil && k.started {
 			k.fatal(stopping())
 		}
 	}
@@ -171,11 +173,12 @@
 
 type statement struct {
 	sorted
-	query string
-	types []byte // as in Parse
-	empty bool
-	read  *shape.Statement // where shapes are read
-	known *pgproto.Result  // its description, once an engine gave it
+	query   string
+	types   []byte // as in Parse
+	empty   bool
+	control string           // BEGIN, COMMIT or the like: it is about the transaction
+	read    *shape.Statement // where shapes are read
+	known   *pgproto.Result  // its description, once an engine gave it
 }
 
 type portal struct {
@@ -212,9 +215,10 @@
 	stall      *deadline.Entry // ends a connection in the middle of a message
 	request    *core.Request
 	then       func(core.Answer)
-	ending     bool       // its last words are being written
-	leaving    bool       // it ends once nothing is open on it
-	left       *core.Left // of the request that comes first, where a process that died had it
+	ending     bool         // its last words are being written
+	leaving    bool         // it ends once nothing is open on it
+	tx         *transaction // nil: none is open
+	left       *core.Left   // of the request that comes first, where a process that died had it
 }
 
 // Data reads messages until one waits for its answer.
@@ -272,6 +276,8 @@
 	k.stall.Stop()
 	delete(k.front.conns, k.process)
 	k.dropPortals()
+	k.abandon()
+	k.tx = nil
 	if r := k.request; r != nil {
 		k.request, k.then = nil, nil
 		k.front.core.Gone(r)
@@ -464,6 +470,19 @@
 	if f.core.Doubt(r) {
 		e = inDoubt()
 	}
+	if k.tx != nil && k.tx.request == r { // with its connection all of it is rolled back, unless it was committing
+		if k.tx.ending {
+			e = fail("40003", "canceled while it committed; the transaction may have run")
+		} else {
+			e = fail("57014", "canceling statement due to user request")
+		}
+		k.tx.request, k.tx.then, k.tx.failed = nil, nil, true
+		if k.tx.ending {
+			k.close()
+		} else {
+			k.rest()
+		}
+	}
 	f.core.Gone(r)
 	k.failed(e)
 	k.resume()
@@ -486,8 +505,8 @@
 }
 
 func (k *conn) ready() {
-	k.out = pgproto.Append(k.out, 'Z', []byte{'I'})
-	if k.front.draining || k.leaving {
+	k.out = pgproto.Append(k.out, 'Z', []byte{k.status()})
+	if k.tx == nil && (k.front.draining || k.leaving) {
 		k.fatal(stopping())
 	}
 }
@@ -496,7 +515,9 @@
 // skipped to the next Sync, or, after a Query, nothing is.
 func (k *conn) failed(e *pgproto.Error) {
 	k.front.stats.Add("pgwire.errors." + e.Code)
-	k.out = pgproto.Append(k.out, 'E', e.Body())
+	if k.out = pgproto.Append(k.out, 'E', e.Body()); k.tx != nil {
+		k.tx.failed = true
+	}
 	if k.simple {
 		k.simple = false
 		k.ready()
@@ -538,8 +559,9 @@
 		k.ended = true
 		k.conn.Close()
 	case kind == 'S':
-		k.skip = false
-		k.dropPortals() // the end of the transaction that the batch stood for
+		if k.skip = false; k.tx == nil {
+			k.dropPortals() // the end of the transaction that the batch stood for
+		}
 		k.ready()
 	case k.skip:
 	default:
--- a/internal/front/pgwire/move.go
+++ b/internal/front/pgwire/move.go
@@ -91,9 +91,11 @@
 	return nil
 }
 
-// Settled tells whether no request is open, no login under way and nothing encrypted: the state of TLS
-// can't be handed on.
-func (k *conn) Settled() bool { return k.request == nil && k.login == nil && !k.conn.Secured() }
+// Settled tells whether no request and no transaction is open, no login under way and nothing encrypted:
+// the state of TLS can't be handed on.
+func (k *conn) Settled() bool {
+	return k.request == nil && k.tx == nil && k.login == nil && !k.conn.Secured()
+}
 
 // Ending tells whether the connection is about to end.
 func (k *conn) Ending() bool { return k.ended || k.ending }
--- a/internal/lab/emul/emul.go
+++ b/internal/lab/emul/emul.go
@@ -28,7 +28,8 @@
 	// Ask tells what each is. Work is not asked then.
 	Machine *Machine
 	Ask     func(statement string) model.Query
-	Ledger  *Ledger // of effects; nil: none is kept
+	Ledger  *Ledger                         // of effects; nil: none is kept
+	Heard   func(session, statement string) // each statement of the PostgreSQL wire, before it runs; nil: nobody
 	Log     *slog.Logger
 }
 
--- a/internal/lab/emul/pg.go
+++ b/internal/lab/emul/pg.go
@@ -25,6 +25,57 @@
 	})
 }
 
+// pgSession is what PostgreSQL keeps of transactions: none (I), open (T), failed (E).
+type pgSession struct {
+	status byte
+	skip   bool // after an error, to Sync
+}
+
+// control carries out what begins and ends transactions, and what a failed one refuses. tag is its
+// completion; "": the statement is another's affair.
+func (s *pgSession) control(statement string) (tag string, e *pgproto.Error) {
+	words := strings.Fields(strings.ToUpper(statement) + " ")
+	first := ""
+	if len(words) > 0 {
+		first = strings.TrimRight(words[0], ";")
+	}
+	to := len(words) > 1 && (words[1] == "TO" || len(words) > 2 && words[2] == "TO")
+	switch {
+	case first == "ROLLBACK" && to && s.status != 'I':
+		s.status = 'T'
+		return "ROLLBACK", nil
+	case first == "COMMIT" || first == "END":
+		if tag = "COMMIT"; s.status == 'E' {
+			tag = "ROLLBACK"
+		}
+		s.status = 'I'
+		return tag, nil
+	case first == "ROLLBACK" || first == "ABORT":
+		s.status = 'I'
+		return "ROLLBACK", nil
+	case s.status == 'E':
+		return "", &pgproto.Error{Severity: "ERROR", Code: "25P02", Message: "current transaction is aborted, commands ignored until end of transaction block"}
+	case first == "BEGIN" || first == "START":
+		s.status = 'T'
+		return "BEGIN", nil
+	case first == "SAVEPOINT" || first == "RELEASE":
+		if s.status == 'I' {
+			return "", &pgproto.Error{Severity: "ERROR", Code: "25P01", Message: first + " can only be used in transaction blocks"}
+		}
+		return first, nil
+	case strings.Contains(statement, "1/0"):
+		return "", &pgproto.Error{Severity: "ERROR", Code: "22012", Message: "division by zero"}
+	}
+	return "", nil
+}
+
+// failed has the transaction fail, and what follows skipped.
+func (s *pgSession) failed() {
+	if s.skip = true; s.status == 'T' {
+		s.status = 'E'
+	}
+}
+
 // serve answers one connection of the gateway, message by message.
 func serve(c net.Conn, opts Options) error {
 	log := opts.Log
@@ -59,6 +110,8 @@
 	out = pgproto.Append(out, 'K', pgproto.Int32(1), pgproto.Int32(1))
 	out = pgproto.Append(out, 'Z', []byte("I"))
 	query, key, named := "", "", map[string]string{}
+	s := &pgSession{status: 'I'}
+	id := c.RemoteAddr().String()
 	for {
 		if len(out) > 0 {
 			if _, err := c.Write(out); err != nil {
@@ -77,7 +130,19 @@
 			continue
 		}
 		r := pgproto.Reader{B: body}
+		if s.skip && kind != 'S' {
+			in = in[n:]
+			continue
+		}
 		switch kind {
+		case 'Q': // what a gateway does by itself
+			text := r.Str()
+			if opts.Heard != nil {
+				opts.Heard(id, text)
+			}
+			clear(named)
+			out = pgproto.Append(out, 'C', pgproto.Str(text))
+			out = pgproto.Append(out, 'Z', []byte{s.status})
 		case 'P':
 			name := r.Str()
 			named[name] = r.Str()
@@ -103,6 +168,17 @@
 			}
 			out = pgproto.Append(out, 'T', columns)
 		case 'E':
+			if opts.Heard != nil {
+				opts.Heard(id, query)
+			}
+			if tag, e := s.control(query); e != nil {
+				out = pgproto.Append(out, 'E', e.Body())
+				s.failed()
+				break
+			} else if tag != "" {
+				out = pgproto.Append(out, 'C', pgproto.Str(tag))
+				break
+			}
 			if opts.Ledger.Begin(opts.Name, query, key) {
 				stop := gone(c)
 				end, _, ok := opts.carry(query+" "+key, func(*model.Query) {}, nil, stop.closed)
@@ -113,6 +189,7 @@
 				if end.Full {
 					e := pgproto.Error{Severity: "ERROR", Code: "53300", Message: "too many sessions"}
 					out = pgproto.Append(out, 'E', e.Body())
+					s.failed()
 					break
 				}
 			}
@@ -121,7 +198,8 @@
 			}
 			out = pgproto.Append(out, 'C', pgproto.Str("SELECT 2"))
 		case 'S':
-			out = pgproto.Append(out, 'Z', []byte("I"))
+			s.skip = false
+			out = pgproto.Append(out, 'Z', []byte{s.status})
 		}
 		in = in[n:]
 	}
--- a/internal/pgproto/pgproto.go
+++ b/internal/pgproto/pgproto.go
@@ -198,6 +198,8 @@
 	Types    []byte // the count and the types of the parameters, as in Parse
 	Bind     []byte // a Bind's body past its two names; formats and values as they came
 	Describe bool   // describe only: nothing runs
+	Begin    string // of a transaction: what begins it, ahead of its first statement
+	Ends     bool   // it ends its transaction
 }
 
 // Result is what an engine answered: the bodies of the messages as they came.
--- a/internal/site/crossing/crossing.go
+++ b/internal/site/crossing/crossing.go
@@ -232,7 +232,7 @@
 			return true
 		}
 	}
-	if r.Foreign || len(s.peers) == 0 {
+	if r.Foreign || r.Stream || len(s.peers) == 0 {
 		return false
 	}
 	q := s.query(r, turned)
--- /dev/null
+++ b/internal/stories/transactions_test.go
@@ -0,0 +1,266 @@
+package stories
+
+import (
+	"log/slog"
+	"net"
+	"slices"
+	"strings"
+	gosync "sync"
+	"testing"
+	"time"
+
+	"gannetspur/internal/lab/emul"
+	"gannetspur/internal/pgproto"
+)
+
+// heard is what engines were told, by session, and a way to break a session off at a statement.
+type heard struct {
+	net.Listener
+	mu      gosync.Mutex
+	by      map[string][]string
+	order   []string
+	conns   map[string]net.Conn
+	breakAt string
+	changed chan struct{}
+}
+
+func (h *heard) Accept() (net.Conn, error) {
+	c, err := h.Listener.Accept()
+	if err == nil {
+		h.mu.Lock()
+		h.conns[c.RemoteAddr().String()] = c
+		h.mu.Unlock()
+	}
+	return c, err
+}
+
+func (h *heard) hear(session, statement string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.by[session] == nil {
+		h.order = append(h.order, session)
+	}
+	h.by[session] = append(h.by[session], statement)
+	if h.breakAt != "" && strings.HasPrefix(statement, h.breakAt) {
+		_ = h.conns[session].Close()
+	}
+	select {
+	case h.changed <- struct{}{}:
+	default:
+	}
+}
+
+// said is what the sessions were told, in the order of their first statements.
+func (h *heard) said() (all []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.order {
+		all = append(all, strings.Join(h.by[s], "; "))
+	}
+	return all
+}
+
+// until waits for the sessions to have been told something.
+func (h *heard) until(t *testing.T, want ...string) {
+	t.Helper()
+	end := time.After(patience)
+	for !slices.Equal(h.said(), want) {
+		select {
+		case <-h.changed:
+		case <-end:
+			t.Fatalf("the engine was told %q, want %q", h.said(), want)
+		}
+	}
+}
+
+// transacting starts the second front with an engine that knows transactions.
+func transacting(t *testing.T, change func(*gateway)) (*gateway, *heard) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &heard{Listener: ln, by: map[string][]string{}, conns: map[string]net.Conn{}, changed: make(chan struct{}, 1)}
+	t.Cleanup(func() { _ = ln.Close() })
+	go emul.Postgres(h, emul.Options{
+		Work: func(string) (time.Duration, float64) { return time.Millisecond, 1 }, Heard: h.hear, Log: slog.New(slog.DiscardHandler),
+	})
+	g := newGateway(t, nil)
+	g.pgwire.DefaultClass, g.pgwire.WriteClass = "lookup", "write"
+	if change != nil {
+		change(g)
+	}
+	return g.postgres(ln.Addr().String()), h
+}
+
+// says sends a Query and words what came, with the status that follows.
+func (k *pgClient) says(text string) string {
+	k.t.Helper()
+	k.send(query(text))
+	w := k.until('Z')
+	if strings.HasSuffix(w, "Z") {
+		w += string(k.last)
+	}
+	return w
+}
+
+// A transaction runs on one session, whole and in order, and the session forgets it before another
+// client has it.
+func TestTransaction(t *testing.T) {
+	g, h := transacting(t, nil)
+	k := connect(t, g.addr)
+	for _, tt := range [][2]string{
+		{"BEGIN ISOLATION LEVEL SERIALIZABLE", "C(BEGIN) ZT"},
+		{"INSERT INTO stock_1.parts VALUES ('bell')", "T D(INSERT INTO stock_1.parts VALUES ('bell')) D() C(SELECT 2) ZT"},
+		{"SAVEPOINT a", "C(SAVEPOINT) ZT"}, {"SELECT 1/0", "E(22012) ZE"}, {"SELECT 2", "E(25P02) ZE"}, {"ROLLBACK TO a", "C(ROLLBACK) ZT"},
+		{"SET LOCAL work_mem = '1MB'", "T D(SET LOCAL work_mem = '1MB') D() C(SELECT 2) ZT"}, {"DECLARE c CURSOR FOR SELECT 1", "T D(DECLARE c CURSOR FOR SELECT 1) D() C(SELECT 2) ZT"},
+		{"SET work_mem = '1MB'", "E(0A000) ZE"}, {"ROLLBACK TO SAVEPOINT a", "C(ROLLBACK) ZT"}, {"BEGIN", "N C(BEGIN) ZT"}, {"COMMIT", "C(COMMIT) ZI"},
+		{"SELECT 3", "T D(SELECT 3) D() C(SELECT 2) ZI"},
+	} {
+		if w := k.says(tt[0]); w != tt[1] {
+			t.Fatalf("%s: %s, want %s", tt[0], w, tt[1])
+		}
+	}
+	h.until(t, "BEGIN ISOLATION LEVEL SERIALIZABLE; INSERT INTO stock_1.parts VALUES ('bell'); SAVEPOINT a; SELECT 1/0; ROLLBACK TO a; SET LOCAL work_mem = '1MB'; "+
+		"DECLARE c CURSOR FOR SELECT 1; ROLLBACK TO SAVEPOINT a; COMMIT; DISCARD ALL; SELECT 3")
+}
+
+// What needs no engine bothers none, and what ends without a transaction is warned of.
+func TestTransactionsOfNothing(t *testing.T) {
+	g, h := transacting(t, nil)
+	k := connect(t, g.addr)
+	for _, tt := range [][2]string{
+		{"COMMIT", "N C(COMMIT) ZI"}, {"ROLLBACK", "N C(ROLLBACK) ZI"}, {"SAVEPOINT a", "E(25P01) ZI"}, {"START TRANSACTION READ ONLY", "C(START TRANSACTION) ZT"},
+		{"END", "C(COMMIT) ZI"}, {"BEGIN", "C(BEGIN) ZT"}, {"COMMIT AND CHAIN", "E(0A000) ZE"}, {"SELECT 1", "E(25P02) ZE"}, {"COMMIT", "C(ROLLBACK) ZI"},
+		{"LOCK TABLE a", "E(0A000) ZI"}, {"BEGIN", "C(BEGIN) ZT"}, {"DECLARE c CURSOR WITH HOLD FOR SELECT 1", "E(0A000) ZE"}, {"ABORT", "C(ROLLBACK) ZI"},
+		{"COMMIT PREPARED 'a'", "E(0A000) ZI"},
+	} {
+		if w := k.says(tt[0]); w != tt[1] {
+			t.Errorf("%s: %s, want %s", tt[0], w, tt[1])
+		}
+	}
+	if all := h.said(); len(all) > 0 {
+		t.Errorf("the engine was told %q", all)
+	}
+}
+
+// By extended messages: bound values, several in a batch, a portal that outlives a Sync.
+func TestExtendedTransaction(t *testing.T) {
+	g, h := transacting(t, nil)
+	k := connect(t, g.addr)
+	run := func(text string) []byte { return append(append(parse("", text), bind("", "")...), execute("", 0)...) }
+	k.send(append(append(run("BEGIN"), run("UPDATE a SET b = 1")...), sync...))
+	if w := k.until('Z') + string(k.last); w != "1 2 C(BEGIN) 1 2 D(UPDATE a SET b = 1) D() C(SELECT 2) ZT" {
+		t.Error(w)
+	}
+	k.send(append(append(append(parse("s", "SELECT $1"), bind("p", "s", "v")...), execute("p", 1)...), sync...))
+	if w := k.until('Z') + string(k.last); w != "1 2 D(SELECT $1) s ZT" {
+		t.Error(w)
+	}
+	k.send(append(execute("p", 0), sync...))
+	if w := k.until('Z') + string(k.last); w != "D(v) C(SELECT 1) ZT" {
+		t.Error(w)
+	}
+	k.send(append(append(append(parse("c", "COMMIT"), describe("S", "c")...), append(bind("", "c"), execute("", 0)...)...), sync...))
+	if w := k.until('Z') + string(k.last); w != "1 t n 2 C(COMMIT) ZI" {
+		t.Error(w)
+	}
+	k.send(append(execute("p", 0), sync...))
+	if w := k.until('Z') + string(k.last); w != "E(34000) ZI" {
+		t.Errorf("a portal of a transaction that is over: %s", w)
+	}
+	h.until(t, "BEGIN; UPDATE a SET b = 1; SELECT $1; COMMIT; DISCARD ALL")
+}
+
+// A client that leaves, cancels or says nothing for long has its transaction rolled back with its
+// session, and nobody waits for it.
+func TestTransactionsLeft(t *testing.T) {
+	g, h := transacting(t, func(g *gateway) { g.pgwire.TxIdle = 300 * time.Millisecond })
+	k := connect(t, g.addr)
+	k.says("BEGIN")
+	k.says("UPDATE a SET b = 1")
+	_ = k.c.Close()
+	h.until(t, "BEGIN; UPDATE a SET b = 1")
+	idle := connect(t, g.addr)
+	idle.says("BEGIN")
+	idle.says("UPDATE a SET b = 2")
+	if w := idle.until('Z'); w != "E(25P03) end" {
+		t.Errorf("idle in a transaction: %s", w)
+	}
+	next := connect(t, g.addr)
+	if w := next.says("SELECT 1"); w != "T D(SELECT 1) D() C(SELECT 2) ZI" {
+		t.Error(w)
+	}
+	h.until(t, "BEGIN; UPDATE a SET b = 1", "BEGIN; UPDATE a SET b = 2", "SELECT 1") // each on a session of its own
+}
+
+// Its engine dies: before COMMIT was sent all of it is rolled back, and said to be; behind it, it may have
+// run. Nothing of it is sent again.
+func TestTransactionsLost(t *testing.T) {
+	g, h := transacting(t, nil)
+	k := connect(t, g.addr)
+	h.breakAt = "UPDATE a SET b = 2"
+	for _, tt := range [][2]string{
+		{"BEGIN", "C(BEGIN) ZT"}, {"UPDATE a SET b = 1", "T D(UPDATE a SET b = 1) D() C(SELECT 2) ZT"}, {"UPDATE a SET b = 2", "E(40000) ZE"},
+		{"SELECT 1", "E(25P02) ZE"}, {"COMMIT", "C(ROLLBACK) ZI"},
+	} {
+		if w := k.says(tt[0]); w != tt[1] {
+			t.Errorf("%s: %s, want %s", tt[0], w, tt[1])
+		}
+	}
+	first := h.said()
+	g, h = transacting(t, nil) // the first one's engine may have started anew, and is spared
+	h.breakAt = "COMMIT"
+	other := connect(t, g.addr)
+	for _, tt := range [][2]string{{"BEGIN", "C(BEGIN) ZT"}, {"UPDATE a SET b = 3", "T D(UPDATE a SET b = 3) D() C(SELECT 2) ZT"}, {"COMMIT", "E(40003) ZI"}} {
+		if w := other.says(tt[0]); w != tt[1] {
+			t.Errorf("%s: %s, want %s", tt[0], w, tt[1])
+		}
+	}
+	all := strings.Join(append(first, h.said()...), " | ")
+	for _, once := range []string{"b = 1", "b = 2", "b = 3", "COMMIT"} {
+		if n := strings.Count(all, once); n != 1 {
+			t.Errorf("%q was sent %d times: %s", once, n, all)
+		}
+	}
+}
+
+// A cancel in the middle of a transaction rolls it back; the client goes on with ROLLBACK.
+func TestTransactionCancelled(t *testing.T) {
+	slowly := func(text string) (time.Duration, float64) {
+		if strings.Contains(text, "slow") {
+			return time.Minute, 1
+		}
+		return time.Millisecond, 1
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	seen := make(chan string, 100)
+	go emul.Postgres(ln, emul.Options{Work: slowly, Heard: func(_, text string) { seen <- text }, Log: slog.New(slog.DiscardHandler)})
+	g := newGateway(t, nil)
+	g.pgwire.DefaultClass, g.pgwire.WriteClass = "lookup", "write"
+	g.postgres(ln.Addr().String())
+	k := connect(t, g.addr)
+	k.says("BEGIN")
+	k.says("UPDATE a SET b = 1")
+	k.send(query("UPDATE a SET slow = 1"))
+	for text := range seen {
+		if strings.Contains(text, "slow") {
+			break
+		}
+	}
+	c := dial(t, g.addr)
+	_, _ = c.Write(pgproto.AppendStartup(nil, pgproto.CancelReq, k.key))
+	if w := k.until('Z') + string(k.last); w != "E(57014) ZE" {
+		t.Error(w)
+	}
+	if w := k.says("ROLLBACK"); w != "C(ROLLBACK) ZI" {
+		t.Error(w)
+	}
+	if w := k.says("SELECT 1"); w != "T D(SELECT 1) D() C(SELECT 2) ZI" {
+		t.Error(w)
+	}
+}
