--- /dev/null
+++ b/internal/stories/drivers_test.go
@@ -0,0 +1,216 @@
+package stories
+
+import (
+	"context"
+	"database/sql"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"gannetspur/internal/lab/emul"
+	"gannetspur/internal/logins"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgxpool"
+	_ "github.com/lib/pq"
+)
+
+// everyday starts the second front as operators would before real tools: with passwords and encryption.
+func everyday(t *testing.T) *gateway {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go emul.Postgres(ln, emul.Options{Work: func(text string) (time.Duration, float64) {
+		if strings.Contains(text, "pg_sleep") {
+			return time.Minute, 1
+		}
+		return time.Millisecond, 1
+	}, Log: slog.New(slog.DiscardHandler)})
+	g := newGateway(t, nil)
+	v, err := logins.NewVerifier("secret")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.pgwire.DefaultClass, g.pgwire.WriteClass = "lookup", "write"
+	g.pgwire.Users = logins.NewUsers([]logins.User{{Name: "desk", Verifier: v}})
+	g.pgwire.TLS, g.pgwire.RequireTLS = serverTLS(certificate(t)), true
+	return g.postgres(ln.Addr().String())
+}
+
+// What programs do every day with pgx.
+func TestPgx(t *testing.T) {
+	g := everyday(t)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	open := func(password string) (*pgx.Conn, error) {
+		return pgx.Connect(ctx, fmt.Sprintf("postgres://desk:%s@%s/register?sslmode=require", password, g.addr))
+	}
+	if _, err := open("wrong"); err == nil || !strings.Contains(err.Error(), "28P01") {
+		t.Errorf("a wrong password: %v", err)
+	}
+	if _, err := pgx.Connect(ctx, fmt.Sprintf("postgres://desk:secret@%s/register?sslmode=disable", g.addr)); err == nil {
+		t.Error("it was let in without encryption")
+	}
+	c, err := open("secret")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close(ctx)
+	first := func(q interface {
+		QueryRow(ctx context.Context, sql string, args ...any) pgx.Row
+	}, text string, args ...any) string {
+		t.Helper()
+		var got string
+		if err := q.QueryRow(ctx, text, args...).Scan(&got); err != nil {
+			t.Errorf("%s: %v", text, err)
+		}
+		return got
+	}
+	if got := first(c, "SELECT part FROM stock_1.parts WHERE id = $1", "a"); got != "SELECT part FROM stock_1.parts WHERE id = $1" {
+		t.Error(got)
+	}
+	if err := c.Ping(ctx); err != nil {
+		t.Errorf("ping: %v", err)
+	}
+	if _, err := c.Exec(ctx, "UPDATE parts SET a = $1", "x"); err != nil {
+		t.Errorf("exec: %v", err)
+	}
+	if _, err := c.Prepare(ctx, "named", "SELECT $1"); err != nil {
+		t.Errorf("prepare: %v", err)
+	}
+	first(c, "named", "x")
+	if err := c.Deallocate(ctx, "named"); err != nil {
+		t.Errorf("deallocate: %v", err)
+	}
+	var b pgx.Batch
+	for i := range 5 {
+		b.Queue("SELECT $1", fmt.Sprint(i))
+	}
+	r := c.SendBatch(ctx, &b)
+	for range 5 {
+		first(batchRow{r}, "")
+	}
+	if err := r.Close(); err != nil {
+		t.Errorf("batch: %v", err)
+	}
+	tx, err := c.BeginTx(ctx, pgx.TxOptions{IsoLevel: pgx.Serializable})
+	if err != nil {
+		t.Fatal(err)
+	}
+	first(tx, "SELECT $1", "x")
+	inner, err := tx.Begin(ctx) // a savepoint
+	if err != nil {
+		t.Fatalf("savepoint: %v", err)
+	}
+	var e *pgconn.PgError
+	if _, err := inner.Exec(ctx, "SELECT 1/0"); !errors.As(err, &e) || e.Code != "22012" {
+		t.Errorf("an engine's error: %v", err)
+	}
+	if err := inner.Rollback(ctx); err != nil {
+		t.Errorf("rollback to a savepoint: %v", err)
+	}
+	if _, err := tx.Exec(ctx, "DECLARE c CURSOR FOR SELECT 1"); err != nil {
+		t.Errorf("cursor: %v", err)
+	}
+	first(tx, "FETCH 2 FROM c")
+	if err := tx.Commit(ctx); err != nil {
+		t.Errorf("commit: %v", err)
+	}
+	if err := pgx.BeginFunc(ctx, c, func(pgx.Tx) error { return errors.New("no") }); err == nil {
+		t.Error("a function's error was lost")
+	}
+	if s := c.PgConn().TxStatus(); s != 'I' {
+		t.Errorf("behind it all its status is %c", s)
+	}
+	short, end := context.WithTimeout(ctx, 200*time.Millisecond)
+	defer end()
+	if _, err := c.Exec(short, "SELECT pg_sleep(60)"); err == nil {
+		t.Error("it did not heed its context")
+	}
+	pool, err := pgxpool.New(ctx, fmt.Sprintf("postgres://desk:secret@%s/register?sslmode=require&pool_max_conns=4", g.addr))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer pool.Close()
+	done := make(chan error, 20)
+	for range 20 {
+		go func() {
+			done <- pgx.BeginFunc(ctx, pool, func(tx pgx.Tx) error {
+				_, err := tx.Exec(ctx, "UPDATE parts SET a = 1")
+				return err
+			})
+		}()
+	}
+	for range 20 {
+		if err := <-done; err != nil {
+			t.Errorf("a pool: %v", err)
+		}
+	}
+}
+
+type batchRow struct{ r pgx.BatchResults }
+
+func (b batchRow) QueryRow(context.Context, string, ...any) pgx.Row { return b.r.QueryRow() }
+
+// The same with lib/pq behind database/sql.
+func TestLibPq(t *testing.T) {
+	g := everyday(t)
+	host, port, _ := net.SplitHostPort(g.addr)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	db, err := sql.Open("postgres", fmt.Sprintf("host=%s port=%s user=desk password=secret dbname=register sslmode=require", host, port))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer db.Close()
+	db.SetMaxOpenConns(3)
+	var got string
+	if err := db.QueryRowContext(ctx, "SELECT part FROM stock_1.parts").Scan(&got); err != nil || got != "SELECT part FROM stock_1.parts" {
+		t.Errorf("query: %q, %v", got, err)
+	}
+	if err := db.QueryRowContext(ctx, "SELECT $1", "x").Scan(&got); err != nil {
+		t.Errorf("query with a value: %v", err)
+	}
+	if err := db.PingContext(ctx); err != nil {
+		t.Errorf("ping: %v", err)
+	}
+	st, err := db.PrepareContext(ctx, "SELECT $1")
+	if err != nil {
+		t.Fatalf("prepare: %v", err)
+	}
+	for range 5 {
+		if err := st.QueryRowContext(ctx, "x").Scan(&got); err != nil {
+			t.Errorf("prepared: %v", err)
+		}
+	}
+	tx, err := db.BeginTx(ctx, &sql.TxOptions{Isolation: sql.LevelSerializable})
+	if err != nil {
+		t.Fatalf("begin: %v", err)
+	}
+	if _, err := tx.ExecContext(ctx, "UPDATE parts SET a = $1", "x"); err != nil {
+		t.Errorf("exec in a transaction: %v", err)
+	}
+	if err := tx.Commit(); err != nil {
+		t.Errorf("commit: %v", err)
+	}
+	if tx, err = db.BeginTx(ctx, &sql.TxOptions{ReadOnly: true}); err != nil {
+		t.Fatalf("begin read only: %v", err)
+	}
+	if err := tx.QueryRowContext(ctx, "SELECT 1").Scan(&got); err != nil {
+		t.Errorf("query in a transaction: %v", err)
+	}
+	if err := tx.Rollback(); err != nil {
+		t.Errorf("rollback: %v", err)
+	}
+	if bad, err := sql.Open("postgres", fmt.Sprintf("host=%s port=%s user=desk password=wrong sslmode=require", host, port)); err != nil || bad.PingContext(ctx) == nil {
+		t.Errorf("a wrong password: %v", err)
+	}
+}
