Take several statements in one Query, as one transaction

Migrations and psql send them together, and 0A000 was the answer. They are parted where PostgreSQL parts them and run in a transaction of their own, or in those that the message names; the first error ends the message and what it began.

--- a/internal/front/pgwire/extended.go
+++ b/internal/front/pgwire/extended.go
@@ -40,6 +40,15 @@
 
 // prepare reads a statement; once tells that it runs no more than one time.
 func (k *conn) prepare(query string, types []byte, once bool) (*statement, *pgproto.Error) {
+	return k.read(query, types, once, k.tx != nil)
+}
+
+// prepareIn reads one of several statements of a Query; open tells whether a transaction is open by then.
+func (k *conn) prepareIn(query string, open bool) (*statement, *pgproto.Error) {
+	return k.read(query, noTypes, true, open)
+}
+
+func (k *conn) read(query string, types []byte, once, open bool) (*statement, *pgproto.Error) {
 	var read *shape.Statement
 	switch shapes := k.front.opts.Shapes; {
 	case shapes == nil:
@@ -48,7 +57,7 @@
 	default:
 		read = shapes.Read(query, k.front.opts.ReadOnly)
 	}
-	empty, control, e := check(query, read, k.tx != nil)
+	empty, control, e := check(query, read, open)
 	if e != nil {
 		return nil, e
 	}
@@ -334,7 +343,7 @@
 // writes to them.
 var noTypes, noValues = make([]byte, 2), make([]byte, 6)
 
-// query answers a Query of one statement.
+// query answers a Query.
 func (k *conn) query(body []byte) *pgproto.Error {
 	k.simple = true
 	r := pgproto.Reader{B: body}
@@ -345,6 +354,11 @@
 	if done, e := k.setting(query); done || e != nil {
 		return e
 	}
+	if strings.IndexByte(query, ';') >= 0 {
+		if parts := sqltext.Split(query); len(parts) > 1 {
+			return k.several(parts)
+		}
+	}
 	s, e := k.prepare(query, noTypes, true)
 	if e != nil {
 		return e
--- a/internal/front/pgwire/front.go
+++ b/internal/front/pgwire/front.go
@@ -515,7 +515,13 @@
 // skipped to the next Sync, or, after a Query, nothing is.
 func (k *conn) failed(e *pgproto.Error) {
 	k.front.stats.Add("pgwire.errors." + e.Code)
-	if k.out = pgproto.Append(k.out, 'E', e.Body()); k.tx != nil {
+	k.out = pgproto.Append(k.out, 'E', e.Body())
+	switch {
+	case k.tx == nil:
+	case k.tx.implicit: // nothing of its message stays
+		k.abandon()
+		k.close()
+	default:
 		k.tx.failed = true
 	}
 	if k.simple {
--- a/internal/front/pgwire/transaction.go
+++ b/internal/front/pgwire/transaction.go
@@ -20,13 +20,14 @@
 // writes: the module chooses an engine for its first statement, and what follows goes to
 // the same connection. What of it may have run is never repeated.
 type transaction struct {
-	begin   string        // the statement that began it
-	request *core.Request // nil before its first statement, and once it is lost
-	failed  bool          // until its end everything is refused (25P02)
-	ending  bool          // its last statement is out
-	idle    *deadline.Entry
-	limit   *deadline.Entry
-	then    func(core.Answer) // of the statement that is out
+	begin    string        // the statement that began it
+	request  *core.Request // nil before its first statement, and once it is lost
+	failed   bool          // until its end everything is refused (25P02)
+	ending   bool          // its last statement is out
+	implicit bool          // of one message with several statements, and over with it
+	idle     *deadline.Entry
+	limit    *deadline.Entry
+	then     func(core.Answer) // of the statement that is out
 }
 
 // controls are the statements that begin, end and divide transactions.
@@ -74,7 +75,7 @@
 // client that it is done. What only the engine can do goes to it.
 func (k *conn) control(s *statement, bind []byte, said func(tag string)) *pgproto.Error {
 	words := strings.Fields(strings.ToUpper(strings.TrimRight(s.query, "; \t\r\n")))
-	back := s.control == "ROLLBACK" && strings.Contains(" "+strings.Join(words, " ")+" ", " TO ")
+	back := s.control == "ROLLBACK" && toSavepoint(s.query)
 	if words[len(words)-1] == "CHAIN" && !strings.Contains(strings.Join(words, " "), "NO CHAIN") || len(words) > 1 && words[1] == "PREPARED" {
 		return fail("0A000", "%s is not supported", strings.Join(words, " "))
 	}
@@ -133,6 +134,11 @@
 	return nil
 }
 
+// toSavepoint tells whether a ROLLBACK goes back to a savepoint only.
+func toSavepoint(query string) bool {
+	return strings.Contains(" "+strings.Join(strings.Fields(strings.ToUpper(query)), " ")+" ", " TO ")
+}
+
 // divide passes a savepoint on, which needs a transaction and an engine that has it.
 func (k *conn) divide(s *statement, bind []byte, said func(tag string)) *pgproto.Error {
 	if k.tx == nil {
--- /dev/null
+++ b/internal/sqltext/split.go
@@ -0,0 +1,28 @@
+package sqltext
+
+// Split parts a text into its statements, as PostgreSQL does for a simple Query: at semicolons that
+// stand in no parentheses, quotes or comments. What holds no token is left out. A body in SQL
+// (BEGIN ATOMIC) is not seen as one: its parts are no statements, and an engine says so.
+func Split(text string) (all []string) {
+	l := Lexer{Src: text}
+	begin, depth, any := 0, 0, false
+	for t := l.Next(); t.Kind != End; t = l.Next() {
+		switch {
+		case t.Kind == Semicolon && depth <= 0:
+			if any {
+				all = append(all, text[begin:t.Start])
+			}
+			begin, any = t.End, false
+			continue
+		case t.Kind == Open:
+			depth++
+		case t.Kind == Close:
+			depth--
+		}
+		any = true
+	}
+	if any {
+		all = append(all, text[begin:])
+	}
+	return all
+}
--- a/internal/stories/postgres_test.go
+++ b/internal/stories/postgres_test.go
@@ -139,7 +139,7 @@
 		"unknown class":     {[]string{addr}, nil, run("/* class=x */ SELECT 1"), "E(42704) Z", 0},
 		"transaction":       {[]string{addr}, nil, run("BEGIN"), "1 2 C(BEGIN) N C(BEGIN) Z", 0},
 		"copy":              {[]string{addr}, nil, [][]byte{query("COPY x FROM STDIN")}, "E(0A000) Z", 0},
-		"two statements":    {[]string{addr}, nil, [][]byte{query("SELECT 1; SELECT 2")}, "E(0A000) Z", 0},
+		"two in a Parse":    {[]string{addr}, nil, run("SELECT 1; SELECT 2"), "E(0A000) Z", 0},
 		"empty":             {[]string{addr}, nil, [][]byte{query(" -- nothing\n;")}, "I Z", 0},
 		"malformed Bind":    {[]string{addr}, nil, [][]byte{parse("", "SELECT 1"), pgproto.Append(nil, 'B', []byte("\x00\x00\x00\x07")), sync}, "1 E(08P01) Z", 0},
 		"malformed message": {[]string{addr}, nil, [][]byte{{'E', 0, 0, 0, 1}}, "E(08P01) end", 0},
--- a/internal/stories/transactions_test.go
+++ b/internal/stories/transactions_test.go
@@ -264,3 +264,33 @@
 		t.Error(w)
 	}
 }
+
+// Several statements in one Query are one transaction, or stand in those that they name; the first error
+// ends the message, and what it began.
+func TestSeveralStatements(t *testing.T) {
+	g, h := transacting(t, nil)
+	k := connect(t, g.addr)
+	row := func(s string) string { return "T D(" + s + ") D() C(SELECT 2) " }
+	for _, tt := range [][2]string{
+		{"UPDATE a SET b = 1; SELECT 2 ; ", row("UPDATE a SET b = 1") + row(" SELECT 2 ") + "ZI"},
+		{"SELECT 3; SELECT 1/0; SELECT 4", row("SELECT 3") + "E(22012) ZI"},
+		{"BEGIN; SELECT 5; COMMIT; BEGIN; SELECT 6", "C(BEGIN) " + row(" SELECT 5") + "C(COMMIT) C(BEGIN) " + row(" SELECT 6") + "ZT"},
+		{"SELECT 7; SELECT 1/0", row("SELECT 7") + "E(22012) ZE"},
+		{"ROLLBACK", "C(ROLLBACK) ZI"},
+		{"BEGIN; SELECT 8; COMMIT; SELECT 9", "E(0A000) ZI"},
+		{"SELECT 1; COPY x FROM STDIN", "E(0A000) ZI"},
+	} {
+		if w := k.says(tt[0]); w != tt[1] {
+			t.Errorf("%s: %s, want %s", tt[0], w, tt[1])
+		}
+	}
+	all := strings.Join(h.said(), " | ")
+	for _, want := range []string{"BEGIN; UPDATE a SET b = 1;  SELECT 2 ; COMMIT; DISCARD ALL", "BEGIN; SELECT 3;  SELECT 1/0"} {
+		if !strings.Contains(all, want) {
+			t.Errorf("the engine was told %s, wanted is %s", all, want)
+		}
+	}
+	if strings.Contains(all, "SELECT 4") || strings.Contains(all, "SELECT 8") || strings.Contains(all, "SELECT 9") {
+		t.Errorf("what stood behind an error was sent: %s", all)
+	}
+}
