--- a/cmd/ringwood/serve.go
+++ b/cmd/ringwood/serve.go
@@ -257,7 +257,7 @@
 		return err
 	}
 	g.core.SetLinks(pg.New(g.loop, g.core, pg.Options{
-		User: p.User, Database: p.Database,
+		User: p.User, Database: p.Database, Password: p.Engine.Password, TLS: p.Engine.Config,
 		ConnectTimeout: config.FromMS(p.ConnectWithin), IdleClose: config.FromMS(p.IdleClose),
 		MostHeld: part(p.MemoryMB, 4),
 	}, g.counters, g.log))
--- a/internal/config/postgres.go
+++ b/internal/config/postgres.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"iter"
@@ -35,6 +36,7 @@
 	IdleClose     float64 `toml:"idle_close_ms"`
 	Consul        Consul
 	TLS           TLS
+	Engine        Engine
 	Shapes        Shapes
 	Site          Site `toml:"-"`
 }
@@ -56,6 +58,17 @@
 	Config      *tls.Config `toml:"-"`
 }
 
+// Engine says how engines are spoken to beside their user and database.
+type Engine struct {
+	PasswordFile string `toml:"password_file"` // one line, beside the deploy file; "": no password
+	TLS          bool   // connections are encrypted, or there are none
+	Authority    string // that engines' certificates are signed by, PEM; "": those of the system
+	ServerName   string `toml:"server_name"` // that they name; "": the authority alone is checked
+
+	Password string      `toml:"-"`
+	Config   *tls.Config `toml:"-"`
+}
+
 // Consul is where the roster of engines is read.
 type Consul struct{ Address, Service, Token, Zone, Kind string }
 
@@ -141,6 +154,52 @@
 		p.users(c, dir)
 	}
 	p.TLS.load(c, dir)
+	p.Engine.load(c, dir)
+}
+
+// load reads the password, and whom to trust.
+func (e *Engine) load(c *checker, dir string) {
+	if e.PasswordFile != "" {
+		raw, err := os.ReadFile(beside(dir, e.PasswordFile))
+		if err != nil {
+			c.add("engine.password_file", "%v", err)
+		}
+		if e.Password = strings.TrimRight(string(raw), "\r\n"); err == nil && e.Password == "" {
+			c.add("engine.password_file", "it holds no password")
+		}
+	}
+	if !e.TLS {
+		c.must(e.Authority == "" && e.ServerName == "", "engine.tls", "it is off, and what it would check is named")
+		return
+	}
+	e.Config = &tls.Config{MinVersion: tls.VersionTLS12, ServerName: e.ServerName}
+	if e.Authority != "" {
+		raw, err := os.ReadFile(beside(dir, e.Authority))
+		e.Config.RootCAs = x509.NewCertPool()
+		if err != nil || !e.Config.RootCAs.AppendCertsFromPEM(raw) {
+			c.add("engine.authority", "it can't be read, or holds no certificate: %v", err)
+		}
+	}
+	if e.ServerName == "" { // engines are known by address: the authority vouches for them
+		roots := e.Config.RootCAs
+		e.Config.InsecureSkipVerify = true
+		e.Config.VerifyConnection = func(s tls.ConnectionState) error {
+			opts := x509.VerifyOptions{Roots: roots, Intermediates: x509.NewCertPool()}
+			for _, one := range s.PeerCertificates[1:] {
+				opts.Intermediates.AddCert(one)
+			}
+			_, err := s.PeerCertificates[0].Verify(opts)
+			return err
+		}
+	}
+}
+
+// beside is a file whose name counts from a folder.
+func beside(dir, file string) string {
+	if filepath.IsAbs(file) {
+		return file
+	}
+	return filepath.Join(dir, file)
 }
 
 // load reads the certificate and its key.
@@ -150,13 +209,7 @@
 		c.must(!t.Require, "tls.require", "there is no certificate")
 		return
 	}
-	beside := func(file string) string {
-		if filepath.IsAbs(file) {
-			return file
-		}
-		return filepath.Join(dir, file)
-	}
-	cert, err := tls.LoadX509KeyPair(beside(t.Certificate), beside(t.Key))
+	cert, err := tls.LoadX509KeyPair(beside(dir, t.Certificate), beside(dir, t.Key))
 	if err != nil {
 		c.add("tls.certificate", "%v", err)
 		return
@@ -166,11 +219,7 @@
 
 // users reads the file of users that the file names.
 func (p *Postgres) users(c *checker, dir string) {
-	file := p.Users
-	if !filepath.IsAbs(file) {
-		file = filepath.Join(dir, file)
-	}
-	all, err := loadUsers(file, p.Site.Policy.Classes)
+	all, err := loadUsers(beside(dir, p.Users), p.Site.Policy.Classes)
 	var faults Faults
 	switch {
 	case errors.As(err, &faults):
@@ -183,10 +232,7 @@
 
 // site reads the settings that the file names.
 func (p *Postgres) site(c *checker, dir string) bool {
-	file := p.Settings
-	if !filepath.IsAbs(file) {
-		file = filepath.Join(dir, file)
-	}
+	file := beside(dir, p.Settings)
 	raw, err := os.ReadFile(file)
 	if err != nil {
 		c.add("settings", "%v", err)
--- a/internal/engine/pg/links.go
+++ b/internal/engine/pg/links.go
@@ -3,6 +3,7 @@
 package pg
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -16,6 +17,8 @@
 	"gannetspur/internal/pgproto"
 	"gannetspur/internal/stats"
 	"gannetspur/policy"
+
+	"github.com/xdg-go/scram"
 )
 
 const (
@@ -35,6 +38,8 @@
 // Options say how engines are spoken to.
 type Options struct {
 	User, Database string
+	Password       string        // for engines that want SCRAM-SHA-256; "": none
+	TLS            *tls.Config   // nil: connections are not encrypted; else an engine that declines is not spoken to
 	ConnectTimeout time.Duration // for the connection and its startup together
 	IdleClose      time.Duration // 0: idle connections stay open
 	MostHeld       int           // bytes of rows of all results that are on their way
@@ -48,7 +53,8 @@
 	stats   *stats.Counters
 	log     *slog.Logger
 	engines *engine.Pool[*link]
-	size    int // of the rows on their way
+	size    int           // of the rows on their way
+	prover  *scram.Client // keeps what it has worked out for each engine's salt; nil: no password
 }
 
 // New returns links that report to the core.
@@ -59,7 +65,14 @@
 	if opts.MostHeld <= 0 {
 		opts.MostHeld = usualHeld
 	}
-	return &Links{loop: loop, core: c, opts: opts, stats: counters, log: l, engines: engine.NewPool[*link]()}
+	ls := &Links{loop: loop, core: c, opts: opts, stats: counters, log: l, engines: engine.NewPool[*link]()}
+	if opts.Password != "" {
+		var err error
+		if ls.prover, err = scram.SHA256.NewClient("", opts.Password, ""); err != nil { // its text is no password: engines will say so
+			l.Error("engine.password", "error", err)
+		}
+	}
+	return ls
 }
 
 // link is one connection, from the start of its dial.
@@ -68,6 +81,8 @@
 	engine  *engine.Engine[*link]
 	conn    *netio.Conn // nil until it is up
 	ready   bool        // its startup is over
+	asking  bool        // whether it takes TLS
+	proving *scram.ClientConversation
 	retired bool
 	used    time.Duration
 	stall   *deadline.Entry   // ends it in the middle of a message
@@ -127,11 +142,12 @@
 			return
 		}
 		l.conn = c
-		var body []byte
-		for _, s := range []string{"user", ls.opts.User, "database", ls.opts.Database, "application_name", "ringwood"} {
-			body = append(body, pgproto.Str(s)...)
+		if ls.opts.TLS != nil {
+			l.asking = true
+			c.Write(pgproto.AppendStartup(nil, pgproto.SSLReq, nil))
+		} else {
+			l.greet()
 		}
-		c.Write(pgproto.AppendStartup(nil, pgproto.Version, append(body, 0)))
 		ls.loop.Timers.Add(by, func() { // one that accepts and then says nothing
 			if !l.ready && l.conn != nil {
 				l.close(core.EndConnectTimeout)
@@ -265,7 +281,7 @@
 	})
 }
 
-type silent struct{}
+type silent struct{} // of a connection for a CancelRequest
 
 func (silent) Data(_ *netio.Conn, in *netio.Buffer) { in.Consume(in.Len()) }
 func (silent) Closed(*netio.Conn, error)            {}
@@ -293,6 +309,10 @@
 
 // Data reads the messages that are whole.
 func (l *link) Data(_ *netio.Conn, in *netio.Buffer) {
+	if l.asking {
+		l.encrypt(in)
+		return
+	}
 	for l.end == core.EndUnknown {
 		kind, body, n, err := pgproto.Next(in.Bytes(), maxMessage)
 		if err == nil && n > 0 {
@@ -356,9 +376,7 @@
 func (l *link) startup(kind byte, body []byte) error {
 	switch kind {
 	case 'R':
-		if r := (pgproto.Reader{B: body}); r.Int32() != 0 {
-			return errors.New("it wants a kind of authentication that is not spoken here")
-		}
+		return l.authenticate(body)
 	case 'K':
 		l.key = append([]byte{}, body...)
 	default:
--- a/internal/lab/emul/pg.go
+++ b/internal/lab/emul/pg.go
@@ -1,6 +1,7 @@
 package emul
 
 import (
+	"crypto/tls"
 	"encoding/binary"
 	"net"
 	"regexp"
@@ -10,6 +11,7 @@
 	"time"
 
 	"gannetspur/internal/lab/model"
+	"gannetspur/internal/logins"
 	"gannetspur/internal/pgproto"
 )
 
@@ -91,9 +93,24 @@
 			return err
 		}
 		if in = in[n:]; n > 0 {
-			if code == pgproto.CancelReq {
+			switch code {
+			case pgproto.CancelReq:
 				log.Info("given up")
 				return nil
+			case pgproto.SSLReq:
+				if opts.TLS == nil {
+					_, _ = c.Write([]byte("N"))
+					continue
+				}
+				_, _ = c.Write([]byte("S"))
+				c = tls.Server(c, opts.TLS)
+				continue
+			}
+			if opts.Logins != nil {
+				if in, err = proved(c, string(body), in, opts.Logins); err != nil {
+					return err
+				}
+				break
 			}
 			if opts.User != "" && !strings.Contains(string(body), "user\x00"+opts.User+"\x00") {
 				e := pgproto.Error{Severity: "FATAL", Code: "28000", Message: "this user is not trusted here"}
@@ -205,6 +222,53 @@
 	}
 }
 
+// proved has a client log in by SCRAM, and returns what it has sent ahead.
+func proved(c net.Conn, startup string, in []byte, users *logins.Users) (rest []byte, err error) {
+	_, user, _ := strings.Cut("\x00"+startup, "\x00user\x00")
+	user, _, _ = strings.Cut(user, "\x00")
+	l, err := users.Begin(user)
+	if err != nil {
+		return nil, err
+	}
+	out := pgproto.Append(nil, 'R', pgproto.Int32(10), pgproto.Str(logins.Mechanism), []byte{0})
+	p := make([]byte, 4096)
+	for step := 0; ; step++ {
+		if _, err := c.Write(out); err != nil {
+			return nil, err
+		}
+		var body []byte
+		for n := 0; n == 0; {
+			if _, body, n, err = pgproto.Next(in, 1<<16); err != nil {
+				return nil, err
+			} else if n > 0 {
+				in = in[n:]
+				break
+			}
+			m, err := c.Read(p)
+			if err != nil {
+				return nil, err
+			}
+			in = append(in, p[:m]...)
+		}
+		if step == 0 {
+			r := pgproto.Reader{B: body}
+			r.Str()
+			body = r.Bytes(r.Int32())
+		}
+		answer, done, err := l.Step(string(body))
+		if err != nil {
+			e := pgproto.Error{Severity: "FATAL", Code: "28P01", Message: "password authentication failed"}
+			_, _ = c.Write(pgproto.Append(nil, 'E', e.Body()))
+			return nil, err
+		}
+		if done {
+			_, err = c.Write(pgproto.Append(nil, 'R', pgproto.Int32(12), []byte(answer)))
+			return in, err
+		}
+		out = pgproto.Append(nil, 'R', pgproto.Int32(11), []byte(answer))
+	}
+}
+
 // watch tells when a connection has ended, while nobody reads it.
 type watch struct {
 	closed  chan struct{}
--- a/internal/netio/secure.go
+++ b/internal/netio/secure.go
@@ -102,13 +102,22 @@
 // connection is closed behind it. From then on the handler is told of plain bytes, and Write
 // encrypts; nothing may be written before. Such a connection can't be detached.
 func (c *Conn) Secure(cfg *tls.Config, within time.Duration, done func(tls.ConnectionState, error)) {
+	c.secured(func(p net.Conn) *tls.Conn { return tls.Server(p, cfg) }, within, done)
+}
+
+// SecureAsClient begins TLS as the side that has dialled.
+func (c *Conn) SecureAsClient(cfg *tls.Config, within time.Duration, done func(tls.ConnectionState, error)) {
+	c.secured(func(p net.Conn) *tls.Conn { return tls.Client(p, cfg) }, within, done)
+}
+
+func (c *Conn) secured(over func(net.Conn) *tls.Conn, within time.Duration, done func(tls.ConnectionState, error)) {
 	s := &secure{c: c, buf: make([]byte, secureRead)}
 	s.pipe = &pipe{waits: true, addr: c.nc.RemoteAddr(), write: func(b []byte) {
 		own := append([]byte(nil), b...)
 		c.loop.Post(func() { c.writeRaw(own) })
 	}}
 	s.pipe.ready = sync.NewCond(&s.pipe.mu)
-	s.conn = tls.Server(s.pipe, cfg)
+	s.conn = over(s.pipe)
 	c.secure = s
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	go func() {
--- a/internal/stories/encryption_test.go
+++ b/internal/stories/encryption_test.go
@@ -2,14 +2,20 @@
 
 import (
 	"crypto/tls"
+	"crypto/x509"
 	"io"
+	"log/slog"
 	"net"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"gannetspur/internal/engine/pg"
 	"gannetspur/internal/lab/authority"
+	"gannetspur/internal/lab/emul"
+	"gannetspur/internal/logins"
 	"gannetspur/internal/pgproto"
 )
 
@@ -208,3 +214,74 @@
 		t.Errorf("in the clear: %s", w)
 	}
 }
+
+// Engines that want a password and encryption: a right password and a known authority, and statements
+// run; anything else, and nothing is sent.
+func TestGuardedEngines(t *testing.T) {
+	dir := t.TempDir()
+	ca, err := authority.New("engines")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ca.Issue(dir, "engine", "lalitpur", "engine", authority.Tomorrow()); err != nil {
+		t.Fatal(err)
+	}
+	if err := ca.Write(dir); err != nil {
+		t.Fatal(err)
+	}
+	cert, err := tls.LoadX509KeyPair(filepath.Join(dir, "engine.pem"), filepath.Join(dir, "engine.key"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := os.ReadFile(filepath.Join(dir, "authority.pem"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	known := x509.NewCertPool()
+	known.AppendCertsFromPEM(raw)
+	trusting := func(pool *x509.CertPool) *tls.Config {
+		return &tls.Config{InsecureSkipVerify: true, VerifyConnection: func(s tls.ConnectionState) error {
+			_, err := s.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: pool})
+			return err
+		}}
+	}
+	v, err := logins.NewVerifier("of the gateway")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ran := "T D(SELECT 1) D() C(SELECT 2) ZI"
+	for name, tt := range map[string]struct {
+		engine *tls.Config // that the engine has
+		opts   pg.Options
+		want   string
+	}{
+		"both":                  {serverTLS(cert), pg.Options{Password: "of the gateway", TLS: trusting(known)}, ran},
+		"a password alone":      {nil, pg.Options{Password: "of the gateway"}, ran},
+		"a wrong password":      {nil, pg.Options{Password: "another"}, "E(53000 hint) ZI"},
+		"no password":           {nil, pg.Options{}, "E(53000 hint) ZI"},
+		"it declines":           {nil, pg.Options{Password: "of the gateway", TLS: trusting(known)}, "E(53000 hint) ZI"},
+		"another's certificate": {serverTLS(certificate(t)), pg.Options{Password: "of the gateway", TLS: trusting(known)}, "E(53000 hint) ZI"},
+	} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = ln.Close() })
+		ranOn := make(chan string, 10)
+		go emul.Postgres(ln, emul.Options{
+			Work:   func(string) (time.Duration, float64) { return time.Millisecond, 1 },
+			Logins: logins.NewUsers([]logins.User{{Name: "ringwood", Verifier: v}}), TLS: tt.engine, Log: slog.New(slog.DiscardHandler),
+			Heard: func(_, text string) { ranOn <- text },
+		})
+		g := newGateway(t, nil)
+		g.pgwire.DefaultClass, g.pgwire.WriteClass = "lookup", "write"
+		g.engine = tt.opts
+		g.postgres(ln.Addr().String())
+		if w := connect(t, g.addr).says("SELECT 1"); w != tt.want {
+			t.Errorf("%s: %s, want %s", name, w, tt.want)
+		}
+		if (len(ranOn) > 0) != (tt.want == ran) {
+			t.Errorf("%s: the engine was told %d statements", name, len(ranOn))
+		}
+	}
+}
--- a/internal/stories/peers_test.go
+++ b/internal/stories/peers_test.go
@@ -42,6 +42,7 @@
 	options rest.Options
 	pgwire  pgwire.Options
 	front   *pgwire.Front
+	engine  pg.Options // how engines are spoken to, beside user and database
 }
 
 // newGateway reads the settings of the deploy folder; change may change them.
@@ -141,7 +142,8 @@
 func (g *gateway) postgres(engines ...string) *gateway {
 	t := g.t
 	t.Helper()
-	g.core.SetLinks(pg.New(g.loop, g.core, pg.Options{User: "ringwood", Database: "register"}, g.stats, g.log))
+	g.engine.User, g.engine.Database = "ringwood", "register"
+	g.core.SetLinks(pg.New(g.loop, g.core, g.engine, g.stats, g.log))
 	if g.pgwire.DefaultClass == "" {
 		g.pgwire = pgwire.Options{
 			DefaultClass: "lookup", WriteClass: "write", Rules: []pgwire.Rule{{Starts: "insert into", Class: "load", Key: 1}},
