--- a/cmd/ringlab/fleet.go
+++ b/cmd/ringlab/fleet.go
@@ -82,11 +82,11 @@
 	Scenarios []string
 }
 
-// many runs jobs on all cores.
-func many(n int, job func(i int) error) error {
+// many runs jobs, so many side by side.
+func many(n, atOnce int, job func(i int) error) error {
 	var wg sync.WaitGroup
 	errs := make([]error, n)
-	room := make(chan struct{}, runtime.NumCPU())
+	room := make(chan struct{}, atOnce)
 	for i := range n {
 		wg.Add(1)
 		go func() {
@@ -135,7 +135,7 @@
 	}
 	bar := progress(c.Quiet, e.Name, len(runs))
 	var mu sync.Mutex
-	err = many(len(runs), func(i int) (err error) {
+	err = many(len(runs), runtime.NumCPU(), func(i int) (err error) {
 		r := runs[i]
 		o := e.options(set)
 		o.Way, o.Seed, o.Sites = r.way, r.seed, e.Sites
@@ -250,7 +250,7 @@
 	}
 	bar := progress(c.Quiet, e.Name, len(runs))
 	var mu sync.Mutex
-	err = many(len(runs), func(i int) (err error) {
+	err = many(len(runs), runtime.NumCPU(), func(i int) (err error) {
 		r := runs[i]
 		o := e.options(set)
 		o.Sites, o.Seed, o.Neighbour = r.sites, r.seed, e.Neighbour
--- a/cmd/ringlab/sites.go
+++ b/cmd/ringlab/sites.go
@@ -149,11 +149,8 @@
 		}
 	}
 	bar := progress(c.Quiet, e.Name, len(runs))
-	room := make(chan struct{}, e.AtOnce)
-	err = many(len(runs), func(i int) (err error) {
+	err = many(len(runs), e.AtOnce, func(i int) (err error) {
 		r := runs[i]
-		room <- struct{}{}
-		defer func() { <-room }()
 		sub := filepath.Join(dir, fmt.Sprint(i))
 		if err := os.Mkdir(sub, 0o700); err != nil {
 			return err
