Let settings follow their client from engine to engine, unseen by any other

SET was refused but for statement_timeout. A client's settings are kept with it, checked by an engine once, and given to whatever session its statement comes on ahead of it, only where they differ. A story of 600 steps by four clients on one engine finds no statement under another's settings; what calls set_config has its session told DISCARD ALL.

--- a/internal/engine/pg/codec.go
+++ b/internal/engine/pg/codec.go
@@ -7,6 +7,7 @@
 	"unicode/utf8"
 
 	"gannetspur/internal/pgproto"
+	"gannetspur/internal/sqltext"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -49,6 +50,14 @@
 	if s.Begin != "" || s.Ends {
 		return nil, fmt.Errorf("%w: a part of a transaction", errCodec)
 	}
+	if len(s.Settings) > mostSettings {
+		return nil, fmt.Errorf("%w: %d settings", errCodec, len(s.Settings))
+	}
+	for _, set := range s.Settings {
+		if word, more := sqltext.FirstWord(set.Text); word != "SET" || more || !plainName(set.Name) {
+			return nil, fmt.Errorf("%w: a setting", errCodec)
+		}
+	}
 	if s.Query == "" || !utf8.ValidString(s.Query) || strings.IndexByte(s.Query, 0) >= 0 {
 		return nil, fmt.Errorf("%w: a statement that is no text", errCodec)
 	}
@@ -79,6 +88,14 @@
 	return &s, nil
 }
 
+// mostSettings bounds those that a statement of another gateway runs under.
+const mostSettings = 64
+
+// plainName tells whether a setting's name can stand in a statement as it is.
+func plainName(name string) bool {
+	return name != "" && strings.Trim(name, "abcdefghijklmnopqrstuvwxyz0123456789_.") == ""
+}
+
 // Result encodes a result.
 func (Codec) Result(result any) ([]byte, error) {
 	r, ok := result.(*pgproto.Result)
--- a/internal/engine/pg/links.go
+++ b/internal/engine/pg/links.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -96,10 +98,12 @@
 	using   string // text and types of the attempt's statement, where it has a name
 	parsing string // the name that this attempt's Parse gives
 	result  *pgproto.Result
-	bound   bool // BindComplete has come: it may be running
-	begins  int  // completions of a transaction's beginning that come ahead of the answer
-	clean   bool // DISCARD ALL is under way: nobody may use it yet
-	whole   bool // CommandComplete or the like has come
+	bound   bool              // BindComplete has come: it may be running
+	begins  int               // completions of a transaction's beginning that come ahead of the answer
+	clean   bool              // DISCARD ALL is under way: nobody may use it yet
+	goes    bool              // the attempt has had an answer, and goes on
+	applied map[string]string // settings of its session, by name
+	whole   bool              // CommandComplete or the like has come
 	failure *pgproto.Error
 }
 
@@ -123,7 +127,7 @@
 	if l == nil {
 		l = ls.dial(e)
 	}
-	l.attempt, l.written = a, false
+	l.attempt, l.written, l.goes = a, false, false
 	l.fresh()
 	a.Link = l
 	if l.ready {
@@ -132,7 +136,7 @@
 }
 
 func (ls *Links) dial(e *engine.Engine[*link]) *link {
-	l := &link{all: ls, engine: e, named: map[string]string{}}
+	l := &link{all: ls, engine: e, named: map[string]string{}, applied: map[string]string{}}
 	e.Links = append(e.Links, l)
 	ls.stats.Add("links.dialed")
 	by := ls.loop.Now() + ls.opts.ConnectTimeout
@@ -169,7 +173,10 @@
 	name, b := l.prepare(s)
 	if s.Begin != "" {
 		l.begins = 1
-		b = append(begin(s.Begin), b...)
+		b = append(ahead(nil, s.Begin), b...)
+	}
+	if !l.goes {
+		b = append(l.settle(s.Settings), b...)
 	}
 	if s.Describe {
 		b = pgproto.Append(b, 'D', []byte("S"), name)
@@ -186,14 +193,37 @@
 	l.result, l.bound, l.begins, l.whole, l.failure = &pgproto.Result{}, false, 0, false, nil
 }
 
-// begin is the messages that begin a transaction. No Sync follows: what is behind them runs only if
-// they do.
-func begin(text string) []byte {
-	b := pgproto.Append(nil, 'P', []byte{0}, pgproto.Str(text), []byte{0, 0})
+// ahead adds the messages of what runs ahead of a statement. No Sync follows: what is behind them runs
+// only if they do.
+func ahead(b []byte, text string) []byte {
+	b = pgproto.Append(b, 'P', []byte{0}, pgproto.Str(text), []byte{0, 0})
 	b = pgproto.Append(b, 'B', []byte{0, 0}, make([]byte, 6))
 	return pgproto.Append(b, 'E', []byte{0}, pgproto.Int32(0))
 }
 
+// settle is the messages that give the session the settings that a statement runs under, and take
+// back those of others: none, where it has them.
+func (l *link) settle(want []pgproto.Setting) (b []byte) {
+	if len(want) == 0 && len(l.applied) == 0 { // nearly all
+		return nil
+	}
+	for _, name := range slices.Sorted(maps.Keys(l.applied)) {
+		if !slices.ContainsFunc(want, func(s pgproto.Setting) bool { return s.Name == name }) {
+			b = ahead(b, "RESET "+name)
+			l.begins++
+			delete(l.applied, name)
+		}
+	}
+	for _, s := range want {
+		if l.applied[s.Name] != s.Text {
+			b = ahead(b, s.Text)
+			l.begins++
+			l.applied[s.Name] = s.Text
+		}
+	}
+	return b
+}
+
 // Continue puts the next statement of a transaction on its connection.
 func (ls *Links) Continue(a *core.Attempt) {
 	l, ok := a.Link.(*link)
@@ -212,6 +242,7 @@
 		return
 	}
 	clear(l.named)
+	clear(l.applied)
 	l.clean = true
 	l.conn.Write(pgproto.Append(nil, 'Q', pgproto.Str("DISCARD ALL")))
 	l.all.loop.Timers.Add(l.all.core.Now()+l.all.opts.ConnectTimeout, func() {
@@ -346,7 +377,12 @@
 
 func (l *link) message(kind byte, body, whole []byte) error {
 	switch kind {
-	case 'N', 'S', 'A': // notices and settings are of the engine's session, which no client owns
+	case 'S':
+		if s := l.statement(); s != nil && s.Sets != "" && l.begins == 0 { // else it is of the session, which no client owns
+			l.result.Status = append(l.result.Status, whole...)
+		}
+		return nil
+	case 'N', 'A': // notices are, too
 		return nil
 	case 'E':
 		e, err := pgproto.ReadError(body)
@@ -354,6 +390,9 @@
 			return err
 		}
 		l.failure = e
+		if l.begins > 0 { // what its session has now isn't known
+			l.retired = true
+		}
 		if !l.ready || e.Severity == "FATAL" {
 			l.fatal()
 		}
@@ -440,6 +479,15 @@
 	l.all.core.End(a, core.EndTooLarge, core.Report{Detail: &pgproto.Error{Severity: "ERROR", Code: code, Message: text}})
 }
 
+// statement is what the attempt on the link runs; nil: there is none.
+func (l *link) statement() *pgproto.Statement {
+	if l.attempt == nil {
+		return nil
+	}
+	s, _ := l.attempt.Request.Statement.(*pgproto.Statement)
+	return s
+}
+
 // clear takes the link's attempt off it.
 func (l *link) clear() {
 	if l.result != nil {
@@ -519,6 +567,7 @@
 	}
 	l.all.size -= len(l.result.Rows)
 	l.fresh()
+	l.goes = true
 	l.all.core.Part(l.attempt, rep)
 	return nil
 }
@@ -557,13 +606,16 @@
 }
 
 func (l *link) finish(end core.End, rep core.Report) {
-	a := l.attempt
+	a, s := l.attempt, l.statement()
+	if s != nil && s.Sets != "" && end == core.EndServed {
+		l.applied[s.Sets] = s.Query
+	}
 	l.clear()
 	l.used = l.all.core.Now()
 	switch {
 	case l.retired:
 		l.close(core.EndIdle)
-	case a.Request.Stream:
+	case a.Request.Stream || s != nil && s.Taints:
 		l.tidy()
 	}
 	l.all.core.End(a, end, rep)
--- a/internal/front/pgwire/class.go
+++ b/internal/front/pgwire/class.go
@@ -123,6 +123,8 @@
 		return false, "", fail("0A000", "only one statement at a time is supported")
 	case controls[word]:
 		return false, word, nil
+	case (word == "SET" || word == "RESET" || word == "DISCARD") && !open:
+		return false, word, nil
 	case unsupported[word] && open && within(word, query):
 	case unsupported[word]:
 		return false, "", fail("0A000", "%s is not supported: statements share their engines' sessions", word)
--- a/internal/front/pgwire/extended.go
+++ b/internal/front/pgwire/extended.go
@@ -61,7 +61,7 @@
 	if e != nil {
 		return nil, e
 	}
-	s := &statement{query: query, types: types, empty: empty, control: control}
+	s := &statement{query: query, types: types, empty: empty, control: control, taints: sqltext.Names(query, "set_config")}
 	if !empty && control == "" {
 		if s.sorted, e = k.front.sort(query, read); e != nil {
 			return nil, e
@@ -432,6 +432,8 @@
 		k.inTransaction(want, served)
 		return
 	}
+	want.Settings = k.settings
+	want.Taints = s.taints
 	f := k.front
 	class := s.class
 	var sorted *shape.Execution
--- a/internal/front/pgwire/front.go
+++ b/internal/front/pgwire/front.go
@@ -176,6 +176,7 @@
 	query   string
 	types   []byte // as in Parse
 	empty   bool
+	taints  bool             // it may leave a setting in its engine's session
 	control string           // BEGIN, COMMIT or the like: it is about the transaction
 	read    *shape.Statement // where shapes are read
 	known   *pgproto.Result  // its description, once an engine gave it
@@ -194,16 +195,17 @@
 
 // conn is one client connection.
 type conn struct {
-	front   *Front
-	conn    *netio.Conn
-	process uint32
-	secret  [4]byte
-	user    string
-	login   *logins.Login // under way
-	proving bool          // its first message has come
-	started bool
-	ended   bool
-	timeout time.Duration // statement_timeout; 0: the class's
+	front    *Front
+	conn     *netio.Conn
+	process  uint32
+	secret   [4]byte
+	user     string
+	login    *logins.Login // under way
+	proving  bool          // its first message has come
+	started  bool
+	ended    bool
+	timeout  time.Duration     // statement_timeout; 0: the class's
+	settings []pgproto.Setting // by name; what is out keeps the slice it has
 
 	statements map[string]*statement
 	portals    map[string]*portal
--- a/internal/front/pgwire/move.go
+++ b/internal/front/pgwire/move.go
@@ -17,16 +17,17 @@
 // process reads them anew, by its own rules.
 
 type connState struct {
-	Process    uint32           `cbor:"1,keyasint"`
-	Secret     [4]byte          `cbor:"2,keyasint"`
-	Started    bool             `cbor:"3,keyasint,omitempty"`
-	Timeout    time.Duration    `cbor:"4,keyasint,omitempty"`
-	Skip       bool             `cbor:"5,keyasint,omitempty"`
-	Describe   bool             `cbor:"6,keyasint,omitempty"`
-	Describing string           `cbor:"7,keyasint,omitempty"`
-	Statements []statementState `cbor:"8,keyasint,omitempty"`
-	Portals    []portalState    `cbor:"9,keyasint,omitempty"`
-	User       string           `cbor:"10,keyasint,omitempty"`
+	Process    uint32            `cbor:"1,keyasint"`
+	Secret     [4]byte           `cbor:"2,keyasint"`
+	Started    bool              `cbor:"3,keyasint,omitempty"`
+	Timeout    time.Duration     `cbor:"4,keyasint,omitempty"`
+	Skip       bool              `cbor:"5,keyasint,omitempty"`
+	Describe   bool              `cbor:"6,keyasint,omitempty"`
+	Describing string            `cbor:"7,keyasint,omitempty"`
+	Statements []statementState  `cbor:"8,keyasint,omitempty"`
+	Portals    []portalState     `cbor:"9,keyasint,omitempty"`
+	User       string            `cbor:"10,keyasint,omitempty"`
+	Settings   []pgproto.Setting `cbor:"11,keyasint,omitempty"`
 }
 
 type statementState struct {
@@ -103,7 +104,7 @@
 // State is what another process needs to go on with a connection that is settled.
 func (k *conn) State() []byte {
 	s := connState{
-		Process: k.process, Secret: k.secret, Started: k.started, Timeout: k.timeout, Skip: k.skip, User: k.user,
+		Process: k.process, Secret: k.secret, Started: k.started, Timeout: k.timeout, Skip: k.skip, User: k.user, Settings: k.settings,
 		Describe: k.describe, Describing: k.describing,
 	}
 	place := map[*statement]int{}
@@ -140,7 +141,7 @@
 	return func(c *netio.Conn) netio.Handler {
 		f.last = max(f.last, s.Process)
 		k := f.enter(c, s.Process)
-		k.secret, k.user, k.started, k.timeout, k.skip = s.Secret, s.User, s.Started, s.Timeout, s.Skip
+		k.secret, k.user, k.settings, k.started, k.timeout, k.skip = s.Secret, s.User, s.Settings, s.Started, s.Timeout, s.Skip
 		k.describe, k.describing = s.Describe, s.Describing
 		all := make([]*statement, len(s.Statements))
 		for i, st := range s.Statements {
--- a/internal/front/pgwire/transaction.go
+++ b/internal/front/pgwire/transaction.go
@@ -74,6 +74,13 @@
 // control carries out a statement that begins, ends or divides a transaction; said tells its
 // client that it is done. What only the engine can do goes to it.
 func (k *conn) control(s *statement, bind []byte, said func(tag string)) *pgproto.Error {
+	switch s.control {
+	case "SET", "RESET", "DISCARD":
+		if k.tx != nil { // it was prepared outside of one
+			return fail("0A000", "%s is not supported in a transaction; SET LOCAL is", s.control)
+		}
+		return k.sets(s, said)
+	}
 	words := strings.Fields(strings.ToUpper(strings.TrimRight(s.query, "; \t\r\n")))
 	back := s.control == "ROLLBACK" && toSavepoint(s.query)
 	if words[len(words)-1] == "CHAIN" && !strings.Contains(strings.Join(words, " "), "NO CHAIN") || len(words) > 1 && words[1] == "PREPARED" {
@@ -290,7 +297,7 @@
 		}
 		return
 	}
-	want.Begin = tx.begin
+	want.Begin, want.Settings = tx.begin, k.settings
 	r := &core.Request{
 		ID: k.id(), Class: class.Name, Statement: want, Deadline: f.core.Now() + wait, Client: k, Stream: true,
 	}
--- a/internal/lab/emul/pg.go
+++ b/internal/lab/emul/pg.go
@@ -60,6 +60,11 @@
 	case first == "BEGIN" || first == "START":
 		s.status = 'T'
 		return "BEGIN", nil
+	case first == "SET" && len(words) > 1 && words[1] != "LOCAL" && words[1] != "TRANSACTION", first == "RESET":
+		if strings.Contains(statement, "invalid") {
+			return "", &pgproto.Error{Severity: "ERROR", Code: "22023", Message: "invalid value for parameter"}
+		}
+		return first, nil
 	case first == "SAVEPOINT" || first == "RELEASE":
 		if s.status == 'I' {
 			return "", &pgproto.Error{Severity: "ERROR", Code: "25P01", Message: first + " can only be used in transaction blocks"}
@@ -193,6 +198,9 @@
 				s.failed()
 				break
 			} else if tag != "" {
+				if words := strings.Fields(query); tag == "SET" && len(words) > 3 {
+					out = pgproto.Append(out, 'S', pgproto.Str(words[1]), pgproto.Str(strings.Trim(words[3], "'")))
+				}
 				out = pgproto.Append(out, 'C', pgproto.Str(tag))
 				break
 			}
--- a/internal/pgproto/pgproto.go
+++ b/internal/pgproto/pgproto.go
@@ -195,13 +195,19 @@
 // Statement is one bound execution, or the wish to have a statement described.
 type Statement struct {
 	Query    string
-	Types    []byte // the count and the types of the parameters, as in Parse
-	Bind     []byte // a Bind's body past its two names; formats and values as they came
-	Describe bool   // describe only: nothing runs
-	Begin    string // of a transaction: what begins it, ahead of its first statement
-	Ends     bool   // it ends its transaction
+	Types    []byte    // the count and the types of the parameters, as in Parse
+	Bind     []byte    // a Bind's body past its two names; formats and values as they came
+	Describe bool      // describe only: nothing runs
+	Begin    string    // of a transaction: what begins it, ahead of its first statement
+	Ends     bool      // it ends its transaction
+	Settings []Setting // that it runs under, by name; others are as the engine has them
+	Sets     string    // the setting that it changes itself
+	Taints   bool      // it may leave something in the engine's session
 }
 
+// Setting is one setting of a client, as the SET that made it.
+type Setting struct{ Name, Text string }
+
 // Result is what an engine answered: the bodies of the messages as they came.
 type Result struct {
 	Params []byte // of ParameterDescription, where only a description was wanted
@@ -210,6 +216,7 @@
 	Count  int    // of rows
 	Tag    string // of CommandComplete
 	Empty  bool   // EmptyQueryResponse in place of CommandComplete
+	Status []byte // ParameterStatus messages, of a SET
 }
 
 // Formats gives a copy of the body of a RowDescription that has the result
--- a/internal/sqltext/split.go
+++ b/internal/sqltext/split.go
@@ -26,3 +26,13 @@
 	}
 	return all
 }
+
+// Names tells whether a text holds a name in small letters, in any case, wherever it stands.
+func Names(text, name string) bool {
+	for i := 0; i+len(name) <= len(text); i++ {
+		if text[i]|0x20 == name[0] && same(text[i:i+len(name)], name) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/stories/transactions_test.go
+++ b/internal/stories/transactions_test.go
@@ -1,7 +1,9 @@
 package stories
 
 import (
+	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
@@ -294,3 +296,103 @@
 		t.Errorf("what stood behind an error was sent: %s", all)
 	}
 }
+
+// What a client has set follows it from engine to engine, in the fewest messages, and no other client sees it.
+func TestSettings(t *testing.T) {
+	g, h := transacting(t, nil)
+	a, b := connect(t, g.addr), connect(t, g.addr)
+	for _, tt := range []struct {
+		k          *pgClient
+		text, want string
+	}{
+		{a, "SET search_path TO stock_1", "S C(SET) ZI"}, {a, "SELECT 1", "T D(SELECT 1) D() C(SELECT 2) ZI"}, {a, "SELECT 2", "T D(SELECT 2) D() C(SELECT 2) ZI"},
+		{b, "SELECT 3", "T D(SELECT 3) D() C(SELECT 2) ZI"}, {b, "SET work_mem = 'invalid'", "E(22023) ZI"}, {a, "SELECT 4", "T D(SELECT 4) D() C(SELECT 2) ZI"},
+		{a, "BEGIN", "C(BEGIN) ZT"}, {a, "UPDATE c SET d = 5", "T D(UPDATE c SET d = 5) D() C(SELECT 2) ZT"}, {a, "COMMIT", "C(COMMIT) ZI"},
+		{a, "SET LOCAL work_mem = 1", "N C(SET) ZI"}, {a, "SET ROLE boss", "E(0A000) ZI"}, {a, "SET SESSION AUTHORIZATION boss", "E(0A000) ZI"},
+		{a, "SET client_encoding = 'LATIN1'", "E(0A000) ZI"}, {a, "RESET search_path", "C(RESET) ZI"}, {a, "SET statement_timeout TO 5000", "C(SET) ZI"},
+		{a, "SELECT set_config('work_mem', '1MB', false)", "T D(SELECT set_config('work_mem', '1MB', false)) D() C(SELECT 2) ZI"},
+		{a, "DISCARD ALL", "C(DISCARD ALL) ZI"}, {a, "SELECT 6", "T D(SELECT 6) D() C(SELECT 2) ZI"},
+	} {
+		if w := tt.k.says(tt.text); w != tt.want {
+			t.Errorf("%s: %s, want %s", tt.text, w, tt.want)
+		}
+	}
+	h.until(t, "SET search_path TO stock_1; SELECT 1; SELECT 2; RESET search_path; SELECT 3; SET work_mem = 'invalid'; SET search_path TO stock_1; SELECT 4; "+
+		"BEGIN; UPDATE c SET d = 5; COMMIT; DISCARD ALL; SELECT set_config('work_mem', '1MB', false); DISCARD ALL; SELECT 6")
+}
+
+// Any clients set, reset and ask in any order: each statement runs under its client's settings and under
+// no other's.
+func TestNoSettingLeaks(t *testing.T) {
+	var mu gosync.Mutex
+	sessions := map[string]map[string]string{}
+	var wrong []string
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go emul.Postgres(ln, emul.Options{
+		Work: func(string) (time.Duration, float64) { return 0, 1 }, Log: slog.New(slog.DiscardHandler),
+		Heard: func(session, text string) {
+			mu.Lock()
+			defer mu.Unlock()
+			if sessions[session] == nil {
+				sessions[session] = map[string]string{}
+			}
+			words := strings.Fields(text)
+			switch words[0] {
+			case "SET":
+				sessions[session][words[1]] = words[3]
+			case "RESET":
+				delete(sessions[session], words[1])
+			case "DISCARD":
+				clear(sessions[session])
+			case "SELECT", "UPDATE": // its text says what it is to run under
+				_, want, _ := strings.Cut(text, "/* ")
+				if got := fmt.Sprint(sessions[session]); got+" */" != want {
+					wrong = append(wrong, fmt.Sprintf("%s under %s", text, got))
+				}
+			}
+		},
+	})
+	g := newGateway(t, nil)
+	g.pgwire.DefaultClass, g.pgwire.WriteClass = "lookup", "write"
+	g.postgres(ln.Addr().String())
+	rng := rand.New(rand.NewPCG(1, 2))
+	var clients []*pgClient
+	has := map[*pgClient]map[string]string{}
+	for range 4 {
+		k := connect(t, g.addr)
+		clients = append(clients, k)
+		has[k] = map[string]string{}
+	}
+	for n := range 600 {
+		k := clients[rng.IntN(len(clients))]
+		name := []string{"work_mem", "search_path", "my.tag"}[rng.IntN(3)]
+		ask := func(verb string) {
+			if w := k.says(fmt.Sprintf("%s %d /* %v */", verb, n, has[k])); !strings.Contains(w, "C(") {
+				t.Fatal(w)
+			}
+		}
+		switch rng.IntN(8) {
+		case 0:
+			has[k][name] = fmt.Sprintf("'%d'", n)
+			k.says(fmt.Sprintf("SET %s = '%d'", name, n))
+		case 1:
+			delete(has[k], name)
+			k.says("RESET " + name)
+		case 2:
+			k.says("BEGIN")
+			ask("UPDATE a SET b =")
+			k.says([]string{"COMMIT", "ROLLBACK"}[rng.IntN(2)])
+		default:
+			ask("SELECT")
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(wrong) > 0 {
+		t.Errorf("%d statements ran under others' settings, as %s", len(wrong), wrong[0])
+	}
+}
