--- a/internal/lab/sites/sites.go
+++ b/internal/lab/sites/sites.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -115,6 +116,7 @@
 	ca     *authority.Authority
 	places [2]*place
 	link   *link.Link
+	dialed atomic.Uint64 // clients, of all sources: their requests' ids must differ
 }
 
 // Open sets two sites up, and returns once they serve and, if they are together, know each other.
@@ -298,9 +300,9 @@
 
 // dial connects a client to a site.
 func (b *Both) dial(site int) func(seed uint64) (load.Client, error) {
-	return func(seed uint64) (load.Client, error) {
+	return func(uint64) (load.Client, error) {
 		if b.opts.Front == "rest" {
-			return load.DialHTTP(b.places[site].addr, seed*16+uint64(site))
+			return load.DialHTTP(b.places[site].addr, b.dialed.Add(1))
 		}
 		return load.DialPostgres(b.places[site].addr)
 	}
