Roll back at the engine what failed at the gateway, whatever the client asks for

A COMMIT behind a statement that the gateway itself had refused went to an engine that knew of no failure, and would have committed. ROLLBACK goes there instead. Comments ahead of a control statement are seen as such.

--- a/internal/front/pgwire/extended.go
+++ b/internal/front/pgwire/extended.go
@@ -491,8 +491,10 @@
 func (k *conn) Answer(r *core.Request, a core.Answer) {
 	if tx := k.tx; tx != nil && tx.request == r {
 		tx.request = nil
-		if tx.then == nil { // its engine is lost between two statements
-			k.request, tx.failed = nil, true
+		if tx.then == nil { // its engine is lost between two statements, or this process ends
+			if k.request, tx.failed = nil, true; k.front.draining {
+				k.fatal(stopping())
+			}
 			return
 		}
 		k.word(a)
--- a/internal/front/pgwire/settings.go
+++ b/internal/front/pgwire/settings.go
@@ -63,7 +63,7 @@
 // sets carries out SET, RESET and DISCARD outside of a transaction: what a client has set follows it
 // to whatever engine its statements run on.
 func (k *conn) sets(s *statement, said func(tag string)) *pgproto.Error {
-	words := strings.Fields(strings.ToLower(rest(s.query, 0)))
+	words := strings.Fields(strings.ToLower(strings.Join(wordsOf(s.query), " ")))
 	switch s.control {
 	case "DISCARD":
 		if len(words) != 2 {
--- a/internal/front/pgwire/transaction.go
+++ b/internal/front/pgwire/transaction.go
@@ -1,12 +1,14 @@
 package pgwire
 
 import (
+	"slices"
 	"strings"
 	"time"
 
 	"gannetspur/internal/core"
 	"gannetspur/internal/deadline"
 	"gannetspur/internal/pgproto"
+	"gannetspur/internal/sqltext"
 	"gannetspur/policy"
 )
 
@@ -41,7 +43,7 @@
 // within tells whether a statement may run in a transaction only, and does: what it leaves behind
 // ends with it.
 func within(word, query string) bool {
-	words := strings.Fields(strings.ToUpper(query))
+	words := wordsOf(query)
 	switch word {
 	case "DECLARE":
 		for _, w := range words {
@@ -81,7 +83,7 @@
 		}
 		return k.sets(s, said)
 	}
-	words := strings.Fields(strings.ToUpper(strings.TrimRight(s.query, "; \t\r\n")))
+	words := wordsOf(s.query)
 	back := s.control == "ROLLBACK" && toSavepoint(s.query)
 	if words[len(words)-1] == "CHAIN" && !strings.Contains(strings.Join(words, " "), "NO CHAIN") || len(words) > 1 && words[1] == "PREPARED" {
 		return fail("0A000", "%s is not supported", strings.Join(words, " "))
@@ -122,7 +124,11 @@
 		said(tag)
 	default:
 		tx.ending = tag == "COMMIT" && !tx.failed
-		k.send(&pgproto.Statement{Query: s.query, Types: noTypes, Bind: noValues, Ends: true}, func(a core.Answer) {
+		query := s.query
+		if tx.failed { // the engine may not know: what failed may never have come to it
+			query = "ROLLBACK"
+		}
+		k.send(&pgproto.Statement{Query: query, Types: noTypes, Bind: noValues, Ends: true}, func(a core.Answer) {
 			ending := tx.ending
 			k.close()
 			res, _ := a.Result.(*pgproto.Result)
@@ -142,8 +148,11 @@
 }
 
 // toSavepoint tells whether a ROLLBACK goes back to a savepoint only.
-func toSavepoint(query string) bool {
-	return strings.Contains(" "+strings.Join(strings.Fields(strings.ToUpper(query)), " ")+" ", " TO ")
+func toSavepoint(query string) bool { return slices.Contains(wordsOf(query), "TO") }
+
+// wordsOf are the words of a statement in capitals, behind what comments it begins with.
+func wordsOf(query string) []string {
+	return strings.Fields(strings.ToUpper(strings.TrimRight(sqltext.SkipComments(query), "; \t\r\n")))
 }
 
 // divide passes a savepoint on, which needs a transaction and an engine that has it.
@@ -155,7 +164,7 @@
 		return aborted()
 	}
 	want := &pgproto.Statement{Query: s.query, Types: noTypes, Bind: noValues}
-	k.inTransaction(want, func(res *pgproto.Result) {
+	k.run(want, func(res *pgproto.Result) {
 		k.tx.failed = false
 		said(res.Tag)
 	})
@@ -250,11 +259,16 @@
 
 // inTransaction has a statement run within the open transaction.
 func (k *conn) inTransaction(want *pgproto.Statement, served func(*pgproto.Result)) {
-	tx := k.tx
-	if tx.failed && !strings.HasPrefix(strings.ToUpper(strings.TrimSpace(want.Query)), "ROLLBACK") {
+	if k.tx.failed {
 		k.failed(aborted())
 		return
 	}
+	k.run(want, served)
+}
+
+// run has a statement of the transaction run, whether that has failed or not.
+func (k *conn) run(want *pgproto.Statement, served func(*pgproto.Result)) {
+	tx := k.tx
 	k.send(want, func(a core.Answer) {
 		res, _ := a.Result.(*pgproto.Result)
 		if a.Verdict == core.Served && res != nil {
--- a/internal/stories/transactions_test.go
+++ b/internal/stories/transactions_test.go
@@ -146,6 +146,21 @@
 	}
 }
 
+// What fails at the gateway fails the transaction at the engine as well: COMMIT rolls back then.
+func TestFailedAtTheGateway(t *testing.T) {
+	g, h := transacting(t, nil)
+	k := connect(t, g.addr)
+	for _, tt := range [][2]string{
+		{"BEGIN", "C(BEGIN) ZT"}, {"UPDATE a SET b = 1", "T D(UPDATE a SET b = 1) D() C(SELECT 2) ZT"}, {"COPY x FROM STDIN", "E(0A000) ZE"}, {"SELECT 1", "E(25P02) ZE"},
+		{"/* at last */ COMMIT", "C(ROLLBACK) ZI"}, {"/* c */ COMMIT PREPARED 'a'", "E(0A000) ZI"},
+	} {
+		if w := k.says(tt[0]); w != tt[1] {
+			t.Errorf("%s: %s, want %s", tt[0], w, tt[1])
+		}
+	}
+	h.until(t, "BEGIN; UPDATE a SET b = 1; ROLLBACK; DISCARD ALL")
+}
+
 // By extended messages: bound values, several in a batch, a portal that outlives a Sync.
 func TestExtendedTransaction(t *testing.T) {
 	g, h := transacting(t, nil)
