--- a/internal/stories/transactions_test.go
+++ b/internal/stories/transactions_test.go
@@ -21,6 +21,7 @@
 	mu      gosync.Mutex
 	by      map[string][]string
 	order   []string
+	all     []string // statements of all sessions as they came, but for DISCARD ALL
 	conns   map[string]net.Conn
 	breakAt string
 	changed chan struct{}
@@ -43,6 +44,9 @@
 		h.order = append(h.order, session)
 	}
 	h.by[session] = append(h.by[session], statement)
+	if statement != discard {
+		h.all = append(h.all, statement)
+	}
 	if h.breakAt != "" && strings.HasPrefix(statement, h.breakAt) {
 		_ = h.conns[session].Close()
 	}
@@ -75,6 +79,26 @@
 	}
 }
 
+const discard = "DISCARD ALL"
+
+// flow checks what all sessions were told together, and that each of them was told to forget behind those
+// that may leave something. Whether the next statement finds that done, or takes another session, is chance.
+func (h *heard) flow(t *testing.T, want string, forget ...string) {
+	t.Helper()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if got := strings.Join(h.all, "; "); got != want {
+		t.Errorf("the engine was told %s, want %s", got, want)
+	}
+	for _, said := range h.by {
+		for i, s := range said[:len(said)-1] {
+			if slices.Contains(forget, s) != (said[i+1] == discard) {
+				t.Errorf("%q is followed by %q", s, said[i+1])
+			}
+		}
+	}
+}
+
 // transacting starts the second front with an engine that knows transactions.
 func transacting(t *testing.T, change func(*gateway)) (*gateway, *heard) {
 	t.Helper()
@@ -123,8 +147,8 @@
 			t.Fatalf("%s: %s, want %s", tt[0], w, tt[1])
 		}
 	}
-	h.until(t, "BEGIN ISOLATION LEVEL SERIALIZABLE; INSERT INTO stock_1.parts VALUES ('bell'); SAVEPOINT a; SELECT 1/0; ROLLBACK TO a; SET LOCAL work_mem = '1MB'; "+
-		"DECLARE c CURSOR FOR SELECT 1; ROLLBACK TO SAVEPOINT a; COMMIT; DISCARD ALL; SELECT 3")
+	h.flow(t, "BEGIN ISOLATION LEVEL SERIALIZABLE; INSERT INTO stock_1.parts VALUES ('bell'); SAVEPOINT a; SELECT 1/0; ROLLBACK TO a; SET LOCAL work_mem = '1MB'; "+
+		"DECLARE c CURSOR FOR SELECT 1; ROLLBACK TO SAVEPOINT a; COMMIT; SELECT 3", "COMMIT")
 }
 
 // What needs no engine bothers none, and what ends without a transaction is warned of.
@@ -332,8 +356,8 @@
 			t.Errorf("%s: %s, want %s", tt.text, w, tt.want)
 		}
 	}
-	h.until(t, "SET search_path TO stock_1; SELECT 1; SELECT 2; RESET search_path; SELECT 3; SET work_mem = 'invalid'; SET search_path TO stock_1; SELECT 4; "+
-		"BEGIN; UPDATE c SET d = 5; COMMIT; DISCARD ALL; SELECT set_config('work_mem', '1MB', false); DISCARD ALL; SELECT 6")
+	h.flow(t, "SET search_path TO stock_1; SELECT 1; SELECT 2; RESET search_path; SELECT 3; SET work_mem = 'invalid'; SET search_path TO stock_1; SELECT 4; "+
+		"BEGIN; UPDATE c SET d = 5; COMMIT; SELECT set_config('work_mem', '1MB', false); SELECT 6", "COMMIT", "SELECT set_config('work_mem', '1MB', false)")
 }
 
 // Any clients set, reset and ask in any order: each statement runs under its client's settings and under
