--- a/internal/lab/sites/sites.go
+++ b/internal/lab/sites/sites.go
@@ -387,11 +387,18 @@
 		}
 		return nil
 	case e.Do == Upgrade:
-		last, err := admin.Call(ctx, p.admin, admin.Request{Do: "upgrade"}, func(admin.Reply) {})
-		if err == nil && last.Why != "" {
-			err = fmt.Errorf("the upgrade ended with %q", last.Why)
+		for {
+			last, err := admin.Call(ctx, p.admin, admin.Request{Do: "upgrade"}, func(admin.Reply) {})
+			switch {
+			case err != nil || last.Why == "":
+				return err
+			case !strings.Contains(last.Why, "is not through"): // else the one before answers what it had taken still
+				return fmt.Errorf("the upgrade ended with %q", last.Why)
+			}
+			if err := rig.Pause(ctx, 200*time.Millisecond); err != nil {
+				return err
+			}
 		}
-		return err
 	case e.Do == SiteDrain || e.Do == SiteBack:
 		_, err := admin.Call(ctx, p.admin, admin.Request{Do: e.Do}, func(admin.Reply) {})
 		return err
