Read over: say once what the sites and the PostgreSQL front said twice

Codes of authentication, the mechanism, the status of a gateway, runs side by side under a bar, spilling in the fleet, the names of peers and feeding TLS have one piece of code each; the authority's file is read once, several statements are checked once, parameters and fields that nobody used are gone.

--- a/cmd/ringlab/fleet.go
+++ b/cmd/ringlab/fleet.go
@@ -55,7 +55,7 @@
 
 // options are those of one run.
 func (f *fleetCommon) options(set config.Site) fleet.Options {
-	ms := func(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
+	ms := config.FromMS
 	cfg := decide.Defaults()
 	cfg.KeysShared = true
 	return fleet.Options{
@@ -82,8 +82,10 @@
 	Scenarios []string
 }
 
-// many runs jobs, so many side by side.
-func many(n, atOnce int, job func(i int) error) error {
+// many runs jobs, so many side by side, under a bar that tells how many are done.
+func many(quiet bool, name string, n, atOnce int, job func(i int) error) error {
+	bar := progress(quiet, name, n)
+	defer bar.end()
 	var wg sync.WaitGroup
 	errs := make([]error, n)
 	room := make(chan struct{}, atOnce)
@@ -94,6 +96,7 @@
 			room <- struct{}{}
 			defer func() { <-room }()
 			errs[i] = job(i)
+			bar.step()
 		}()
 	}
 	wg.Wait()
@@ -133,20 +136,14 @@
 			}
 		}
 	}
-	bar := progress(c.Quiet, e.Name, len(runs))
-	var mu sync.Mutex
-	err = many(len(runs), runtime.NumCPU(), func(i int) (err error) {
+	err = many(c.Quiet, e.Name, len(runs), runtime.NumCPU(), func(i int) (err error) {
 		r := runs[i]
 		o := e.options(set)
 		o.Way, o.Seed, o.Sites = r.way, r.seed, e.Sites
 		o.Events = fleet.ScenarioOf(r.scenario).Events(o.Span, o.Sites)
 		r.res, err = fleet.Play(o)
-		mu.Lock()
-		bar.step()
-		mu.Unlock()
 		return err
 	})
-	bar.end()
 	if err != nil {
 		return err
 	}
@@ -167,6 +164,8 @@
 				crossed = append(crossed, float64(r.res.Crossed)/float64(max(r.res.Requests, 1)))
 				wasted = append(wasted, r.res.Wasted/max(r.res.Spent, 1e-9))
 				broken += len(r.res.Faults)
+				raw.Add(s, w, r.seed, fmt.Sprintf("%.4f", r.res.Service()), fmt.Sprintf("%.4f", r.res.Worst), r.res.Requests, r.res.Crossed,
+					fmt.Sprintf("%.1f", r.res.Spent), fmt.Sprintf("%.1f", r.res.Wasted), r.res.Messages, r.res.Bytes, len(r.res.Faults))
 				if w != fleet.Ours { // the others are for comparison: alone, nothing is told of keys
 					continue
 				}
@@ -174,12 +173,6 @@
 					faults = append(faults, fmt.Sprintf("%s, %s, seed %d: %s", s, w, r.seed, f))
 				}
 			}
-			for _, r := range runs {
-				if r.scenario == s && r.way == w {
-					raw.Add(s, w, r.seed, fmt.Sprintf("%.4f", r.res.Service()), fmt.Sprintf("%.4f", r.res.Worst), r.res.Requests, r.res.Crossed,
-						fmt.Sprintf("%.1f", r.res.Spent), fmt.Sprintf("%.1f", r.res.Wasted), r.res.Messages, r.res.Bytes, len(r.res.Faults))
-				}
-			}
 			t.Add(s, w, around(service), fmt.Sprintf("%.3f", middle(worst)), fmt.Sprintf("%.3f", middle(crossed)), fmt.Sprintf("%.3f", middle(wasted)), broken)
 			chart.Values[i] = append(chart.Values[i], middle(service))
 		}
@@ -248,9 +241,7 @@
 			}
 		}
 	}
-	bar := progress(c.Quiet, e.Name, len(runs))
-	var mu sync.Mutex
-	err = many(len(runs), runtime.NumCPU(), func(i int) (err error) {
+	err = many(c.Quiet, e.Name, len(runs), runtime.NumCPU(), func(i int) (err error) {
 		r := runs[i]
 		o := e.options(set)
 		o.Sites, o.Seed, o.Neighbour = r.sites, r.seed, e.Neighbour
@@ -270,12 +261,8 @@
 		began := time.Now()
 		r.res, err = fleet.Play(o)
 		r.took, r.us = time.Since(began).Seconds(), float64(spent.Nanoseconds())/1000/float64(max(r.decisions, 1))
-		mu.Lock()
-		bar.step()
-		mu.Unlock()
 		return err
 	})
-	bar.end()
 	if err != nil {
 		return err
 	}
--- a/cmd/ringlab/service.go
+++ b/cmd/ringlab/service.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"sync"
 	"time"
 
 	"gannetspur/internal/lab/load"
@@ -55,7 +54,6 @@
 		way  string
 		seed uint64
 		res  *upgrades.Service
-		err  error
 	}
 	var rounds []*round
 	for _, seed := range e.Seeds {
@@ -63,31 +61,22 @@
 			rounds = append(rounds, &round{way: way, seed: seed})
 		}
 	}
-	bar := progress(c.Quiet, e.Name, len(rounds))
-	var wg sync.WaitGroup
-	room := make(chan struct{}, e.AtOnce)
-	var mu sync.Mutex
-	for i, r := range rounds {
-		room <- struct{}{}
-		wg.Add(1)
-		go func() {
-			defer func() { <-room; wg.Done() }()
-			sub := filepath.Join(dir, fmt.Sprint(i))
-			if r.err = os.Mkdir(sub, 0o700); r.err != nil {
-				return
-			}
-			s := func(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
-			r.res, r.err = upgrades.PlayService(ctx, upgrades.ServiceOptions{
-				Way: r.way, Root: ".", Dir: sub, Program: program, Lab: lab, Engines: e.Engines, Crowded: e.Crowded, Share: e.Share, Rate: e.Rate,
-				Connections: e.Connections, Warm: s(e.WarmS), Span: s(e.SpanS), Seed: r.seed, Log: log,
-			})
-			mu.Lock()
-			bar.step()
-			mu.Unlock()
-		}()
+	err := many(c.Quiet, e.Name, len(rounds), e.AtOnce, func(i int) (err error) {
+		r := rounds[i]
+		sub := filepath.Join(dir, fmt.Sprint(i))
+		if err := os.Mkdir(sub, 0o700); err != nil {
+			return err
+		}
+		s := func(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+		r.res, err = upgrades.PlayService(ctx, upgrades.ServiceOptions{
+			Way: r.way, Root: ".", Dir: sub, Program: program, Lab: lab, Engines: e.Engines, Crowded: e.Crowded, Share: e.Share, Rate: e.Rate,
+			Connections: e.Connections, Warm: s(e.WarmS), Span: s(e.SpanS), Seed: r.seed, Log: log,
+		})
+		return err
+	})
+	if err != nil {
+		return err
 	}
-	wg.Wait()
-	bar.end()
 	t := report.Table{Columns: []string{"way", "rounds", "service before", "service after", "after / before, median (least to most)", "requests", "without an answer"}}
 	raw := report.Table{Columns: []string{"way", "seed", "before", "after", "requests", "lost"}}
 	chart := report.Bars{Title: e.Title, Axis: "worth answered in time over worth asked for", Series: []string{"before", "after"}, Values: make([][]float64, 2)}
@@ -96,9 +85,6 @@
 		var before, after, ratio []float64
 		requests, lost := 0, 0
 		for _, r := range rounds {
-			if r.err != nil {
-				return r.err
-			}
 			if r.way != way {
 				continue
 			}
--- a/cmd/ringlab/sites.go
+++ b/cmd/ringlab/sites.go
@@ -148,8 +148,7 @@
 			}
 		}
 	}
-	bar := progress(c.Quiet, e.Name, len(runs))
-	err = many(len(runs), e.AtOnce, func(i int) (err error) {
+	err = many(c.Quiet, e.Name, len(runs), e.AtOnce, func(i int) (err error) {
 		r := runs[i]
 		sub := filepath.Join(dir, fmt.Sprint(i))
 		if err := os.Mkdir(sub, 0o700); err != nil {
@@ -170,10 +169,8 @@
 			o.Way, o.Seed, o.Events = r.way, r.seed, events
 			r.virtual, err = fleet.Play(o)
 		}
-		bar.step()
 		return err
 	})
-	bar.end()
 	if err != nil {
 		return err
 	}
--- a/cmd/ringwood/serve_sites.go
+++ b/cmd/ringwood/serve_sites.go
@@ -38,12 +38,8 @@
 	if err != nil {
 		return config.Fault{File: path, Field: "keys", Want: err.Error()}
 	}
-	names := make([]crossing.Name, len(peers))
-	for i, p := range peers {
-		names[i] = p.Name
-	}
 	service, err := crossing.New(g.core, g.loop.Timers, crossing.Options{
-		Name: own, Start: rand.Uint64(), Config: s.Decide(set.Limits.Tries), Settings: set, Peers: names, Codec: codec, Pack: s.Pack,
+		Name: own, Start: rand.Uint64(), Config: s.Decide(set.Limits.Tries), Settings: set, Codec: codec, Pack: s.Pack,
 		Held: part(memoryMB, 8) / max(len(peers), 1),
 	}, g.counters, g.log)
 	if err != nil {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -129,6 +129,15 @@
 	answer(r, say)
 }
 
+// StatusOf asks the gateway behind a socket how it stands.
+func StatusOf(ctx context.Context, path string) (*Status, error) {
+	last, err := Call(ctx, path, Request{Do: "status"}, func(Reply) {})
+	if err == nil && last.Status == nil {
+		err = errors.New(last.Why)
+	}
+	return last.Status, err
+}
+
 // Call asks the gateway behind a socket, and has each reply taken up to the last.
 func Call(ctx context.Context, path string, r Request, each func(Reply)) (last Reply, err error) {
 	c, err := (&net.Dialer{}).DialContext(ctx, "unix", path)
--- a/internal/config/sites.go
+++ b/internal/config/sites.go
@@ -118,9 +118,8 @@
 		case *k.file == "":
 			c.add(k.field, "missing; wanted is a file in PEM")
 			continue
-		case !filepath.IsAbs(*k.file):
-			*k.file = filepath.Join(dir, *k.file)
 		}
+		*k.file = beside(dir, *k.file)
 	}
 	for _, f := range []struct {
 		name        string
@@ -138,10 +137,9 @@
 
 // Decide is what the decisions take of it. tries are the sends of one query over all sites.
 func (s *Sites) Decide(tries int) decide.Config {
-	ms := func(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
-	word := ms(s.WordEveryMS)
+	word := FromMS(s.WordEveryMS)
 	return decide.Config{
-		SilentAfter: ms(s.SilentAfterMS), SlowAbove: ms(s.SlowAboveMS), ColdFor: ms(1000 * s.ColdForS), ColdStart: s.ColdStart, Slack: ms(s.SlackMS),
+		SilentAfter: FromMS(s.SilentAfterMS), SlowAbove: FromMS(s.SlowAboveMS), ColdFor: FromMS(1000 * s.ColdForS), ColdStart: s.ColdStart, Slack: FromMS(s.SlackMS),
 		SpillBelow: s.SpillBelow, StopAbove: s.StopAbove, TakeAbove: s.TakeAbove, Reserve: s.Reserve, Threads: s.Threads,
 		StaleAfter: 8 * word, WordEvery: word, Tries: max(tries, 1), Price: s.Price, Affinity: s.Affinity, HedgeShare: s.HedgeShare, KeysShared: s.KeysShared,
 	}
--- a/internal/engine/pg/links.go
+++ b/internal/engine/pg/links.go
@@ -164,8 +164,8 @@
 // write sends the statement in one piece: parsed where this connection has not
 // prepared it yet, bound, described and run.
 func (l *link) write() {
-	s, ok := l.attempt.Request.Statement.(*pgproto.Statement)
-	if !ok || l.attempt.TooLate(l.all.core.Now()) {
+	s := l.statement()
+	if s == nil || l.attempt.TooLate(l.all.core.Now()) {
 		l.finish(core.EndNotSent, core.Report{})
 		return
 	}
@@ -540,7 +540,7 @@
 	if l.attempt == nil {
 		return errors.New("word of an answer on an idle connection")
 	}
-	s, _ := l.attempt.Request.Statement.(*pgproto.Statement)
+	s := l.statement()
 	switch {
 	case l.failure != nil && s.Ends: // it was rolled back, and the engine says why
 		l.finish(core.EndRejected, core.Report{Detail: l.failure})
--- a/internal/engine/pg/startup.go
+++ b/internal/engine/pg/startup.go
@@ -7,19 +7,11 @@
 	"strings"
 
 	"gannetspur/internal/core"
+	"gannetspur/internal/logins"
 	"gannetspur/internal/netio"
 	"gannetspur/internal/pgproto"
 )
 
-// Codes of authentication messages, and the one mechanism that is spoken.
-const (
-	authOK           = 0
-	authSASL         = 10
-	authSASLContinue = 11
-	authSASLFinal    = 12
-	mechanism        = "SCRAM-SHA-256"
-)
-
 // greet begins the startup.
 func (l *link) greet() {
 	opts := l.all.opts
@@ -62,24 +54,24 @@
 	switch code := r.Int32(); {
 	case r.Bad:
 		return pgproto.Malformed
-	case code == authOK && l.proving != nil && !l.proving.Valid():
+	case code == pgproto.AuthOK && l.proving != nil && !l.proving.Valid():
 		return errors.New("it has not proved that it knows the password")
-	case code == authOK:
+	case code == pgproto.AuthOK:
 		return nil
-	case code == authSASL && l.all.prover != nil && l.proving == nil && strings.Contains("\x00"+string(r.B), "\x00"+mechanism+"\x00"):
+	case code == pgproto.AuthSASL && l.all.prover != nil && l.proving == nil && strings.Contains("\x00"+string(r.B), "\x00"+logins.Mechanism+"\x00"):
 		l.proving = l.all.prover.NewConversation()
 		first, err := l.proving.Step("")
 		if err != nil {
 			return fmt.Errorf("scram: %w", err)
 		}
-		l.conn.Write(pgproto.Append(nil, 'p', pgproto.Str(mechanism), pgproto.Int32(len(first)), []byte(first)))
-	case code == authSASLContinue && l.proving != nil:
+		l.conn.Write(pgproto.Append(nil, 'p', pgproto.Str(logins.Mechanism), pgproto.Int32(len(first)), []byte(first)))
+	case code == pgproto.AuthSASLContinue && l.proving != nil:
 		final, err := l.proving.Step(string(r.B))
 		if err != nil {
 			return fmt.Errorf("scram: %w", err)
 		}
 		l.conn.Write(pgproto.Append(nil, 'p', []byte(final)))
-	case code == authSASLFinal && l.proving != nil:
+	case code == pgproto.AuthSASLFinal && l.proving != nil:
 		if _, err := l.proving.Step(string(r.B)); err != nil {
 			return fmt.Errorf("scram: %w", err)
 		}
--- a/internal/front/pgwire/extended.go
+++ b/internal/front/pgwire/extended.go
@@ -43,11 +43,7 @@
 	return k.read(query, types, once, k.tx != nil)
 }
 
-// prepareIn reads one of several statements of a Query; open tells whether a transaction is open by then.
-func (k *conn) prepareIn(query string, open bool) (*statement, *pgproto.Error) {
-	return k.read(query, noTypes, true, open)
-}
-
+// read does that for a time when a transaction is open, or none is.
 func (k *conn) read(query string, types []byte, once, open bool) (*statement, *pgproto.Error) {
 	var read *shape.Statement
 	switch shapes := k.front.opts.Shapes; {
@@ -256,7 +252,7 @@
 		if describe {
 			k.rowDescription(nil)
 		}
-		return k.control(p.statement, p.bind, func(tag string) { k.out = pgproto.Append(k.out, 'C', pgproto.Str(tag)) })
+		return k.control(p.statement, func(tag string) { k.out = pgproto.Append(k.out, 'C', pgproto.Str(tag)) })
 	case p.result != nil:
 		k.front.held -= len(p.rest)
 		e := k.rows(p, most)
@@ -370,7 +366,7 @@
 		return nil
 	}
 	if s.control != "" {
-		return k.control(s, noValues, func(tag string) {
+		return k.control(s, func(tag string) {
 			k.out = pgproto.Append(k.out, 'C', pgproto.Str(tag))
 			k.simple = false
 			k.ready()
--- a/internal/front/pgwire/login.go
+++ b/internal/front/pgwire/login.go
@@ -12,13 +12,6 @@
 // maxLogin bounds a message of a client that has not proved who it is.
 const maxLogin = 4 << 10
 
-// Codes of authentication messages.
-const (
-	authSASL         = 10
-	authSASLContinue = 11
-	authSASLFinal    = 12
-)
-
 // askPassword begins a login by SCRAM (RFC 5802) in PostgreSQL's SASL messages.
 func (k *conn) askPassword() error {
 	f := k.front
@@ -32,7 +25,7 @@
 		return err
 	}
 	k.login = l
-	k.out = pgproto.Append(k.out, 'R', pgproto.Int32(authSASL), pgproto.Str(logins.Mechanism), []byte{0})
+	k.out = pgproto.Append(k.out, 'R', pgproto.Int32(pgproto.AuthSASL), pgproto.Str(logins.Mechanism), []byte{0})
 	return nil
 }
 
@@ -70,10 +63,10 @@
 		return true, k.denied(err)
 	}
 	if !done {
-		k.out = pgproto.Append(k.out, 'R', pgproto.Int32(authSASLContinue), []byte(answer))
+		k.out = pgproto.Append(k.out, 'R', pgproto.Int32(pgproto.AuthSASLContinue), []byte(answer))
 		return true, nil
 	}
-	k.out = pgproto.Append(k.out, 'R', pgproto.Int32(authSASLFinal), []byte(answer))
+	k.out = pgproto.Append(k.out, 'R', pgproto.Int32(pgproto.AuthSASLFinal), []byte(answer))
 	k.login = nil
 	if u := k.front.opts.Users.Get(k.user); u == nil || u.MostClients > 0 && k.front.connected(k.user) >= u.MostClients {
 		k.fatal(fail("53300", "too many connections for role %q", k.user))
--- a/internal/front/pgwire/several.go
+++ b/internal/front/pgwire/several.go
@@ -1,27 +1,23 @@
 package pgwire
 
 import (
+	"slices"
+
 	"gannetspur/internal/pgproto"
+	"gannetspur/internal/sqltext"
 )
 
 // several answers a Query of several statements, one after the other up to the first error. They are
 // one transaction, unless the message has transactions of its own that they stand in.
 func (k *conn) several(parts []string) *pgproto.Error {
+	implicit := k.tx == nil && !slices.ContainsFunc(parts, func(text string) bool {
+		word, _ := sqltext.FirstWord(text)
+		return controls[word]
+	})
+	open := k.tx != nil || implicit
 	all := make([]*statement, len(parts))
-	open, controls := k.tx != nil, false
-	implicit := !open
-	for _, text := range parts {
-		if _, word, e := check(text, nil, true); e != nil {
-			return e
-		} else if word != "" {
-			controls, implicit = true, false
-		}
-	}
-	if implicit {
-		open = true
-	}
 	for i, text := range parts {
-		s, e := k.prepareIn(text, open)
+		s, e := k.read(text, noTypes, true, open)
 		if e != nil {
 			return e
 		}
@@ -29,7 +25,7 @@
 		switch {
 		case s.control == "BEGIN" || s.control == "START":
 			open = true
-		case controls && ends(s):
+		case ends(s):
 			open = false
 		case !open:
 			return fail("0A000", "statements beside a transaction in one message are not supported: send them by themselves")
@@ -67,7 +63,7 @@
 	}
 	s := left[0]
 	if s.control != "" {
-		e := k.control(s, noValues, func(tag string) {
+		e := k.control(s, func(tag string) {
 			k.out = pgproto.Append(k.out, 'C', pgproto.Str(tag))
 			k.step(left[1:])
 		})
@@ -95,7 +91,7 @@
 		done("")
 		return
 	}
-	if e := k.control(&statement{query: "COMMIT", control: "COMMIT"}, noValues, done); e != nil {
+	if e := k.control(&statement{query: "COMMIT", control: "COMMIT"}, done); e != nil {
 		k.failed(e)
 	}
 }
--- a/internal/front/pgwire/transaction.go
+++ b/internal/front/pgwire/transaction.go
@@ -52,12 +52,7 @@
 			}
 		}
 	case "SET":
-		for i, w := range words {
-			if w == "SET" && i+1 < len(words) {
-				return words[i+1] == "LOCAL" || words[i+1] == "TRANSACTION" || words[i+1] == "CONSTRAINTS"
-			}
-		}
-		return false
+		return len(words) > 1 && slices.Contains([]string{"LOCAL", "TRANSACTION", "CONSTRAINTS"}, words[1])
 	}
 	return withinOnly[word]
 }
@@ -75,7 +70,7 @@
 
 // control carries out a statement that begins, ends or divides a transaction; said tells its
 // client that it is done. What only the engine can do goes to it.
-func (k *conn) control(s *statement, bind []byte, said func(tag string)) *pgproto.Error {
+func (k *conn) control(s *statement, said func(tag string)) *pgproto.Error {
 	switch s.control {
 	case "SET", "RESET", "DISCARD":
 		if k.tx != nil { // it was prepared outside of one
@@ -84,7 +79,6 @@
 		return k.sets(s, said)
 	}
 	words := wordsOf(s.query)
-	back := s.control == "ROLLBACK" && toSavepoint(s.query)
 	if words[len(words)-1] == "CHAIN" && !strings.Contains(strings.Join(words, " "), "NO CHAIN") || len(words) > 1 && words[1] == "PREPARED" {
 		return fail("0A000", "%s is not supported", strings.Join(words, " "))
 	}
@@ -102,10 +96,10 @@
 		said("BEGIN")
 		return nil
 	case "SAVEPOINT", "RELEASE":
-		return k.divide(s, bind, said)
+		return k.divide(s, said)
 	}
-	if back {
-		return k.divide(s, bind, said)
+	if s.control == "ROLLBACK" && toSavepoint(s.query) {
+		return k.divide(s, said)
 	}
 	tag := "COMMIT"
 	if s.control == "ROLLBACK" || s.control == "ABORT" {
@@ -156,7 +150,7 @@
 }
 
 // divide passes a savepoint on, which needs a transaction and an engine that has it.
-func (k *conn) divide(s *statement, bind []byte, said func(tag string)) *pgproto.Error {
+func (k *conn) divide(s *statement, said func(tag string)) *pgproto.Error {
 	if k.tx == nil {
 		return fail("25P01", "%s can only be used in transaction blocks", s.control)
 	}
--- a/internal/lab/emul/pg.go
+++ b/internal/lab/emul/pg.go
@@ -238,7 +238,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := pgproto.Append(nil, 'R', pgproto.Int32(10), pgproto.Str(logins.Mechanism), []byte{0})
+	out := pgproto.Append(nil, 'R', pgproto.Int32(pgproto.AuthSASL), pgproto.Str(logins.Mechanism), []byte{0})
 	p := make([]byte, 4096)
 	for step := 0; ; step++ {
 		if _, err := c.Write(out); err != nil {
@@ -270,10 +270,10 @@
 			return nil, err
 		}
 		if done {
-			_, err = c.Write(pgproto.Append(nil, 'R', pgproto.Int32(12), []byte(answer)))
+			_, err = c.Write(pgproto.Append(nil, 'R', pgproto.Int32(pgproto.AuthSASLFinal), []byte(answer)))
 			return in, err
 		}
-		out = pgproto.Append(nil, 'R', pgproto.Int32(11), []byte(answer))
+		out = pgproto.Append(nil, 'R', pgproto.Int32(pgproto.AuthSASLContinue), []byte(answer))
 	}
 }
 
--- a/internal/lab/fleet/engine.go
+++ b/internal/lab/fleet/engine.go
@@ -18,8 +18,7 @@
 type engine struct {
 	w       *World
 	site    *site
-	n       int
-	lives   int
+	id      string
 	model   *model.Engine
 	down    bool
 	listed  bool
@@ -41,18 +40,16 @@
 }
 
 func newEngine(w *World, s *site, n int) *engine {
-	return &engine{w: w, site: s, n: n, model: model.New(w.opts.Engine), listed: true, out: map[uint64]*running{}}
+	return &engine{w: w, site: s, id: fmt.Sprintf("e-%d-%d", s.n, n), model: model.New(w.opts.Engine), listed: true, out: map[uint64]*running{}}
 }
 
-func (e *engine) id() string { return fmt.Sprintf("e-%d-%d", e.site.n, e.n) }
-
 // entry is the engine as a gateway's roster names it.
 func (e *engine) entry(state policy.EngineState, g *gateway) core.Engine {
 	kind := ""
 	if k := e.w.opts.Site.Policy.Kinds; len(k) > 0 {
 		kind = k[0].Name
 	}
-	c := core.Engine{Engine: policy.Engine{ID: e.id(), Zone: e.w.opts.Site.Policy.Zone, Kind: kind, State: state}}
+	c := core.Engine{Engine: policy.Engine{ID: e.id, Zone: e.w.opts.Site.Policy.Zone, Kind: kind, State: state}}
 	if c.Fresh = e.started > 0; c.Fresh {
 		c.Started = e.started + g.skew()
 	}
@@ -105,7 +102,6 @@
 		return
 	}
 	e.down = false
-	e.lives++
 	e.started = e.w.now
 	e.model.Start(e.w.now)
 	e.tell(policy.EngineLive)
@@ -136,7 +132,7 @@
 func (l *links) Hurry(*core.Attempt, int) {}
 func (l *links) engine(id string) *engine {
 	for _, e := range l.g.site.engines {
-		if e.id() == id {
+		if e.id == id {
 			return e
 		}
 	}
@@ -176,7 +172,7 @@
 	q.ID = r.id
 	took := e.model.Submit(w.now, q)
 	if e.model.Fallen() && !e.down {
-		w.res.fault("cold engine pushed over", r.mark, fmt.Sprintf("%s, %.2f s after its start, by %v s of work", e.id(), (w.now-e.started).Seconds(), q.Work.Seconds()))
+		w.res.fault("cold engine pushed over", r.mark, fmt.Sprintf("%s, %.2f s after its start, by %v s of work", e.id, (w.now-e.started).Seconds(), q.Work.Seconds()))
 		e.die()
 		e.model.Start(w.now)
 		w.after(20*time.Second, e.start)
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -194,8 +194,10 @@
 // drainFor is how long a world goes on behind its last arrival: as the longest client waits.
 const drainFor = 30 * time.Second
 
+func siteName(n int) string { return fmt.Sprintf("site-%02d", n) }
+
 func (g *gateway) name() crossing.Name {
-	return crossing.Name{Site: fmt.Sprintf("site-%02d", g.site.n), Gateway: fmt.Sprintf("gateway-%d", g.n)}
+	return crossing.Name{Site: siteName(g.site.n), Gateway: fmt.Sprintf("gateway-%d", g.n)}
 }
 
 // start begins a life of the gateway.
@@ -223,27 +225,19 @@
 		return err
 	}
 	g.core.SetLinks(&links{g: g, life: g.lives})
-	cfg := w.opts.Config
-	cfg.Tries = max(set.Limits.Tries, 1)
-	o := crossing.Options{Name: g.name(), Start: uint64(g.lives), Config: cfg, Settings: set, Codec: codec{}, Pack: w.opts.Pack}
-	for _, s := range w.sites {
-		if w.opts.Way != Alone && s != g.site && w.near(s.n, g.site.n) {
-			o.Peers = append(o.Peers, crossing.Name{Site: fmt.Sprintf("site-%02d", s.n), Gateway: g.name().Gateway})
+	o := crossing.Options{Name: g.name(), Start: uint64(g.lives), Config: w.cfg(), Settings: set, Codec: codec{}, Pack: w.opts.Pack}
+	for i := range w.opts.Sites { // those that come later are peers too
+		if w.opts.Way != Alone && i != g.site.n && w.near(i, g.site.n) {
+			o.Peers = append(o.Peers, crossing.Name{Site: siteName(i), Gateway: g.name().Gateway})
 		}
 	}
 	switch w.opts.Way {
 	case Random:
-		o.Choose = g.random
+		o.Choose = g.spill(func(all []int, _ []*decide.Peer) int { return all[w.rng.IntN(len(all))] })
 	case Nearest:
-		o.Choose = g.nearest
-	}
-	// Sites that come later are peers too.
-	if w.opts.Way != Alone {
-		for i := len(w.sites); i < w.opts.Sites; i++ {
-			if w.near(i, g.site.n) {
-				o.Peers = append(o.Peers, crossing.Name{Site: fmt.Sprintf("site-%02d", i), Gateway: g.name().Gateway})
-			}
-		}
+		o.Choose = g.spill(func(all []int, peers []*decide.Peer) int {
+			return slices.MinFunc(all, func(a, b int) int { return int(peers[a].RTT() - peers[b].RTT()) })
+		})
 	}
 	if g.service, err = crossing.New(g.core, g.timers, o, g.stats, log); err != nil {
 		return err
@@ -293,34 +287,24 @@
 	})
 }
 
-// linkedPeers are those that something could be sent to.
-func linkedPeers(cfg decide.Config, now time.Duration, peers []*decide.Peer) (all []int) {
-	for i, p := range peers {
-		if s := p.State(cfg, now); s == decide.Up || s == decide.Slow || s == decide.Cold {
-			all = append(all, i)
+// spill sends what was turned away to one of those that something could be sent to, whatever they
+// say of their room.
+func (g *gateway) spill(pick func(all []int, peers []*decide.Peer) int) func(time.Duration, *decide.Query, float64, []*decide.Peer) decide.Choice {
+	return func(now time.Duration, q *decide.Query, _ float64, peers []*decide.Peer) decide.Choice {
+		var all []int
+		for i, p := range peers {
+			if s := p.State(g.w.opts.Config, now); s == decide.Up || s == decide.Slow || s == decide.Cold {
+				all = append(all, i)
+			}
 		}
+		if !q.Turned || q.Foreign || len(all) == 0 || !decide.Again(g.w.cfg(), q, 0) {
+			return decide.Choice{}
+		}
+		return decide.Choice{Where: decide.There, Peer: pick(all, peers)}
 	}
-	return all
-}
-
-// random sends what was turned away anywhere.
-func (g *gateway) random(now time.Duration, q *decide.Query, _ float64, peers []*decide.Peer) decide.Choice {
-	all := linkedPeers(g.w.opts.Config, now, peers)
-	if !q.Turned || q.Foreign || len(all) == 0 || !decide.Again(g.w.cfg(), q, 0) {
-		return decide.Choice{}
-	}
-	return decide.Choice{Where: decide.There, Peer: all[g.w.rng.IntN(len(all))]}
-}
-
-// nearest sends it to the nearest.
-func (g *gateway) nearest(now time.Duration, q *decide.Query, _ float64, peers []*decide.Peer) decide.Choice {
-	all := linkedPeers(g.w.opts.Config, now, peers)
-	if !q.Turned || q.Foreign || len(all) == 0 || !decide.Again(g.w.cfg(), q, 0) {
-		return decide.Choice{}
-	}
-	return decide.Choice{Where: decide.There, Peer: slices.MinFunc(all, func(a, b int) int { return int(peers[a].RTT() - peers[b].RTT()) })}
 }
 
+// cfg is what all gateways decide by.
 func (w *World) cfg() decide.Config {
 	cfg := w.opts.Config
 	cfg.Tries = max(w.opts.Site.Policy.Limits.Tries, 1)
--- a/internal/lab/sitelink/node.go
+++ b/internal/lab/sitelink/node.go
@@ -109,12 +109,8 @@
 	n.Core.SetLinks(n)
 	cfg := decide.Defaults()
 	cfg.KeysShared, cfg.SilentAfter, cfg.WordEvery, cfg.ColdFor = true, 600*time.Millisecond, 50*time.Millisecond, 0
-	var names []crossing.Name
-	for _, p := range o.Peers {
-		names = append(names, p.Name)
-	}
 	if n.Service, err = crossing.New(n.Core, n.Loop.Timers, crossing.Options{
-		Name: o.Name, Start: 1, Config: cfg, Settings: set, Peers: names, Codec: Texts{}, Pack: o.Pack, Held: o.Held,
+		Name: o.Name, Start: 1, Config: cfg, Settings: set, Codec: Texts{}, Pack: o.Pack, Held: o.Held,
 	}, n.Counters, log); err != nil {
 		return nil, err
 	}
--- a/internal/lab/sites/sites.go
+++ b/internal/lab/sites/sites.go
@@ -27,6 +27,7 @@
 	"gannetspur/internal/lab/load"
 	"gannetspur/internal/lab/model"
 	"gannetspur/internal/lab/rig"
+	"gannetspur/internal/site/crossing"
 )
 
 // Names of the two sites. The first one's gateway dials the other's.
@@ -224,7 +225,7 @@
 }
 
 // Overview is how a gateway sees the sites.
-func (b *Both) Overview(ctx context.Context, site int) (o Overview, err error) {
+func (b *Both) Overview(ctx context.Context, site int) (o crossing.Overview, err error) {
 	last, err := admin.Call(ctx, b.places[site].admin, admin.Request{Do: "site-status"}, func(admin.Reply) {})
 	if err != nil {
 		return o, err
@@ -232,16 +233,6 @@
 	return o, json.Unmarshal(last.Sites, &o)
 }
 
-// Overview is what the laboratory reads of crossing.Overview.
-type Overview struct {
-	Peers []struct {
-		Peer  string  `json:"peer"`
-		State string  `json:"state"`
-		RTTMS float64 `json:"rtt_ms"`
-	} `json:"peers"`
-	Events []string `json:"events"`
-}
-
 // linked waits until each gateway has heard of the other.
 func (b *Both) linked(ctx context.Context) error {
 	for i := range b.places {
@@ -281,7 +272,7 @@
 func (b *Both) stop(p *place) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	if st, err := b.status(ctx, p); err == nil && st.PID != p.gateway.Process.Pid { // a new version has taken over
+	if st, err := admin.StatusOf(ctx, p.admin); err == nil && st.PID != p.gateway.Process.Pid { // a new version has taken over
 		_ = syscall.Kill(st.PID, syscall.SIGTERM)
 		for syscall.Kill(st.PID, 0) == nil && ctx.Err() == nil {
 			time.Sleep(20 * time.Millisecond)
@@ -290,14 +281,6 @@
 	p.gateway.Stop()
 }
 
-func (b *Both) status(ctx context.Context, p *place) (*admin.Status, error) {
-	last, err := admin.Call(ctx, p.admin, admin.Request{Do: "status"}, func(admin.Reply) {})
-	if err == nil && last.Status == nil {
-		err = errors.New(last.Why)
-	}
-	return last.Status, err
-}
-
 // dial connects a client to a site.
 func (b *Both) dial(site int) func(seed uint64) (load.Client, error) {
 	return func(uint64) (load.Client, error) {
@@ -365,7 +348,7 @@
 		return p.rig.Do(e.Do, e.Engine)
 	case e.Do == GatewayDies:
 		p.killed = true
-		st, err := b.status(ctx, p)
+		st, err := admin.StatusOf(ctx, p.admin)
 		if err != nil {
 			return err
 		}
@@ -470,7 +453,7 @@
 			fleet = p.rig.Lines
 		}
 		res.Faults = append(res.Faults, load.CheckDrains(mine, fleet.History())...)
-		if st, err := b.status(ctx, p); err == nil {
+		if st, err := admin.StatusOf(ctx, p.admin); err == nil {
 			for name, n := range st.Counters {
 				res.Counters[name] += n
 			}
--- a/internal/lab/upgrades/upgrades.go
+++ b/internal/lab/upgrades/upgrades.go
@@ -213,7 +213,7 @@
 	if err := rig.Pause(ctx, time.Second); err != nil {
 		return nil, err
 	}
-	if st, err := g.status(ctx); err == nil {
+	if st, err := admin.StatusOf(ctx, g.admin); err == nil {
 		res.Resident = stats.Resident(st.PID)
 	}
 	stop()
@@ -394,18 +394,10 @@
 	}
 }
 
-func (g *gate) status(ctx context.Context) (*admin.Status, error) {
-	last, err := admin.Call(ctx, g.admin, admin.Request{Do: "status"}, func(admin.Reply) {})
-	if err == nil && last.Status == nil {
-		err = errors.New(last.Why)
-	}
-	return last.Status, err
-}
-
 // sample looks at the memory of the process that serves and of its children until the
 // returned function is called, which tells the most that they took beyond the start.
 func (g *gate) sample(ctx context.Context, on bool) (end func() int64) {
-	st, err := g.status(ctx)
+	st, err := admin.StatusOf(ctx, g.admin)
 	if !on || err != nil {
 		return func() int64 { return 0 }
 	}
@@ -450,7 +442,7 @@
 func (g *gate) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	if st, err := g.status(ctx); err == nil && st.PID != g.first.Process.Pid {
+	if st, err := admin.StatusOf(ctx, g.admin); err == nil && st.PID != g.first.Process.Pid {
 		_ = syscall.Kill(st.PID, syscall.SIGTERM)
 		for range 400 { // it is nobody's child here: its socket tells when it has ended
 			c, err := net.Dial("unix", g.admin)
--- a/internal/netio/secure.go
+++ b/internal/netio/secure.go
@@ -148,14 +148,23 @@
 	s.c.data()
 }
 
+// feed gives the pipe what the socket had, unless what came before is to be read first. It tells whether
+// there was something.
+func (s *secure) feed() bool {
+	in := &s.c.in
+	if in.Len() == 0 || s.pipe.len() >= secureRead {
+		return false
+	}
+	s.pipe.feed(in.Bytes())
+	in.Consume(in.Len())
+	return true
+}
+
 // data decrypts what has come and hands it over, as much as there is room for. The connection's
 // lock is held.
 func (s *secure) data() {
 	c := s.c
-	if s.pipe.len() < secureRead { // else what came before is to be read first
-		s.pipe.feed(c.in.Bytes())
-		c.in.Consume(c.in.Len())
-	}
+	s.feed()
 	if !s.up {
 		return
 	}
@@ -177,9 +186,7 @@
 		case end == nil && s.plain.Len() < c.room(): // there may be more, and room for it
 			continue
 		case end == nil: // there is no room: the handler asks again
-		case errors.As(end, &t) && t.Temporary() && c.in.Len() > 0 && s.pipe.len() < secureRead:
-			s.pipe.feed(c.in.Bytes())
-			c.in.Consume(c.in.Len())
+		case errors.As(end, &t) && t.Temporary() && s.feed():
 			continue
 		case errors.As(end, &t) && t.Temporary():
 		default: // the end of the stream, or what is no TLS
--- a/internal/pgproto/pgproto.go
+++ b/internal/pgproto/pgproto.go
@@ -17,6 +17,14 @@
 	GSSReq    = 80877104
 )
 
+// Codes of Authentication messages ('R').
+const (
+	AuthOK           = 0
+	AuthSASL         = 10
+	AuthSASLContinue = 11
+	AuthSASLFinal    = 12
+)
+
 // MaxStartup bounds the first message of a connection.
 const MaxStartup = 10000
 
--- a/internal/site/crossing/crossing.go
+++ b/internal/site/crossing/crossing.go
@@ -42,7 +42,7 @@
 	Start    uint64 // tells this life of the gateway from its others
 	Config   decide.Config
 	Settings policy.Settings
-	Peers    []Name
+	Peers    []Name // that it knows from the start; SetPeers names others
 	Codec    Codec
 	Pack     bool // bodies are packed where that pays
 	Held     int  // bytes of unfinished bodies that a link holds; 0: mux.Held
@@ -464,14 +464,13 @@
 	Room     map[string]float64 `json:"room"` // of this site
 	Cores    float64            `json:"cores"`
 	Peers    []Status           `json:"peers"`
-	Events   []Event            `json:"-"`
 	Log      []string           `json:"events"`
 }
 
 // Overview tells how the sites stand.
 func (s *Service) Overview() Overview {
 	now := s.clock.Now()
-	o := Overview{Name: s.opts.Name.String(), Draining: s.draining, Room: map[string]float64{}, Cores: s.meter.Capacity(now), Events: slices.Clone(s.events)}
+	o := Overview{Name: s.opts.Name.String(), Draining: s.draining, Room: map[string]float64{}, Cores: s.meter.Capacity(now)}
 	for _, name := range s.names {
 		o.Room[name] = s.meter.Room(now, name)
 	}
--- a/internal/site/link/keys.go
+++ b/internal/site/link/keys.go
@@ -90,19 +90,20 @@
 	if name, err := nameOf(leaf); err != nil || name != k.own {
 		return bad(fmt.Errorf("it is %s's, and this gateway is %s", name, k.own), k.files.Certificate)
 	}
-	raw, err := os.ReadFile(k.files.Authority)
+	authority, err := os.ReadFile(k.files.Authority)
 	if err != nil {
 		return bad(err, k.files.Authority)
 	}
 	s.roots = x509.NewCertPool()
-	if !s.roots.AppendCertsFromPEM(raw) {
+	if !s.roots.AppendCertsFromPEM(authority) {
 		return bad(errors.New("it holds no certificate"), k.files.Authority)
 	}
 	s.revoked = map[string]bool{}
 	if k.files.Revoked == "" {
 		return s, nil
 	}
-	if raw, err = os.ReadFile(k.files.Revoked); err != nil {
+	raw, err := os.ReadFile(k.files.Revoked)
+	if err != nil {
 		return bad(err, k.files.Revoked)
 	}
 	block, _ := pem.Decode(raw)
@@ -113,7 +114,7 @@
 	if err != nil {
 		return bad(err, k.files.Revoked)
 	}
-	if err := k.signed(list); err != nil {
+	if err := signed(list, authority); err != nil {
 		return bad(err, k.files.Revoked)
 	}
 	for _, e := range list.RevokedCertificateEntries {
@@ -124,12 +125,8 @@
 
 // signed tells whether a list is signed by one of the authority's certificates. Guards
 // against a list that anybody could have written.
-func (k *Keys) signed(list *x509.RevocationList) error {
-	raw, err := os.ReadFile(k.files.Authority)
-	if err != nil {
-		return err
-	}
-	for block, rest := pem.Decode(raw); block != nil; block, rest = pem.Decode(rest) {
+func signed(list *x509.RevocationList, authority []byte) error {
+	for block, rest := pem.Decode(authority); block != nil; block, rest = pem.Decode(rest) {
 		ca, err := x509.ParseCertificate(block.Bytes)
 		if err == nil && list.CheckSignatureFrom(ca) == nil {
 			return nil
--- a/internal/site/link/link.go
+++ b/internal/site/link/link.go
@@ -75,21 +75,17 @@
 // New returns a runner. Start begins.
 func New(loop Loop, timers *deadline.Queue, service *crossing.Service, keys *Keys, own crossing.Name, peers []Peer, counters *stats.Counters, log *slog.Logger) *Runner {
 	r := &Runner{loop: loop, timers: timers, service: service, keys: keys, own: own, stats: counters, log: log, conns: map[*conn]bool{}}
-	r.name(peers)
+	r.SetPeers(peers)
 	return r
 }
 
-// SetPeers names the peers anew; see crossing.Service.SetPeers.
+// SetPeers names the peers, to the service as well; see crossing.Service.SetPeers.
 func (r *Runner) SetPeers(peers []Peer) {
 	names := make([]crossing.Name, len(peers))
 	for i, p := range peers {
 		names[i] = p.Name
 	}
 	r.service.SetPeers(names)
-	r.name(peers)
-}
-
-func (r *Runner) name(peers []Peer) {
 	before := r.peers
 	r.peers = nil
 	for _, p := range peers {
