Show unknown users the same salt when the file of users is read again

HUP drew a new secret, so that an unknown user's salt changed while the others' stayed: a client could tell them apart. The secret lives as long as the process now; the test reads the file again in between.

--- a/cmd/ringwood/serve.go
+++ b/cmd/ringwood/serve.go
@@ -47,6 +47,7 @@
 	event       func() uint64             // number of the event bus's last event; nil: there is no bus
 	mostClients int
 
+	users    *logins.Users   // of the PostgreSQL front; nil: everybody is let in
 	sites    *otherSites     // nil: there are none
 	upgrade  *config.Upgrade // nil: off
 	self     string          // this program's path
@@ -315,7 +316,12 @@
 	opts.TxIdle, opts.TxMost = config.FromMS(1000*p.TxIdle), config.FromMS(1000*p.TxMost)
 	opts.TLS, opts.RequireTLS = p.TLS.Config, p.TLS.Require
 	if len(p.Logins) > 0 {
-		opts.Users = logins.NewUsers(p.Logins)
+		if g.users == nil {
+			g.users = logins.NewUsers(p.Logins)
+		} else {
+			g.users = g.users.With(p.Logins)
+		}
+		opts.Users = g.users
 	} else if a, err := netip.ParseAddrPort(strings.Replace(p.Listen, "localhost:", "127.0.0.1:", 1)); err != nil || !a.Addr().IsLoopback() {
 		g.log.Warn("trust", "listen", p.Listen, "why", "no file of users: everybody who reaches this address is let in")
 	}
--- a/internal/logins/logins.go
+++ b/internal/logins/logins.go
@@ -94,14 +94,21 @@
 	secret []byte // that the stand-ins for unknown users are made with
 }
 
-// NewUsers returns users by name. What unknown ones are shown stays the same for this process.
+// NewUsers returns users by name.
 func NewUsers(all []User) *Users {
-	u := &Users{by: make(map[string]*User, len(all)), secret: make([]byte, 32)}
-	_, _ = rand.Read(u.secret) // it never fails
+	secret := make([]byte, 32)
+	_, _ = rand.Read(secret) // it never fails
+	return (&Users{secret: secret}).With(all)
+}
+
+// With returns other users, as a file that was read again names them. What unknown ones are shown
+// stays the same: a salt that changed would tell them from the others.
+func (u *Users) With(all []User) *Users {
+	next := &Users{by: make(map[string]*User, len(all)), secret: u.secret}
 	for _, one := range all {
-		u.by[one.Name] = &one
+		next.by[one.Name] = &one
 	}
-	return u
+	return next
 }
 
 // Get looks a user up; nil: there is none of this name.
--- a/internal/logins/logins_test.go
+++ b/internal/logins/logins_test.go
@@ -50,7 +50,10 @@
 		t.Error("users are mixed up")
 	}
 	salts := map[string]string{}
-	for _, name := range []string{"user", "other", "third", "other", "user"} {
+	for i, name := range []string{"user", "other", "third", "other", "user"} {
+		if i == 3 { // the file is read again
+			u = u.With([]User{{Name: "user", Verifier: v}})
+		}
 		l, err := u.Begin(name)
 		if err != nil {
 			t.Fatal(err)
