Open a door for operators: readiness, true figures, bans; take the platform's socket

internal/control answers at `control`; its connections are urgent in the loop, and dials leave it descriptors. decide/standing merges bus and bans; core tells the module a banned engine as draining and asks again right before an attempt is written. Figures are counted in core, once, at the final answer and the write. The parser of calls moved to internal/http1, for both.

--- /dev/null
+++ b/cmd/ringwood/control.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+
+	"gannetspur/internal/control"
+	"gannetspur/internal/core"
+	"gannetspur/internal/netio"
+)
+
+// platformSocket is the clients' listening socket, where the platform holds it and every
+// process inherits it ($LB_ACCEPT_FD); nil: this process opens its own.
+func platformSocket() (*netio.Listener, error) {
+	text := os.Getenv("LB_ACCEPT_FD")
+	if text == "" {
+		return nil, nil
+	}
+	fd, err := strconv.Atoi(text)
+	if err != nil || fd < 3 {
+		return nil, fmt.Errorf("LB_ACCEPT_FD: %q is no descriptor of an inherited socket", text)
+	}
+	ln, err := netio.Inherited(os.NewFile(uintptr(fd), "LB_ACCEPT_FD"))
+	if err != nil {
+		return nil, fmt.Errorf("LB_ACCEPT_FD: descriptor %d: %w", fd, err)
+	}
+	return ln, nil
+}
+
+// spareFiles is what stays free of descriptors for files, and for signals and clocks of the runtime.
+const spareFiles = 6
+
+// openDoor opens the operators' door, where there is an address for it.
+func (g *gateway) openDoor() error {
+	if g.control == "" {
+		return nil
+	}
+	d, err := control.Open(g.loop, g.control, door{g}, g.counters)
+	if err != nil {
+		return err
+	}
+	g.log.Info("control", "addr", d.Addr())
+	if g.sockets > 0 {
+		return g.loop.LimitFiles(g.sockets, control.Descriptors+spareFiles)
+	}
+	return nil
+}
+
+// door is what operators ask.
+type door struct{ g *gateway }
+
+func (d door) Ready() (bool, string) {
+	switch {
+	case d.g.stopping:
+		return false, "it is stopping"
+	case !d.g.ready:
+		return false, "it does not serve yet"
+	}
+	return true, ""
+}
+
+func (d door) Figures() core.Figures { return d.g.core.Figures() }
+
+func (d door) Ban(engine string, out bool) error { return d.g.core.Ban(engine, out) }
--- a/cmd/ringwood/serve.go
+++ b/cmd/ringwood/serve.go
@@ -46,6 +46,9 @@
 	follow      func(*handover.Knowledge) // begins to follow the roster; nil: nothing is known of it
 	event       func() uint64             // number of the event bus's last event; nil: there is no bus
 	mostClients int
+	sockets     int    // descriptors that the process may hold; 0: not said
+	control     string // where operators call; "": nowhere
+	ready       bool   // it serves clients
 
 	users    *logins.Users   // of the PostgreSQL front; nil: everybody is let in
 	sites    *otherSites     // nil: there are none
@@ -101,7 +104,8 @@
 	default:
 		g.follow(nil)
 		if err = g.listen(); err == nil {
-			err = errors.Join(g.linkSites(), g.admin())
+			g.ready = true
+			err = errors.Join(g.linkSites(), g.admin(), g.openDoor())
 		}
 	}
 	if err != nil {
@@ -187,6 +191,10 @@
 	if cfg.Listen == "" {
 		return errors.New("configuration: listen: missing")
 	}
+	if g.control = cfg.Control; os.Getenv("LB_CONTROL") != "" {
+		g.control = os.Getenv("LB_CONTROL")
+	}
+	g.sockets = cfg.Sockets
 	if err := g.start(cfg.Site.Policy, cfg.Seed, cfg.MemoryMB, cfg.Sockets); err != nil {
 		return err
 	}
@@ -244,7 +252,16 @@
 		MostClients: g.mostClients, MostHeld: part(cfg.MemoryMB, 8), Shapes: g.shapes,
 	}, g.counters)
 	g.front = f
-	g.listen = func() error { return f.Listen(cfg.Listen) }
+	g.listen = func() error {
+		if ln, err := platformSocket(); err != nil {
+			return err
+		} else if ln != nil {
+			f.ListenOn(ln)
+			ln.Resume()
+			return nil
+		}
+		return f.Listen(cfg.Listen)
+	}
 	return nil
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -21,6 +21,7 @@
 type Config struct {
 	Name     string
 	Listen   string
+	Control  string // where operators call; "": nowhere
 	Seed     uint64
 	MemoryMB int
 	Sockets  int
@@ -37,10 +38,11 @@
 }
 
 type file struct {
-	Name   string `json:"name"`
-	Listen string `json:"listen"`
-	Seed   string `json:"seed"`
-	Limits struct {
+	Name    string `json:"name"`
+	Listen  string `json:"listen"`
+	Control string `json:"control"`
+	Seed    string `json:"seed"`
+	Limits  struct {
 		MemoryMB float64 `json:"memory_mb"`
 		Sockets  float64 `json:"sockets"`
 	} `json:"limits"`
@@ -100,13 +102,13 @@
 		}
 		return nil, k.err()
 	}
-	for _, a := range []struct{ name, addr string }{{"listen", f.Listen}, {"bus", f.Bus}} {
-		if a.addr != "" { // the second front needs neither
+	for _, a := range []struct{ name, addr string }{{"listen", f.Listen}, {"bus", f.Bus}, {"control", f.Control}} {
+		if a.addr != "" { // the second front needs none
 			k.address(a.name, a.addr)
 		}
 	}
 	c := &Config{
-		Name: f.Name, Listen: f.Listen, MemoryMB: int(f.Limits.MemoryMB), Sockets: int(f.Limits.Sockets),
+		Name: f.Name, Listen: f.Listen, Control: f.Control, MemoryMB: int(f.Limits.MemoryMB), Sockets: int(f.Limits.Sockets),
 		Bus: f.Bus, Offset: f.Known.Offset,
 	}
 	if f.Seed != "" {
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,213 @@
+// Package control is the operators' door: calls of HTTP/1.1 at an address of their own, one to
+// a connection. It is thin: it reads a call, asks the gateway, answers and closes.
+package control
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"gannetspur/internal/core"
+	"gannetspur/internal/deadline"
+	"gannetspur/internal/http1"
+	"gannetspur/internal/netio"
+	"gannetspur/internal/stats"
+)
+
+const (
+	// mostCallers may be connected at once; the next ones wait unaccepted for a moment.
+	mostCallers = 12
+	// crowdedAt is from how many on the one that has been silent for longest is closed for
+	// the next. Guards against callers that connect, say nothing and keep others out.
+	crowdedAt = 8
+	// callWithin is by when a call must be whole; no caller waits longer for its answer.
+	callWithin = time.Second
+	maxBody    = 4 << 10
+)
+
+// Descriptors is what the door may take of the process's.
+const Descriptors = mostCallers + 2
+
+// Gateway is what the door asks. It is called on the loop's goroutine.
+type Gateway interface {
+	// Ready tells whether this process can serve; if not, why.
+	Ready() (bool, string)
+	Figures() core.Figures
+	// Ban takes an engine out of use, or back.
+	Ban(engine string, out bool) error
+}
+
+// Door answers operators.
+type Door struct {
+	loop     *netio.Loop
+	gateway  Gateway
+	stats    *stats.Counters
+	listener *netio.Listener
+	waiting  map[*caller]struct{} // have made no whole call
+}
+
+// Open listens for operators.
+func Open(loop *netio.Loop, addr string, g Gateway, counters *stats.Counters) (*Door, error) {
+	ln, err := netio.Listen(addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen for operators: %w", err)
+	}
+	ln.Urgent = true
+	d := &Door{loop: loop, gateway: g, stats: counters, listener: ln, waiting: map[*caller]struct{}{}}
+	loop.Serve(ln, http1.MaxCall, mostCallers, d.accept)
+	return d, nil
+}
+
+// Addr is where operators call.
+func (d *Door) Addr() string { return d.listener.Addr().String() }
+
+// caller is one connection.
+type caller struct {
+	door *Door
+	conn *netio.Conn
+	came time.Duration
+	due  *deadline.Entry
+	over bool // its call was answered, or it is being closed
+}
+
+func (d *Door) accept(c *netio.Conn) netio.Handler {
+	k := &caller{door: d, conn: c, came: d.loop.Now()}
+	k.due = d.loop.Timers.Add(k.came+callWithin, k.silent)
+	if d.waiting[k] = struct{}{}; len(d.waiting) > crowdedAt {
+		oldest := k
+		for w := range d.waiting {
+			if w.came < oldest.came {
+				oldest = w
+			}
+		}
+		oldest.silent()
+	}
+	return k
+}
+
+// silent closes a connection that has made no call.
+func (k *caller) silent() {
+	if k.over {
+		return
+	}
+	k.door.stats.Add("control.silent")
+	k.done()
+	k.conn.Abort()
+}
+
+// done marks that nothing more is read.
+func (k *caller) done() {
+	k.over = true
+	k.due.Stop()
+	delete(k.door.waiting, k)
+}
+
+// Data reads the call.
+func (k *caller) Data(_ *netio.Conn, in *netio.Buffer) {
+	if k.over {
+		in.Consume(in.Len())
+		return
+	}
+	call, n, bad := http1.Parse(in.Bytes())
+	if bad == nil && n == 0 {
+		return
+	}
+	a := http1.Answer{Status: 200, Type: "application/json", Close: true}
+	if bad == nil {
+		a, bad = k.door.answer(call)
+	}
+	if bad != nil {
+		k.door.stats.Add("control.refused")
+		a.Status, a.Type = bad.Status, "application/json"
+		a.Body, _ = json.Marshal(map[string]string{"error": bad.Text}) // of this type it never fails
+	} else {
+		k.door.stats.Add("control.answered")
+	}
+	a.Close = true
+	in.Consume(in.Len())
+	k.done()
+	k.conn.Write(a.Append(nil))
+	if bad != nil { // something may still come, which would reset the connection
+		k.conn.Finish()
+	} else {
+		k.conn.Close()
+	}
+}
+
+// Closed forgets the caller.
+func (k *caller) Closed(*netio.Conn, error) { k.done() }
+
+// answer carries out one call.
+func (d *Door) answer(c http1.Call) (http1.Answer, *http1.Fault) {
+	yes := http1.Answer{Status: 200, Type: "application/json", Body: []byte("{}")}
+	method := "GET"
+	if c.Path == "/engines/disable" || c.Path == "/engines/enable" {
+		method = "POST"
+	} else if c.Path != "/ready" && c.Path != "/metrics" {
+		return yes, http1.Deny(404, "there are /ready, /metrics, /engines/disable and /engines/enable")
+	}
+	if c.Method != method {
+		return yes, http1.Deny(405, "%s is called by %s", c.Path, method)
+	}
+	switch c.Path {
+	case "/ready":
+		if ok, why := d.gateway.Ready(); !ok {
+			return yes, http1.Deny(503, "%s", why)
+		}
+	case "/metrics":
+		yes.Type, yes.Body = "text/plain", Text(d.gateway.Figures())
+	default:
+		id, bad := target(c.Body)
+		if bad != nil {
+			return yes, bad
+		}
+		if err := d.gateway.Ban(id, c.Path == "/engines/disable"); err != nil {
+			return yes, http1.Deny(404, "%s", err.Error())
+		}
+	}
+	return yes, nil
+}
+
+// target reads the engine's id out of the body of a call: {"target":"ID"}.
+func target(body []byte) (string, *http1.Fault) {
+	if len(body) > maxBody {
+		return "", http1.Deny(413, "the body is over %d bytes", maxBody)
+	}
+	var call struct {
+		Target *string `json:"target"`
+	}
+	d := json.NewDecoder(bytes.NewReader(body))
+	if err := d.Decode(&call); err != nil {
+		return "", http1.Bad("the body is not {\"target\":\"ID\"}: %v", err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return "", http1.Bad("something follows the body's object")
+	}
+	if call.Target == nil || *call.Target == "" {
+		return "", http1.Bad("target: missing")
+	}
+	return *call.Target, nil
+}
+
+// Text words figures, a line each: a name, a value, and c for a count or g for a state.
+func Text(f core.Figures) []byte {
+	var b []byte
+	line := func(name string, n int64, kind byte) {
+		b = append(append(append(b, "lb."...), name...), ':')
+		b = append(strconv.AppendInt(b, n, 10), '|', kind, '\n')
+	}
+	for _, c := range f.Classes {
+		line("calls."+c.Class+".success", c.Served, 'c')
+		line("calls."+c.Class+".busy", c.Refused, 'c')
+		line("calls."+c.Class+".failure", c.Failed, 'c')
+	}
+	line("backend_calls", f.Written, 'c')
+	line("inflight", int64(f.Inflight), 'g')
+	line("hosts_listed", int64(f.Listed), 'g')
+	line("hosts_down", int64(f.Down), 'g')
+	return b
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gannetspur/internal/deadline"
+	"gannetspur/internal/decide/standing"
 	"gannetspur/internal/stats"
 	"gannetspur/policy"
 )
@@ -100,10 +101,6 @@
 	timer    *deadline.Entry
 }
 
-// TooLate tells that the attempt may no longer be written: an earlier one may have
-// run, and its key's window is about to close. Links ask before they write.
-func (a *Attempt) TooLate(now time.Duration) bool { return a.notAfter > 0 && now >= a.notAfter }
-
 // Ended tells whether the attempt is over.
 func (a *Attempt) Ended() bool { return a.ended }
 
@@ -143,6 +140,10 @@
 	sending func(*Request, time.Duration) // hears of first sends before they are made; may be nil
 	stats   *stats.Counters
 	sites   Sites // nil: there is no other
+	stand   *standing.Standing
+	changed func() // hears that a ban was called or called back here; may be nil
+	figures map[string]*ClassFigures
+	written int64 // attempts written whole
 	log     *slog.Logger
 	round   time.Duration
 	classes map[string]policy.Class
@@ -166,9 +167,11 @@
 	c := &Core{
 		gateway: g, clock: clock, timers: timers, stats: counters, log: l, round: set.Round,
 		classes: map[string]policy.Class{}, engines: map[string]Engine{}, requests: map[uint64]*Request{},
+		stand: standing.New(), figures: map[string]*ClassFigures{},
 	}
 	for _, class := range set.Classes {
 		c.classes[class.Name] = class
+		c.figures[class.Name] = &ClassFigures{Class: class.Name}
 	}
 	return c, nil
 }
@@ -186,13 +189,14 @@
 // Known is what the core knows beside its requests, to be handed to another of the same
 // settings.
 type Known struct {
-	Engines []Engine
+	Engines []Engine // as the roster told them
 	Learned policy.Learned
+	Bans    standing.Bans
 }
 
 // Known is a copy of what the core knows.
 func (c *Core) Known() Known {
-	k := Known{Learned: c.gateway.Learned()}
+	k := Known{Learned: c.gateway.Learned(), Bans: c.Bans()}
 	for _, e := range c.engines {
 		k.Engines = append(k.Engines, e)
 	}
@@ -203,6 +207,7 @@
 // Learn takes what another core knows, in place of the roster so far. No request may have
 // been taken yet.
 func (c *Core) Learn(k Known) {
+	c.TakeBans(k.Bans)
 	c.gateway.Learn(c.clock.Now(), k.Learned)
 	c.Roster(policy.ListFull, k.Engines)
 }
@@ -234,10 +239,10 @@
 	before := c.engines
 	if mode == policy.ListFull || mode == policy.ListCached {
 		c.engines = map[string]Engine{}
+		c.stand.Clear()
 	}
 	for _, e := range engines {
-		ev.Engines = append(ev.Engines, e.Engine)
-		c.engine(e) // before the module may name it in a send
+		ev.Engines = append(ev.Engines, c.hear(e).Engine)
 		if c.engines[e.ID] = e; e.State == policy.EngineGone {
 			delete(c.engines, e.ID)
 		}
@@ -252,6 +257,14 @@
 	c.tell(ev)
 }
 
+// hear merges what the operators say into an entry of the roster, and tells of it before the
+// module may name it in a send.
+func (c *Core) hear(e Engine) Engine {
+	e.Engine = c.stand.Hear(e.Engine)
+	c.engine(e)
+	return e
+}
+
 // engine tells of an entry of the roster.
 func (c *Core) engine(e Engine) {
 	c.links.Engine(e)
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -45,6 +45,7 @@
 	}
 	a.Sent = a.Sent || r.Prior > 0 || len(r.tries) > 0
 	c.stats.Add("answered." + a.Verdict.String() + "." + r.Class)
+	c.counted(r, a.Verdict)
 	if a.Late {
 		c.stats.Add("answered-late." + r.Class)
 	}
--- /dev/null
+++ b/internal/core/standing.go
@@ -0,0 +1,113 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+
+	"gannetspur/internal/decide/standing"
+	"gannetspur/policy"
+)
+
+// Operators' bans: the core merges them into what the roster says, so that the module and the
+// links hear one word on each engine.
+
+// Ban takes an engine out of use, or back, on the operators' call. Its error is the
+// decision's: no such engine, or too many are out.
+func (c *Core) Ban(id string, out bool) error {
+	changed, err := c.stand.Call(c.clock.Now(), id, out)
+	if err != nil || !changed {
+		return err
+	}
+	c.stats.Add("bans.called")
+	c.log.Info("ban", "engine", id, "out", out)
+	c.again([]string{id})
+	if c.changed != nil {
+		c.changed()
+	}
+	return nil
+}
+
+// SetBanned names who hears of each call that changed something, before it is answered.
+func (c *Core) SetBanned(f func()) { c.changed = f }
+
+// Bans are the operators' words on engines.
+func (c *Core) Bans() standing.Bans { return c.stand.Bans() }
+
+// TakeBans merges in what operators have told another process.
+func (c *Core) TakeBans(other standing.Bans) {
+	if changed := c.stand.Take(other); len(changed) > 0 {
+		c.log.Info("bans.taken", "engines", changed)
+		c.again(changed)
+	}
+}
+
+// again tells anew of engines on which another word holds now.
+func (c *Core) again(ids []string) {
+	ev := policy.Engines{Mode: policy.ListChanges}
+	for _, id := range ids {
+		if e, ok := c.engines[id]; ok {
+			ev.Engines = append(ev.Engines, c.hear(e).Engine)
+		}
+	}
+	if len(ev.Engines) > 0 {
+		c.tell(ev)
+	}
+}
+
+// Writing is asked by links right before they write an attempt whole, and counts it. It may
+// no longer be written where an earlier one may have run and its key's window is about to
+// close, or where operators have taken its engine out while it waited for a connection: it
+// ends as not sent then.
+func (c *Core) Writing(a *Attempt) bool {
+	if a.notAfter > 0 && c.clock.Now() >= a.notAfter || c.stand.Barred(a.Engine) {
+		return false
+	}
+	c.written++
+	return true
+}
+
+// ClassFigures are the final answers to requests of one class.
+type ClassFigures struct {
+	Class                   string
+	Served, Refused, Failed int64
+}
+
+// Figures are what operators are told, counted since the process began.
+type Figures struct {
+	Classes  []ClassFigures // in order of name
+	Written  int64          // attempts written whole to engines
+	Inflight int            // requests taken and not ended
+	Listed   int            // engines that the roster names
+	Down     int            // of these, how many are avoided: by operators, or by the module
+}
+
+// Figures is a snapshot.
+func (c *Core) Figures() Figures {
+	f := Figures{Written: c.written, Inflight: c.unended, Listed: c.stand.Listed()}
+	for _, k := range c.figures {
+		f.Classes = append(f.Classes, *k)
+	}
+	slices.SortFunc(f.Classes, func(a, b ClassFigures) int { return cmp.Compare(a.Class, b.Class) })
+	for id := range c.engines {
+		if c.stand.Barred(id) || c.gateway.Avoids(id) {
+			f.Down++
+		}
+	}
+	return f
+}
+
+// counted counts a final answer.
+func (c *Core) counted(r *Request, v Verdict) {
+	f := c.figures[r.Class]
+	if f == nil { // a class that the settings don't have; the module refuses it
+		return
+	}
+	switch v {
+	case Served:
+		f.Served++
+	case Refused:
+		f.Refused++
+	default:
+		f.Failed++
+	}
+}
--- a/internal/engine/lines/links.go
+++ b/internal/engine/lines/links.go
@@ -192,7 +192,7 @@
 func (s *stream) want() {
 	a := s.attempt
 	r := a.Request
-	if a.TooLate(s.link.all.core.Now()) {
+	if !s.link.all.core.Writing(a) {
 		s.link.finish(s, core.EndNotSent)
 		return
 	}
--- a/internal/engine/pg/links.go
+++ b/internal/engine/pg/links.go
@@ -165,7 +165,7 @@
 // prepared it yet, bound, described and run.
 func (l *link) write() {
 	s := l.statement()
-	if s == nil || l.attempt.TooLate(l.all.core.Now()) {
+	if s == nil || !l.all.core.Writing(l.attempt) {
 		l.finish(core.EndNotSent, core.Report{})
 		return
 	}
--- /dev/null
+++ b/internal/front/rest/encode_test.go
@@ -0,0 +1,18 @@
+package rest
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gannetspur/internal/engine/lines"
+)
+
+// Answers are JSON whatever the rows hold.
+func FuzzEncode(f *testing.F) {
+	f.Add("a\t\"b\"\\\x01\nc\td\n")
+	f.Fuzz(func(t *testing.T, page string) {
+		if b := encode(lines.Rows{[]byte(page)}, "/more/x"); !json.Valid(b) {
+			t.Fatalf("%q", b)
+		}
+	})
+}
--- a/internal/front/rest/move.go
+++ b/internal/front/rest/move.go
@@ -6,6 +6,7 @@
 
 	"gannetspur/internal/core"
 	"gannetspur/internal/engine/lines"
+	"gannetspur/internal/http1"
 	"gannetspur/internal/netio"
 
 	"github.com/fxamacker/cbor/v2"
@@ -31,7 +32,7 @@
 func (f *Front) Name() string { return "rest" }
 
 // Limit bounds what is read of a connection and not consumed, in bytes.
-func (f *Front) Limit() int { return maxCall }
+func (f *Front) Limit() int { return http1.MaxCall }
 
 // OnAccept names who hears of each connection that is accepted, once its handler is there.
 func (f *Front) OnAccept(fn func(*netio.Conn)) { f.accepted = fn }
--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -14,6 +14,7 @@
 	"gannetspur/internal/core"
 	"gannetspur/internal/deadline"
 	"gannetspur/internal/engine/lines"
+	"gannetspur/internal/http1"
 	"gannetspur/internal/netio"
 	"gannetspur/internal/shape"
 	"gannetspur/internal/sqltext"
@@ -108,7 +109,7 @@
 // ListenOn accepts from a listener, which another process may have opened.
 func (f *Front) ListenOn(ln *netio.Listener) {
 	f.listener = ln
-	f.loop.Serve(ln, maxCall, f.opts.MostClients+spareClients, f.accept)
+	f.loop.Serve(ln, http1.MaxCall, f.opts.MostClients+spareClients, f.accept)
 	f.sweepIdle()
 }
 
@@ -224,8 +225,8 @@
 			k.conn.WhenWritten(k.conn.Again)
 			return
 		}
-		c, n, bad := parse(in.Bytes())
-		if bad == nil && n > 0 && n < in.Len() && !begins(in.Bytes()[n:]) {
+		c, n, bad := http1.Parse(in.Bytes())
+		if bad == nil && n > 0 && n < in.Len() && !http1.Begins(in.Bytes()[n:]) {
 			bad = wrongLength()
 		}
 		if bad != nil {
@@ -237,7 +238,7 @@
 		}
 		k.due.Stop()
 		k.due = nil
-		k.close, k.further, k.used = c.close, false, k.front.loop.Now()
+		k.close, k.further, k.used = c.Close, false, k.front.loop.Now()
 		in.Consume(n) // before the call, whose bytes stay where they are: an answer at once stands behind it
 		k.call(c)
 	}
@@ -245,7 +246,7 @@
 	switch {
 	case k.ended:
 		in.Consume(in.Len())
-	case k.request != nil && in.Len() > 0 && !begins(in.Bytes()):
+	case k.request != nil && in.Len() > 0 && !http1.Begins(in.Bytes()):
 		k.leave()
 		k.refuse(wrongLength())
 	case k.request == nil && k.due == nil && (in.Len() > 0 || !k.good):
@@ -266,7 +267,7 @@
 			k.ended = true
 			k.conn.Close()
 		} else {
-			k.refuse(&fault{408, "the call was not whole in time"})
+			k.refuse(http1.Deny(408, "the call was not whole in time"))
 		}
 	})
 }
@@ -288,28 +289,28 @@
 	}
 }
 
-func (k *conn) call(c call) {
-	class, isClass := strings.CutPrefix(c.path, "/rpc/")
-	var bad *fault
+func (k *conn) call(c http1.Call) {
+	class, isClass := strings.CutPrefix(c.Path, "/rpc/")
+	var bad *http1.Fault
 	switch {
-	case c.method == "GET" && c.path == "/health":
+	case c.Method == "GET" && c.Path == "/health":
 		k.good = true
 		k.write(200, 0, []byte(`{}`))
-	case isClass && c.method == "POST":
+	case isClass && c.Method == "POST":
 		bad = k.take(class[strings.LastIndexByte(class, '/')+1:], c)
 	case isClass:
-		bad = &fault{405, "statements come by POST"}
-	case strings.HasPrefix(c.path, "/more/") && c.method == "GET":
+		bad = http1.Deny(405, "statements come by POST")
+	case strings.HasPrefix(c.Path, "/more/") && c.Method == "GET":
 		k.good = true
-		k.more(c.path)
-	case strings.HasPrefix(c.path, "/more/") && c.method == "DELETE":
-		if k.good = true; k.front.release(pathOf(c.path)) {
+		k.more(c.Path)
+	case strings.HasPrefix(c.Path, "/more/") && c.Method == "DELETE":
+		if k.good = true; k.front.release(pathOf(c.Path)) {
 			k.write(200, 0, []byte(`{}`))
 		} else {
 			k.gone()
 		}
 	default:
-		bad = &fault{404, "no such path"}
+		bad = http1.Deny(404, "no such path")
 	}
 	if bad != nil {
 		k.refuse(bad)
@@ -319,35 +320,37 @@
 // gone answers a call for a path that nothing is held under, as after a restart.
 func (k *conn) gone() { k.write(404, 0, encodeFault("nothing is held under this path")) }
 
-func wrongLength() *fault { return bad("what follows the call is no other: Content-Length is wrong") }
+func wrongLength() *http1.Fault {
+	return http1.Bad("what follows the call is no other: Content-Length is wrong")
+}
 
 // take puts a statement to the core, or tells what is wrong with the call.
-func (k *conn) take(name string, c call) *fault {
+func (k *conn) take(name string, c http1.Call) *http1.Fault {
 	f := k.front
 	class, ok := f.core.Class(name)
 	if !ok {
-		return &fault{404, "no such class"}
+		return http1.Deny(404, "no such class")
 	}
-	id := c.head["req-id"]
+	id := c.Head["req-id"]
 	if len(id) != 16 || strings.Trim(id, "0123456789abcdefABCDEF") != "" {
-		return bad("Req-Id: not 16 hex digits")
+		return http1.Bad("Req-Id: not 16 hex digits")
 	}
 	if _, open := f.ids[id]; open { // two under one id could not be told apart at an engine
-		return &fault{409, "Req-Id: a request of this id is open"}
+		return http1.Deny(409, "Req-Id: a request of this id is open")
 	}
-	wait, err := strconv.ParseFloat(c.head["req-wait-ms"], 64)
+	wait, err := strconv.ParseFloat(c.Head["req-wait-ms"], 64)
 	if err != nil || !(wait > 0) || wait > ms(mostWait) {
-		return bad("Req-Wait-Ms: not a number of milliseconds up to %.0f", ms(mostWait))
+		return http1.Bad("Req-Wait-Ms: not a number of milliseconds up to %.0f", ms(mostWait))
 	}
-	if retry, ok := c.head["req-retry"]; ok && strings.Trim(retry, "0123456789") != "" {
-		return bad("Req-Retry: not a number")
+	if retry, ok := c.Head["req-retry"]; ok && strings.Trim(retry, "0123456789") != "" {
+		return http1.Bad("Req-Retry: not a number")
 	}
-	if !utf8.Valid(c.body) || bytes.IndexByte(c.body, 0) >= 0 {
-		return bad("the statement is no text in UTF-8")
+	if !utf8.Valid(c.Body) || bytes.IndexByte(c.Body, 0) >= 0 {
+		return http1.Bad("the statement is no text in UTF-8")
 	}
-	text := string(c.body)
+	text := string(c.Body)
 	r := &core.Request{
-		ID: id, Class: name, Statement: text, Repeat: c.head["req-retry"] == "1", Client: k,
+		ID: id, Class: name, Statement: text, Repeat: c.Head["req-retry"] == "1", Client: k,
 		Deadline: k.came() + config.FromMS(wait),
 	}
 	var cost float64
@@ -356,19 +359,19 @@
 		to   *float64
 		most float64
 	}{{"Req-Cost", &cost, ms(mostWork)}, {"Req-Kb", &r.MemoryMB, mostMB}} {
-		text, ok := c.head[strings.ToLower(v.name)]
+		text, ok := c.Head[strings.ToLower(v.name)]
 		if !ok {
 			continue
 		}
 		if *v.to, err = strconv.ParseFloat(text, 64); err != nil || !(*v.to > 0) || *v.to > v.most {
-			return bad("%s: not a number above 0, up to %.0f", v.name, v.most)
+			return http1.Bad("%s: not a number above 0, up to %.0f", v.name, v.most)
 		}
 	}
 	r.Work = config.FromMS(cost)
 	if class.Effect == policy.Keyed {
-		r.Token = c.head["req-token"]
+		r.Token = c.Head["req-token"]
 		if !isToken(r.Token) { // without its key nothing would drop a repeat
-			return bad("Req-Token: missing or not of 1 to 64 letters, digits, - and _")
+			return http1.Bad("Req-Token: missing or not of 1 to 64 letters, digits, - and _")
 		}
 	}
 	if s := f.opts.Shapes; s != nil {
@@ -491,17 +494,10 @@
 // refuse answers a bad call and ends the connection: what follows a call that can't
 // be read can't be trusted, and who sends bad calls without pause has to connect
 // for each.
-func (k *conn) refuse(bad *fault) {
+func (k *conn) refuse(bad *http1.Fault) {
 	k.front.stats.Add("rest.bad-calls")
 	k.close = true
-	k.write(bad.status, 0, encodeFault(bad.text))
-}
-
-var reasons = map[int]string{
-	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-	409: "Conflict", 411: "Length Required", 413: "Content Too Large",
-	431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
-	503: "Service Unavailable", 505: "HTTP Version Not Supported",
+	k.write(bad.Status, 0, encodeFault(bad.Text))
 }
 
 // write sends one whole response in one piece.
@@ -510,19 +506,7 @@
 		return
 	}
 	k.close = k.close || k.front.draining && !k.further
-	b := make([]byte, 0, 160+len(body))
-	b = strconv.AppendInt(append(b, "HTTP/1.1 "...), int64(status), 10)
-	b = append(append(append(b, ' '), reasons[status]...), "\r\nContent-Type: application/json\r\nContent-Length: "...)
-	b = append(strconv.AppendInt(b, int64(len(body)), 10), "\r\n"...)
-	if comeBack > 0 {
-		ms := (comeBack + time.Millisecond - 1) / time.Millisecond
-		b = append(strconv.AppendInt(append(b, "Srv-Wait-Ms: "...), int64(ms), 10), "\r\n"...)
-	}
-	if k.close {
-		b = append(b, "Connection: close\r\n"...)
-	}
-	b = append(append(b, "\r\n"...), body...)
-	k.conn.Write(b)
+	k.conn.Write(http1.Answer{Status: status, Type: "application/json", Wait: comeBack, Close: k.close, Body: body}.Append(nil))
 	if k.close {
 		k.ended = true
 		if status >= 400 && status < 500 {
--- a/internal/house/house_test.go
+++ b/internal/house/house_test.go
@@ -17,11 +17,11 @@
 	{"internal/front/", "internal/wire"},
 	{"internal/engine"},
 	{"internal/site/link"},
-	{"internal/shape", "internal/handover", "internal/admin", "internal/site/crossing"},
+	{"internal/shape", "internal/handover", "internal/admin", "internal/control", "internal/site/crossing"},
 	{"internal/roster/", "internal/config"},
 	{"internal/core", "internal/netio"},
 	{"internal/decide/"},
-	{"policy", "internal/sqltext", "internal/pgproto", "internal/deadline", "internal/stats", "internal/logs", "internal/logins", "internal/site/frame", "internal/site/head", "internal/site/mux"},
+	{"policy", "internal/sqltext", "internal/pgproto", "internal/deadline", "internal/http1", "internal/stats", "internal/logs", "internal/logins", "internal/site/frame", "internal/site/head", "internal/site/mux"},
 }
 
 func floor(pkg string) int {
--- a/internal/lab/fleet/engine.go
+++ b/internal/lab/fleet/engine.go
@@ -148,12 +148,12 @@
 	w.after(lan, func() {
 		switch {
 		case a.Ended() || l.g.lives != l.life || l.g.dead:
-		case a.TooLate(l.g.Now()):
-			r.end(core.EndNotSent, core.Report{})
 		case e == nil:
 			r.end(core.EndNoEngine, core.Report{})
 		case e.down:
 			r.end(core.EndRefused, core.Report{})
+		case !l.g.core.Writing(a):
+			r.end(core.EndNotSent, core.Report{})
 		default:
 			e.take(r)
 		}
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -19,6 +19,7 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"golang.org/x/sys/unix"
 )
 
 // MaxWrite bounds what waits for a slow reader; past it the connection is closed.
@@ -78,8 +79,12 @@
 	mu    sync.Mutex
 	queue []func()
 	spare []func()
+	first []func()    // urgent work, which waits for no more than one other piece
+	hasty atomic.Bool // there is some
 	wake  chan struct{}
 	open  map[*Conn]struct{}
+	dials int // under way
+	files int // most descriptors of connections and dials; 0: no such limit
 	stop  bool
 }
 
@@ -113,7 +118,7 @@
 	})
 	l.engine.OnClose(func(nc *nbio.Conn, err error) {
 		if c, ok := nc.Session().(*Conn); ok {
-			l.Post(func() { c.ended(err) })
+			c.post(func() { c.ended(err) })
 		}
 	})
 	if err := l.engine.Start(); err != nil {
@@ -142,6 +147,48 @@
 	}
 }
 
+// urgent has f called on the loop's goroutine before any other work that waits.
+func (l *Loop) urgent(f func()) {
+	l.mu.Lock()
+	l.first = append(l.first, f)
+	l.hasty.Store(true)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// hasten runs what is urgent.
+func (l *Loop) hasten() {
+	if !l.hasty.Load() {
+		return
+	}
+	l.mu.Lock()
+	work := l.first
+	l.first = nil
+	l.hasty.Store(false)
+	l.mu.Unlock()
+	for _, f := range work {
+		f()
+	}
+}
+
+// LimitFiles bounds the descriptors that connections and dials take together, of the sockets
+// that the process may hold: what it has open by now and spare are left out. Past it dials fail as
+// they do when the table is full. Guards against a door that finds no descriptor, or the disk.
+func (l *Loop) LimitFiles(sockets, spare int) error {
+	entries, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		return fmt.Errorf("count the open descriptors: %w", err)
+	}
+	l.files = max(sockets-len(entries)-spare, 1)
+	return nil
+}
+
+// dialFiles is what a dial may take at once: the socket, and its copy for the poller.
+const dialFiles = 2
+
 // Run turns until Stop: what came in, then what is due.
 func (l *Loop) Run() {
 	timer := time.NewTimer(time.Hour)
@@ -152,10 +199,12 @@
 		l.queue = l.spare[:0]
 		l.mu.Unlock()
 		for i, f := range work {
+			l.hasten()
 			f()
 			work[i] = nil
 		}
 		l.spare = work[:0]
+		l.hasten()
 		l.Timers.Sweep(l.Now())
 		wait := time.Hour
 		if at, ok := l.Timers.Next(); ok {
@@ -193,6 +242,9 @@
 // Listener accepts connections for a loop. It can pause, with its socket open: who connects
 // meanwhile waits unaccepted.
 type Listener struct {
+	// Urgent is that its connections go before all others in each turn. Set it before Serve.
+	Urgent bool
+
 	tcp    *net.TCPListener
 	mu     sync.Mutex
 	paused *pause // nil: it accepts
@@ -259,6 +311,9 @@
 // before Resume. It takes the file.
 func Inherited(f *os.File) (*Listener, error) {
 	defer f.Close()
+	if on, err := unix.GetsockoptInt(int(f.Fd()), unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil || on == 0 {
+		return nil, errors.Join(errors.New("inherited listener: the descriptor is no socket that listens"), err)
+	}
 	ln, err := net.FileListener(f)
 	if err != nil {
 		return nil, fmt.Errorf("inherited listener: %w", err)
@@ -304,7 +359,11 @@
 					done()
 					continue
 				}
-				l.Post(func() { _, _ = l.adopt(nc, limit, nil, accept, done) })
+				post := l.Post
+				if ln.Urgent {
+					post = l.urgent
+				}
+				post(func() { _, _ = l.adopt(nc, limit, nil, ln.Urgent, accept, done) })
 			}
 		}
 	}()
@@ -345,15 +404,18 @@
 
 // adopt hands a connected socket to the poller. The function done is called once
 // the connection has ended.
-func (l *Loop) adopt(nc *nbio.Conn, limit int, unread []byte, accept func(*Conn) Handler, done func()) (*Conn, error) {
+func (l *Loop) adopt(nc *nbio.Conn, limit int, unread []byte, urgent bool, accept func(*Conn) Handler, done func()) (*Conn, error) {
 	c := new(Conn)
 	c.mu.Lock() // the poller goes through the same lock before it reads a field
-	c.loop, c.nc, c.limit, c.done = l, nc, limit, done
+	c.loop, c.nc, c.limit, c.done, c.post = l, nc, limit, done, l.Post
+	if urgent {
+		c.post = l.urgent
+	}
 	if len(unread) > 0 {
 		c.in.append(unread)
 		l.filled.Add(int64(len(unread)))
 		c.told = true
-		l.Post(c.data)
+		c.post(c.data)
 	}
 	c.mu.Unlock()
 	c.handler = accept(c)
@@ -371,6 +433,11 @@
 // handler is told of nothing before done has returned. Calling the returned
 // function gives the dial up; done is called all the same.
 func (l *Loop) Dial(addr string, timeout time.Duration, limit int, h Handler, done func(*Conn, error)) (cancel func()) {
+	if l.files > 0 && len(l.open)+dialFiles*(l.dials+1) > l.files {
+		l.Post(func() { done(nil, fmt.Errorf("dial %s: %w", addr, syscall.EMFILE)) })
+		return func() {}
+	}
+	l.dials++
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	go func() {
 		var d net.Dialer
@@ -383,11 +450,12 @@
 			}
 		}
 		l.Post(func() {
+			l.dials--
 			if err != nil {
 				done(nil, err)
 				return
 			}
-			done(l.adopt(nc, limit, nil, func(*Conn) Handler { return h }, func() {}))
+			done(l.adopt(nc, limit, nil, false, func(*Conn) Handler { return h }, func() {}))
 		})
 	}()
 	return cancel
@@ -410,6 +478,7 @@
 	limit   int
 	over    bool // Closed was told
 	closing bool
+	post    func(func()) // has something done on the loop
 	done    func()       // called once it has ended
 	shut    atomic.Bool  // nothing more is read
 	then    func()       // called once all is written
@@ -469,7 +538,7 @@
 	}
 	if got && !c.told {
 		c.told = true
-		c.loop.Post(c.data)
+		c.post(c.data)
 	}
 }
 
--- a/internal/netio/place.go
+++ b/internal/netio/place.go
@@ -204,5 +204,5 @@
 	if nc == nil {
 		return nil, errors.New("attach: no descriptor is free")
 	}
-	return l.adopt(nc, limit, unread, accept, func() {})
+	return l.adopt(nc, limit, unread, false, accept, func() {})
 }
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -136,3 +136,9 @@
 	}
 	g.setSum, g.dear, g.load, g.mine, g.theirs, g.rate, g.width = l.SetSum, l.Dear, l.Load, l.Mine, l.Theirs, l.Rate, l.Width
 }
+
+// Avoids tells whether the gateway sends an engine nothing but trials, as it seems hung or failing.
+func (g *Gateway) Avoids(id string) bool {
+	e := g.byID[id]
+	return e != nil && e.suspected
+}
