Let a process that the platform starts take over bans, learning and the bus's place

Need: an upgrade has to keep bans, and the second process knew nothing of the first one's.

internal/succession: a file for each process under $TMPDIR, checksummed, renamed, with a lock that dies with its owner; decide/succession says whom a new process takes over from (property-tested). Both merge each other's bans while they live, and share the limits. On SIGTERM the old one closes the listener at once where a successor is ready, and ends connections behind their answers.

Numbers of events go over only where both configurations tell the same of the roster; else the new process follows its own (seen: the platform's second start told other events, took_over=false).

--- /dev/null
+++ b/cmd/ringwood/beside.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+
+	"gannetspur/internal/handover"
+	"gannetspur/internal/succession"
+)
+
+// stateFolder lies in $TMPDIR, which the processes of one front end share.
+const stateFolder = "ringwood-processes"
+
+// beside takes the place of a process that serves at the platform's socket, where there is
+// one; else it serves from its configuration.
+func (g *gateway) beside() (err error) {
+	g.succession, err = succession.New(g.loop, g.core, filepath.Join(os.TempDir(), stateFolder), succession.Options{
+		Events: g.events, Know: g.know, Take: g.succeed,
+		Alone: func() { g.serveNow(nil) }, Share: g.shareLimits,
+		Replaced: func() {
+			g.log.Info("replaced")
+			g.front.CloseListener()
+			g.part()
+		},
+	}, g.log)
+	if err != nil { // nobody can follow it, and it serves all the same
+		g.log.Error("succession", "error", err)
+		g.serveNow(nil)
+		return g.failed
+	}
+	g.loop.Post(g.succession.Begin)
+	return nil
+}
+
+// succeed goes on from what another process knows.
+func (g *gateway) succeed(k *handover.Knowledge) error {
+	g.core.Learn(k.Core)
+	if g.shapes != nil && len(k.Shapes) > 0 {
+		if err := g.shapes.Take(k.Shapes); err != nil { // it learns them anew
+			g.log.Warn("succession.shapes", "error", err)
+		}
+	}
+	if k.Event == 0 {
+		k = nil
+	}
+	g.serveNow(k)
+	return nil
+}
+
+// serveNow follows the roster and accepts clients.
+func (g *gateway) serveNow(k *handover.Knowledge) {
+	g.follow(k)
+	if err := errors.Join(g.listen(), g.linkSites(), g.admin()); err != nil {
+		g.failed = err
+		g.loop.Stop()
+		return
+	}
+	g.ready = true
+	g.log.Info("serving", "addr", g.front.Addr(), "took_over", k != nil)
+	notify("READY=1\n")
+}
+
+// shareLimits leaves the rest of the limits to other processes of this front end.
+func (g *gateway) shareLimits(share float64) {
+	g.log.Info("limits.shared", "part", share)
+	g.clientLimit(int(share * float64(g.mostClients)))
+	g.loop.ShareFiles(share)
+	g.loop.Budget = int64(share * float64(part(g.memoryMB, 6)))
+	limitResources(int(share * float64(g.memoryMB)))
+}
--- a/cmd/ringwood/serve.go
+++ b/cmd/ringwood/serve.go
@@ -28,6 +28,7 @@
 	"gannetspur/internal/shape"
 	"gannetspur/internal/sqltext"
 	"gannetspur/internal/stats"
+	"gannetspur/internal/succession"
 	"gannetspur/policy"
 )
 
@@ -50,6 +51,13 @@
 	control     string // where operators call; "": nowhere
 	ready       bool   // it serves clients
 
+	socket      *netio.Listener    // the platform's, which processes follow each other at; nil: this process opens its own
+	succession  *succession.Runner // nil: none
+	memoryMB    int
+	events      uint64    // sum of what the configuration tells of the roster
+	clientLimit func(int) // bounds the clients of the front
+	part        func()    // has the front end connections behind their answers
+
 	users    *logins.Users   // of the PostgreSQL front; nil: everybody is let in
 	sites    *otherSites     // nil: there are none
 	upgrade  *config.Upgrade // nil: off
@@ -101,6 +109,8 @@
 		}
 	case in != nil:
 		err = g.takeOver(in)
+	case g.socket != nil:
+		err = errors.Join(g.openDoor(), g.beside())
 	default:
 		g.follow(nil)
 		if err = g.listen(); err == nil {
@@ -114,14 +124,18 @@
 		}
 		return err
 	}
-	if in == nil {
+	switch {
+	case in != nil && in.check:
+		return nil
+	case in == nil && g.ready:
 		logger.Info("serving", "addr", g.front.Addr())
 		notify("READY=1\n")
-	} else if in.check {
-		return nil
 	}
 	go g.signals(told)
 	g.loop.Run()
+	if g.succession != nil {
+		g.succession.Leave()
+	}
 	g.print()
 	return g.failed
 }
@@ -194,7 +208,13 @@
 	if g.control = cfg.Control; os.Getenv("LB_CONTROL") != "" {
 		g.control = os.Getenv("LB_CONTROL")
 	}
-	g.sockets = cfg.Sockets
+	g.sockets, g.memoryMB = cfg.Sockets, cfg.MemoryMB
+	if g.socket, err = platformSocket(); err != nil {
+		return err
+	}
+	if g.events, err = cfg.EventSum(); err != nil {
+		return err
+	}
 	if err := g.start(cfg.Site.Policy, cfg.Seed, cfg.MemoryMB, cfg.Sockets); err != nil {
 		return err
 	}
@@ -253,15 +273,14 @@
 	}, g.counters)
 	g.front = f
 	g.listen = func() error {
-		if ln, err := platformSocket(); err != nil {
-			return err
-		} else if ln != nil {
-			f.ListenOn(ln)
-			ln.Resume()
+		if g.socket != nil {
+			f.ListenOn(g.socket)
+			g.socket.Resume()
 			return nil
 		}
 		return f.Listen(cfg.Listen)
 	}
+	g.clientLimit, g.part = f.LimitClients, f.Part
 	return nil
 }
 
@@ -431,6 +450,8 @@
 		g.failed = errors.New("stopped before it was the owner")
 		g.loop.Stop()
 	case g.old != nil && g.old.Stop():
+	case g.socket != nil && !g.ready: // it took nothing yet
+		g.loop.Stop()
 	default:
 		g.stop()
 	}
--- a/cmd/ringwood/stop.go
+++ b/cmd/ringwood/stop.go
@@ -23,6 +23,9 @@
 	waiting := min(g.core.LongestDeadline(), longestHeld) + stopExtra - beforeKill
 	g.log.Info("stopping")
 	g.leaveSites()
+	if g.succession != nil {
+		g.succession.Stopping()
+	}
 	if g.shapes != nil {
 		g.shapes.Save() // now, as the end waits for nothing; what is learned until then is lost
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,6 +15,8 @@
 
 	"gannetspur/internal/core"
 	"gannetspur/policy"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Config is what one front end is told at its start.
@@ -74,6 +76,16 @@
 	"in_service": policy.EngineLive, "terminating": policy.EngineDraining, "terminated": policy.EngineGone,
 }
 
+// EventSum is a sum of what the configuration tells of the roster: where two agree, the events
+// that follow have the same numbers.
+func (c *Config) EventSum() (uint64, error) {
+	b, err := json.Marshal([]any{c.Offset, c.Known})
+	if err != nil {
+		return 0, fmt.Errorf("configuration: known: %w", err)
+	}
+	return xxhash.Sum64(b), nil
+}
+
 // Load reads the file at the path. Its error tells of all faults, each with its line and
 // field (see FaultsOf).
 func Load(path string) (*Config, error) {
--- a/internal/core/standing.go
+++ b/internal/core/standing.go
@@ -33,12 +33,14 @@
 // Bans are the operators' words on engines.
 func (c *Core) Bans() standing.Bans { return c.stand.Bans() }
 
-// TakeBans merges in what operators have told another process.
-func (c *Core) TakeBans(other standing.Bans) {
-	if changed := c.stand.Take(other); len(changed) > 0 {
+// TakeBans merges in what operators have told another process, and tells whether that was news.
+func (c *Core) TakeBans(other standing.Bans) bool {
+	changed := c.stand.Take(other)
+	if len(changed) > 0 {
 		c.log.Info("bans.taken", "engines", changed)
 		c.again(changed)
 	}
+	return len(changed) > 0
 }
 
 // again tells anew of engines on which another word holds now.
--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -67,6 +67,7 @@
 	heldSize int
 	seq      uint64
 	draining bool
+	parting  bool // each connection ends behind its next answer
 	crowded  bool // makeRoom comes again
 	accepted func(*netio.Conn)
 	shared   func([]byte)
@@ -184,6 +185,16 @@
 // CloseListener takes no new connections; those that are open go on.
 func (f *Front) CloseListener() { _ = f.listener.Close() }
 
+// Part ends each connection behind its next answer, as its client hears: another process
+// takes the next one.
+func (f *Front) Part() { f.parting = true }
+
+// LimitClients bounds how many may be connected at once from now on.
+func (f *Front) LimitClients(most int) {
+	f.opts.MostClients = max(most, 1)
+	f.makeRoom()
+}
+
 // Drain closes each connection as soon as nothing is open on it.
 func (f *Front) Drain() {
 	f.draining = true
@@ -505,7 +516,7 @@
 	if k.ended {
 		return
 	}
-	k.close = k.close || k.front.draining && !k.further
+	k.close = k.close || (k.front.draining || k.front.parting) && !k.further
 	k.conn.Write(http1.Answer{Status: status, Type: "application/json", Wait: comeBack, Close: k.close, Body: body}.Append(nil))
 	if k.close {
 		k.ended = true
--- a/internal/handover/messages.go
+++ b/internal/handover/messages.go
@@ -185,3 +185,22 @@
 	}
 	return k, unknown, nil
 }
+
+// Encode writes what is known for another process of the same or another version.
+func (k *Knowledge) Encode() ([]byte, error) {
+	w, err := k.encode()
+	if err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(w)
+}
+
+// DecodeKnowledge reads what Encode wrote. unknown names the parts that this version has no use
+// for.
+func DecodeKnowledge(b []byte) (k *Knowledge, unknown []string, err error) {
+	var w World
+	if err := decoder.Unmarshal(b, &w); err != nil {
+		return nil, nil, fmt.Errorf("handover: what is known: %w", err)
+	}
+	return w.decode()
+}
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -85,7 +85,9 @@
 	open  map[*Conn]struct{}
 	dials int // under way
 	files int // most descriptors of connections and dials; 0: no such limit
-	stop  bool
+
+	sockets, kept int // descriptors that the process may hold, and what it keeps of them
+	stop          bool
 }
 
 // New starts the poller. maxFiles is the descriptor limit.
@@ -174,18 +176,27 @@
 	}
 }
 
-// LimitFiles bounds the descriptors that connections and dials take together, of the sockets
-// that the process may hold: what it has open by now and spare are left out. Past it dials fail as
+// LimitFiles bounds the descriptors that connections and dials take together: of the sockets
+// that the process may hold, what it has open by now and spare are left out. Past it dials fail as
 // they do when the table is full. Guards against a door that finds no descriptor, or the disk.
+// It is called once, before there are connections.
 func (l *Loop) LimitFiles(sockets, spare int) error {
 	entries, err := os.ReadDir("/proc/self/fd")
 	if err != nil {
 		return fmt.Errorf("count the open descriptors: %w", err)
 	}
-	l.files = max(sockets-len(entries)-spare, 1)
+	l.sockets, l.kept = sockets, len(entries)+spare
+	l.ShareFiles(1)
 	return nil
 }
 
+// ShareFiles leaves a part of the process's descriptors to another process of the same limit.
+func (l *Loop) ShareFiles(part float64) {
+	if l.sockets > 0 {
+		l.files = max(int(part*float64(l.sockets))-l.kept, 1)
+	}
+}
+
 // dialFiles is what a dial may take at once: the socket, and its copy for the poller.
 const dialFiles = 2
 
