Let slow writers finish: 2.6 s for a call, and those who are writing go last in a crowd

At fault: rest.New had 2 s for a whole call (CallWithin), so those were told 408; makeRoom took the oldest connection without a good call, which a slow writer is, before the crowd that came after it. Now a call has 2.6 s (3 s are owed), pieces of a call count as use, and silent connections go first, then calls that have stood still for 0.5 s.

TestRoomForSlowWriters and TestTimeToWriteACall fail without it.

--- a/internal/front/rest/move_test.go
+++ b/internal/front/rest/move_test.go
@@ -112,3 +112,10 @@
 		}
 	})
 }
+
+// Some clients take 2 s to write a call, and those that never end one are told so within 3.
+func TestTimeToWriteACall(t *testing.T) {
+	if within := front(t).opts.CallWithin; within <= 2200*time.Millisecond || within >= 2900*time.Millisecond {
+		t.Errorf("a call has to be whole within %v", within)
+	}
+}
--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -28,6 +28,13 @@
 	mostWait = 10 * time.Minute
 	mostWork = 24 * time.Hour // that an estimate may tell
 	mostMB   = 1e9
+	// callWithin lets clients that take 2 s to write a call through, and tells those that never
+	// end one within the 3 s that they are owed.
+	callWithin = 2600 * time.Millisecond
+	// stalledLeast is how long a call that has begun may stand still before its connection may
+	// be closed for want of room. Guards against closing clients that write slowly: their
+	// pieces come a few times a second, while those that stop half way bring nothing more.
+	stalledLeast = 500 * time.Millisecond
 	// idleMost is how long a connection is kept after its last call; clients close
 	// theirs sooner.
 	idleMost = 30 * time.Second
@@ -89,7 +96,7 @@
 		opts.MostHeld = 16 << 20
 	}
 	if opts.CallWithin <= 0 {
-		opts.CallWithin = 2 * time.Second
+		opts.CallWithin = callWithin
 	}
 	return &Front{
 		loop: loop, core: c, opts: opts, stats: counters, boot: strconv.FormatInt(int64(c.Now()), 36),
@@ -142,9 +149,8 @@
 	f.loop.Timers.Add(now+idleMost/4, f.sweepIdle)
 }
 
-// makeRoom closes the connections that are missed least while there are too many: the
-// oldest that have not made a good call yet, then the longest idle. Guards against
-// clients that connect by the hundred, or ask once and stay: the others would find no
+// makeRoom closes the connections that are missed least while there are too many, in order of
+// rank and then of time. Guards against clients that connect by the hundred, or ask once and stay: the others would find no
 // descriptor left. Where none can be closed yet it comes again: at the most
 // connections nothing more is accepted, so nothing else would call it.
 func (f *Front) makeRoom() {
@@ -156,10 +162,10 @@
 				k.conn.Abort()
 				continue
 			}
-			if open++; k.request != nil || k.further || k.good && now-k.used < idleLeast || now-k.used < silentLeast {
+			if open++; k.missed(now) {
 				continue
 			}
-			if least == nil || least.good && !k.good || least.good == k.good && k.used < least.used {
+			if least == nil || k.rank() < least.rank() || k.rank() == least.rank() && k.used < least.used {
 				least = k
 			}
 		}
@@ -179,6 +185,25 @@
 	}
 }
 
+// missed tells whether a client would notice, or its call be lost, if its connection were
+// closed for want of room.
+func (k *conn) missed(now time.Duration) bool {
+	quiet := now - k.used
+	return k.request != nil || k.further || quiet < silentLeast || k.begun && quiet < stalledLeast || k.good && quiet < idleLeast
+}
+
+// rank orders connections by how much they are missed: those that have said nothing yet, those
+// that stopped in the middle of a call, and those that have made a good one.
+func (k *conn) rank() int {
+	switch {
+	case k.good && !k.begun:
+		return 2
+	case k.begun:
+		return 1
+	}
+	return 0
+}
+
 // Addr is where clients connect.
 func (f *Front) Addr() string { return f.listener.Addr().String() }
 
@@ -220,7 +245,8 @@
 	front   *Front
 	conn    *netio.Conn
 	request *core.Request   // taken and not answered
-	used    time.Duration   // its latest call or answer
+	used    time.Duration   // the latest that came of a call, or its latest answer
+	begun   bool            // a call has come in part
 	good    bool            // it has made a good call
 	due     *deadline.Entry // by when its call must be whole
 	further bool            // its latest answer named a further part
@@ -254,6 +280,9 @@
 		k.call(c)
 	}
 	k.left = nil
+	if k.begun = k.request == nil && in.Len() > 0; k.begun {
+		k.used = k.front.loop.Now()
+	}
 	switch {
 	case k.ended:
 		in.Consume(in.Len())
--- a/internal/stories/platform_test.go
+++ b/internal/stories/platform_test.go
@@ -404,6 +404,39 @@
 	}
 }
 
+// A client that writes its call in pieces keeps its place in a crowd that says nothing: those go
+// first, although they came later. One that has stopped half way for long goes before one that served.
+func TestRoomForSlowWriters(t *testing.T) {
+	g := newGateway(t, nil)
+	g.options.MostClients, g.options.CallWithin = 2, time.Minute
+	g.platform()
+	slow := httpConnect(t, g.addr)
+	_, _ = io.WriteString(slow.c, "GET /hea")
+	for g.count("rest.connections") == 0 || !begun(g) {
+	}
+	var crowd []*httpClient
+	for range 10 {
+		crowd = append(crowd, httpConnect(t, g.addr))
+	}
+	for _, k := range crowd[:9] {
+		if _, err := k.r.ReadByte(); err != io.EOF {
+			t.Errorf("a silent connection goes on: %v", err)
+		}
+	}
+	got, _ := slow.call("lth HTTP/1.1\r\n\r\n")
+	same(t, "slow writer", got, "200 {}")
+}
+
+// begun tells whether a part of a call lies in a buffer.
+func begun(g *gateway) (yes bool) {
+	g.do(func() {
+		for c := range g.loop.Conns() {
+			yes = yes || c.Unread() > 0
+		}
+	})
+	return yes
+}
+
 // Good answers that bring more than belongs to them, a second copy or one ahead under
 // an unknown id, leave the connection and all on it alone.
 func TestDoubledAnswers(t *testing.T) {
