--- /dev/null
+++ b/cmd/ringlab/replace.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"gannetspur/internal/lab/emul"
+	"gannetspur/internal/lab/rig"
+)
+
+type replaceCommand struct {
+	Ringwood string        `default:"bin/ringwood" help:"The program."`
+	Times    int           `default:"3" help:"How often the process is replaced."`
+	Rate     float64       `default:"100" help:"Calls a second, half of them on kept connections."`
+	For      time.Duration `default:"1s" help:"Time between two replacements."`
+}
+
+// yesWithin is how long the platform waits for the yes of a new process, and endsWithin how long
+// an old one may take to end.
+const (
+	yesWithin  = 6 * time.Second
+	endsWithin = 5700 * time.Millisecond
+)
+
+// Run holds a socket, as the platform does, and replaces the process at it under calls.
+func (c *replaceCommand) Run() (err error) {
+	dir, err := os.MkdirTemp("", "ringlab-replace")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	r, err := rig.New(rig.Options{
+		Root: ".", Dir: dir, Engines: 2, HTTP: "127.0.0.1:9090", Postgres: "127.0.0.1:0", Work: emul.Plain,
+		Log: slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	p := &platform{dir: dir, config: r.Config, program: c.Ringwood, addr: ln.Addr().String()}
+	if p.socket, err = ln.(*net.TCPListener).File(); err != nil { // of "tcp"
+		return err
+	}
+	defer p.socket.Close()
+	_ = ln.Close() // it accepts nothing itself
+
+	now, took, err := p.start()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("ready after %v\n", took.Round(time.Millisecond))
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	calls := callAll(ctx, "http://"+p.addr, c.Rate)
+	for i := range c.Times {
+		if err := rig.Pause(ctx, c.For); err != nil {
+			return err
+		}
+		next, took, err := p.start()
+		if err != nil {
+			return errors.Join(fmt.Errorf("replacement %d", i+1), err, now.Wait())
+		}
+		ended, err := end(now)
+		if err != nil {
+			return fmt.Errorf("replacement %d: the old process: %w", i+1, err)
+		}
+		fmt.Printf("replacement %d: ready after %v, the old process ended after %v\n", i+1, took.Round(time.Millisecond), ended.Round(time.Millisecond))
+		now = next
+	}
+	stop()
+	answered, failed := calls()
+	if _, err := end(now); err != nil {
+		return fmt.Errorf("the last process: %w", err)
+	}
+	fmt.Printf("%d calls answered, %d failed\n", answered, failed)
+	if failed > 2*c.Times {
+		return errors.New("more than two calls a replacement failed")
+	}
+	return nil
+}
+
+// platform holds the clients' socket.
+type platform struct {
+	dir, config, program, addr string
+	socket                     *os.File
+}
+
+// start starts a process and waits for its yes.
+func (p *platform) start() (*exec.Cmd, time.Duration, error) {
+	door, err := rig.Free()
+	if err != nil {
+		return nil, 0, err
+	}
+	var log bytes.Buffer
+	cmd := exec.Command(p.program)
+	cmd.Stderr = &log
+	cmd.Env = append(os.Environ(), "LB_CONFIG="+p.config, "LB_LISTEN="+p.addr, "LB_CONTROL="+door, "LB_ACCEPT_FD=3", "TMPDIR="+p.dir)
+	cmd.ExtraFiles = []*os.File{p.socket}
+	began := time.Now()
+	if err := cmd.Start(); err != nil {
+		return nil, 0, err
+	}
+	for time.Since(began) < yesWithin {
+		if resp, err := http.Get("http://" + door + "/ready"); err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return cmd, time.Since(began), nil
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	_ = cmd.Process.Kill()
+	_ = cmd.Wait()
+	return nil, 0, fmt.Errorf("no yes within %v: %s", yesWithin, strings.TrimSpace(log.String()))
+}
+
+// end ends a process as the platform does.
+func end(cmd *exec.Cmd) (time.Duration, error) {
+	began := time.Now()
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return 0, err
+	}
+	kill := time.AfterFunc(endsWithin, func() { _ = cmd.Process.Kill() })
+	defer kill.Stop()
+	err := cmd.Wait()
+	return time.Since(began), err
+}
+
+// callAll makes calls at a rate until the context ends. What is returned waits for the last
+// answers and counts.
+func callAll(ctx context.Context, url string, rate float64) func() (answered, failed int) {
+	var mu sync.Mutex
+	var good, bad int
+	var all sync.WaitGroup
+	fresh, kept := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	all.Go(func() {
+		tick := time.NewTicker(time.Duration(float64(time.Second) / rate))
+		defer tick.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+			client := fresh
+			if n%2 == 0 {
+				client = kept
+			}
+			all.Go(func() {
+				err := callOnce(client, url, n)
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					bad++
+					fmt.Fprintln(os.Stderr, "call:", err)
+				} else {
+					good++
+				}
+			})
+		}
+	})
+	return func() (int, int) { all.Wait(); return good, bad }
+}
+
+func callOnce(client *http.Client, url string, n int) error {
+	req, err := http.NewRequest(http.MethodPost, url+"/rpc/lookup", strings.NewReader("SELECT day FROM sales_17.orders"))
+	if err != nil {
+		return err
+	}
+	req.GetBody = nil // no repeat of its own
+	req.Header.Set("Req-Id", fmt.Sprintf("%016x", n+1))
+	req.Header.Set("Req-Wait-Ms", "3000")
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusServiceUnavailable {
+		return errors.New(resp.Status)
+	}
+	return nil
+}
