Hand results that are fetched in parts to the process that takes over

Need: a GET made again, or a DELETE, on a new connection may be accepted by the other process, which answered 404.

What an old process holds for its clients goes over with what it knows, and while two processes live results go in one answer each. TestBeside fetches a part of the old process's result at the new one, repeats a keyed load that is open at the old one, and moves bans in both directions; TestTwoBesideAtOnce starts two.

--- a/cmd/ringwood/beside.go
+++ b/cmd/ringwood/beside.go
@@ -16,7 +16,12 @@
 // one; else it serves from its configuration.
 func (g *gateway) beside() (err error) {
 	g.succession, err = succession.New(g.loop, g.core, filepath.Join(os.TempDir(), stateFolder), succession.Options{
-		Events: g.events, Know: g.know, Take: g.succeed,
+		Events: g.events, Take: g.succeed,
+		Know: func() *handover.Knowledge {
+			k := g.know()
+			k.Shared = g.front.Shared()
+			return k
+		},
 		Alone: func() { g.serveNow(nil) }, Share: g.shareLimits,
 		Replaced: func() {
 			g.log.Info("replaced")
@@ -41,6 +46,9 @@
 			g.log.Warn("succession.shapes", "error", err)
 		}
 	}
+	if err := g.front.TakeShared(k.Shared); err != nil { // their clients ask again
+		g.log.Warn("succession.results", "error", err)
+	}
 	if k.Event == 0 {
 		k = nil
 	}
@@ -65,6 +73,7 @@
 func (g *gateway) shareLimits(share float64) {
 	g.log.Info("limits.shared", "part", share)
 	g.clientLimit(int(share * float64(g.mostClients)))
+	g.whole(share < 1)
 	g.loop.ShareFiles(share)
 	g.loop.Budget = int64(share * float64(part(g.memoryMB, 6)))
 	limitResources(int(share * float64(g.memoryMB)))
--- a/cmd/ringwood/beside_test.go
+++ b/cmd/ringwood/beside_test.go
@@ -70,9 +70,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	one, two := p.engine("one"), p.engine("two")
+	one, two, three := p.engine("one"), p.engine("two"), p.engine("three")
 	first := `{"uid": "s-00000001", "endpoint": "127.0.0.1:9101"`
-	text := strings.Replace(string(raw), first, fmt.Sprintf(`{"uid": "two", "endpoint": %q, "az": "hall-a", "model": "std-8", "state": "in_service"}, {"uid": "one", "endpoint": %q`, two, one), 1)
+	text := strings.Replace(string(raw), first, fmt.Sprintf(`{"uid": "two", "endpoint": %q, "az": "hall-a", "model": "std-8", "state": "in_service"},
+    {"uid": "three", "endpoint": %q, "az": "hall-a", "model": "std-8", "state": "in_service"}, {"uid": "one", "endpoint": %q`, two, three, one), 1)
 	p.config = filepath.Join(p.dir, "config.json")
 	if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
@@ -96,6 +97,10 @@
 				defer c.Close()
 				for in := bufio.NewScanner(c); in.Scan(); {
 					w := strings.Fields(in.Text())
+					page := strings.Repeat("x\ty\tz\n", 1000) // 16 of these are two parts of a result
+					if len(w) == 3 && w[0] == "turn" {
+						fmt.Fprintf(c, "%s MORE batch=%s %d\r\n%s\r\n", w[1], w[2], len(page), page)
+					}
 					if len(w) != 4 || w[0] != "want" {
 						continue
 					}
@@ -103,7 +108,15 @@
 					p.seen[name] = append(p.seen[name], w[1])
 					p.mu.Unlock()
 					if w[1][0] == 'f' {
-						<-p.hold
+						go func() {
+							<-p.hold
+							fmt.Fprintf(c, "%s DONE batches=1 0\r\n\r\n", w[1])
+						}()
+						continue
+					}
+					if w[1][0] == 'b' {
+						fmt.Fprintf(c, "%s DONE batches=16 %d\r\n%s\r\n", w[1], len(page), page)
+						continue
 					}
 					fmt.Fprintf(c, "%s DONE batches=1 0\r\n\r\n", w[1])
 				}
@@ -119,6 +132,18 @@
 	return len(p.seen[engine])
 }
 
+// await waits until an engine has had so many wants.
+func (p *platformOf) await(engine string, n int) {
+	p.t.Helper()
+	for range 10000 {
+		if p.wants(engine) >= n {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	p.t.Fatalf("engine %s had %d wants, not %d", engine, p.wants(engine), n)
+}
+
 // start starts a process at the socket.
 func (p *platformOf) start() *process {
 	p.t.Helper()
@@ -183,28 +208,46 @@
 	if got := askAt(t, a.door, "GET /ready HTTP/1.1\r\n\r\n"); got != "200 {}" {
 		t.Fatal(got)
 	}
-	if got := a.ban("two", "disable"); got != "200 {}" {
-		t.Fatal(got)
+	for _, engine := range []string{"two", "three"} {
+		if got := a.ban(engine, "disable"); got != "200 {}" {
+			t.Fatal(got)
+		}
 	}
+	load := strings.NewReplacer("lookup", "load", "9b1f", "f000", "Req-Wait", "Req-Token: k\r\nReq-Wait").Replace(fmt.Sprintf(call, 0))
 	open := make(chan string, 1)
-	go func() {
-		open <- askAt(t, p.addr, strings.Replace(fmt.Sprintf(call, 0), "9b1f", "f000", 1))
-	}()
-	for p.wants("one") == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	go func() { open <- askAt(t, p.addr, load) }()
+	p.await("one", 1)
+	part := askAt(t, p.addr, strings.Replace(fmt.Sprintf(call, 0), "9b1f", "b000", 1))
+	_, part, _ = strings.Cut(part, `{"more":"`)
+	part, _, _ = strings.Cut(part, `"`)
 	b := p.start()
 	b.await("succession.taken")
-	if n := b.down(); n != 1 {
+	if n := b.down(); n != 2 {
 		t.Errorf("%d engines are avoided by the process that took over", n)
 	}
-	if got := a.ban("one", "disable"); got != "200 {}" { // while both live
+	if got := a.ban("three", "enable"); got != "200 {}" { // while both live
 		t.Fatal(got)
 	}
 	b.await("bans.taken")
+	if n := b.down(); n != 1 {
+		t.Errorf("%d engines are avoided after a call back at the other process", n)
+	}
+	if got := b.ban("three", "disable"); got != "200 {}" {
+		t.Fatal(got)
+	}
+	a.await("bans.taken")
 	a.signal(syscall.SIGTERM)
 	a.await("msg=replaced")
+	if got := askAt(t, p.addr, "GET "+part+" HTTP/1.1\r\n\r\n"); !strings.Contains(got, `["x","y","z"]`) {
+		t.Errorf("a further part of the old process's result, at the new one: %.80s", got)
+	}
+	again := make(chan string, 1)
+	go func() { again <- askAt(t, p.addr, load) }() // the key guards it
+	p.await("one", 3)
 	close(p.hold)
+	if got := <-again; !strings.HasPrefix(got, "200 ") {
+		t.Errorf("the same load at the new process got %s", got)
+	}
 	if got := <-open; !strings.HasPrefix(got, "200 ") {
 		t.Errorf("the open request got %s", got)
 	}
@@ -213,19 +256,19 @@
 	if err := a.cmd.Wait(); err != nil {
 		t.Errorf("the old process ended with %v", err)
 	}
+	if got := b.ban("one", "disable"); got != "200 {}" {
+		t.Fatal(got)
+	}
 	if got := askAt(t, p.addr, fmt.Sprintf(call, 1)); !strings.HasPrefix(got, "503 ") { // all are out: at once
 		t.Errorf("with no engine: %s", got)
 	}
-	if got := b.ban("one", "enable"); got != "200 {}" {
-		t.Fatal(got)
-	}
 	c := p.start()
 	c.await("succession.taken")
-	if n := c.down(); n != 1 {
+	if n := c.down(); n != 3 {
 		t.Errorf("%d engines are avoided by the third process", n)
 	}
-	if p.wants("two") > 0 {
-		t.Errorf("an engine that was out got %v", p.seen["two"])
+	if n := p.wants("two") + p.wants("three"); n > 0 {
+		t.Errorf("engines that were out got %d wants", n)
 	}
 	b.signal(syscall.SIGTERM)
 	b.await("msg=replaced")
@@ -242,6 +285,39 @@
 	}
 }
 
+// Two processes that start at once beside a third both serve, with its bans, and of the three the
+// last one stays.
+func TestTwoBesideAtOnce(t *testing.T) {
+	p := newPlatform(t)
+	a := p.start()
+	a.await("msg=serving")
+	if got := a.ban("two", "disable"); got != "200 {}" {
+		t.Fatal(got)
+	}
+	b, c := p.start(), p.start()
+	b.await("msg=serving")
+	c.await("msg=serving")
+	for _, r := range []*process{a, b} {
+		r.signal(syscall.SIGTERM)
+	}
+	for _, r := range []*process{a, b} {
+		for r.log.Scan() {
+		}
+		if err := r.cmd.Wait(); err != nil {
+			t.Errorf("ended with %v", err)
+		}
+	}
+	if n := c.down(); n != 1 {
+		t.Errorf("%d engines are avoided by the last process", n)
+	}
+	if got := askAt(t, p.addr, fmt.Sprintf(call, 1)); !strings.HasPrefix(got, "200 ") {
+		t.Errorf("at the last process: %s", got)
+	}
+	if p.wants("two") > 0 {
+		t.Errorf("an engine that was out got %v", p.seen["two"])
+	}
+}
+
 // Where what the old process wrote can't be used, or the new one dies before its yes, there is
 // a front end all the same.
 func TestBesideThatFails(t *testing.T) {
--- a/cmd/ringwood/serve.go
+++ b/cmd/ringwood/serve.go
@@ -54,9 +54,10 @@
 	socket      *netio.Listener    // the platform's, which processes follow each other at; nil: this process opens its own
 	succession  *succession.Runner // nil: none
 	memoryMB    int
-	events      uint64    // sum of what the configuration tells of the roster
-	clientLimit func(int) // bounds the clients of the front
-	part        func()    // has the front end connections behind their answers
+	events      uint64     // sum of what the configuration tells of the roster
+	clientLimit func(int)  // bounds the clients of the front
+	whole       func(bool) // has the front give results whole, as the next call may come to another process
+	part        func()     // has the front end connections behind their answers
 
 	users    *logins.Users   // of the PostgreSQL front; nil: everybody is let in
 	sites    *otherSites     // nil: there are none
@@ -280,7 +281,7 @@
 		}
 		return f.Listen(cfg.Listen)
 	}
-	g.clientLimit, g.part = f.LimitClients, f.Part
+	g.clientLimit, g.whole, g.part = f.LimitClients, f.GiveWhole, f.Part
 	return nil
 }
 
--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -74,6 +74,7 @@
 	heldSize int
 	seq      uint64
 	draining bool
+	whole    bool // results go in one answer
 	parting  bool // each connection ends behind its next answer
 	crowded  bool // makeRoom comes again
 	accepted func(*netio.Conn)
@@ -214,6 +215,10 @@
 // takes the next one.
 func (f *Front) Part() { f.parting = true }
 
+// GiveWhole has results go in one answer each, whatever their size: a call for a further part
+// may come to another process on a new connection.
+func (f *Front) GiveWhole(on bool) { f.whole = on }
+
 // LimitClients bounds how many may be connected at once from now on.
 func (f *Front) LimitClients(most int) {
 	f.opts.MostClients = max(most, 1)
@@ -474,7 +479,7 @@
 	for _, p := range rows {
 		size += len(p)
 	}
-	if len(parts) < 2 || f.heldSize+size > f.opts.MostHeld || f.draining {
+	if len(parts) < 2 || f.heldSize+size > f.opts.MostHeld || f.draining || f.whole {
 		k.write(200, 0, encode(rows, ""))
 		return
 	}
