Keep the order of keyed requests on every front, and probe engines where settings allow

At fault: front/rest read no Req-Key and core.admit passed none, so each request was in no lane; the PostgreSQL front likewise.

core.Request.Order goes to the module. In a class in order a key that is missing, empty, over 64 characters, odd or repeated is an error, and nothing is sent. Such requests don't cross to other sites. On the PostgreSQL front settings with may-probe, or default or write classes in order, are faults.

--- a/internal/config/postgres.go
+++ b/internal/config/postgres.go
@@ -127,13 +127,19 @@
 	if !p.site(c, dir) {
 		return // nothing is known of the classes
 	}
-	classes := map[string]policy.Effect{}
+	classes, inOrder := map[string]policy.Effect{}, map[string]bool{}
 	for _, class := range p.Site.Policy.Classes {
 		classes[class.Name] = class.Effect
-		if p.WriteClass == "" && class.Effect == policy.Unsafe {
+		inOrder[class.Name] = class.InOrder
+		if p.WriteClass == "" && class.Effect == policy.Unsafe && !class.InOrder {
 			p.WriteClass = class.Name
 		}
 	}
+	// What comes without a key can't have a class that keeps the order of keys.
+	for _, s := range []struct{ field, class string }{{"default_class", p.DefaultClass}, {"write_class", p.WriteClass}} {
+		c.must(!inOrder[s.class], s.field, "class %q keeps the order of keys, and nothing names a key here", s.class)
+	}
+	c.must(!p.Site.Policy.Limits.Probes, "settings", "limits.may-probe: engines of the PostgreSQL wire are not probed")
 	_, ok := classes[p.DefaultClass]
 	c.must(ok, "default_class", "%q is no class of the settings", p.DefaultClass)
 	if e, ok := classes[p.WriteClass]; p.WriteClass != "" && (!ok || e != policy.Unsafe) {
@@ -146,6 +152,7 @@
 		c.must(s.Starts != "", at("starts"), "missing; wanted are the words that statements begin with")
 		c.must(ok, at("class"), "%q is no class of the settings", s.Class)
 		c.must(s.Key >= 0 && s.Key <= 65535, at("key"), "%d is no parameter's number, 1 to 65535", s.Key)
+		c.must(!inOrder[s.Class] || s.Key > 0, at("key"), "missing; class %q keeps the order of keys", s.Class)
 		c.must(!writes || !s.ReadOnly, at("read_only"), "%q writes", s.Starts)
 		c.must(!ok || !writes || effect != policy.Safe, at("class"), "%q writes, and class %q is safe to repeat", s.Starts, s.Class)
 	}
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -6,7 +6,7 @@
 func (c *Core) admit(r *Request) {
 	r.admitted = true
 	c.tell(policy.Arrive{
-		Query: r.query, Class: r.Class, Set: r.Set, Deadline: r.Deadline,
+		Query: r.query, Class: r.Class, Key: r.Order, Set: r.Set, Deadline: r.Deadline,
 		Work: r.Work, MemoryMB: r.MemoryMB, Repeat: r.Repeat,
 	})
 }
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -61,6 +61,12 @@
 	c.tell(policy.Note{Query: a.Request.query, Attempt: a.n, Kind: kind, Value: value})
 }
 
+// Probed ends a probe: the engine answered, with its load where it told that, or it did not.
+func (c *Core) Probed(engine string, end End, load policy.Load) {
+	c.stats.Add("probes.ended." + end.String())
+	c.tell(policy.Probed{Engine: engine, Result: end.Result(), Load: load})
+}
+
 // forget drops a request that is answered and has nothing out, once no event
 // waits: until then the module may still name it, and each send is owed an end.
 func (c *Core) forget(r *Request) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -36,6 +36,12 @@
 	Engine(e Engine)
 }
 
+// Prober asks engines for their load. Links that can do so are one.
+type Prober interface {
+	// Probe asks an engine; Core.Probed ends it, once.
+	Probe(engine string)
+}
+
 // Engine is an entry of the roster with what the decisions don't need.
 type Engine struct {
 	policy.Engine
@@ -47,6 +53,7 @@
 	ID        string // the client's, passed on unchanged
 	Class     string
 	Token     string // idempotency key; "": none
+	Order     string // requests of one key that a front end takes run one at a time, in turn; "": no such key
 	Statement any    // what the front read, for links of the same wire
 	Set       int64  // group of tables
 	Deadline  time.Duration
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -26,9 +26,14 @@
 		c.timers.Add(c.clock.Now()+a.After, func() { c.tell(policy.Timer{Token: a.Token}) })
 	case policy.Log:
 		c.log.Info("policy", "says", a.Text)
-	case policy.Probe, policy.Subscribe:
-		// Neither is permitted where this program runs: engines are not probed,
-		// and the roster tells unasked.
+	case policy.Probe:
+		if p, ok := c.links.(Prober); ok {
+			c.stats.Add("probes.sent")
+			p.Probe(a.Engine)
+		} else { // engines of this wire have no answer to one
+			c.stats.Add("policy.ignored")
+		}
+	case policy.Subscribe: // the roster tells unasked
 		c.stats.Add("policy.ignored")
 	}
 }
--- a/internal/engine/lines/links.go
+++ b/internal/engine/lines/links.go
@@ -17,6 +17,7 @@
 	"gannetspur/internal/engine"
 	"gannetspur/internal/netio"
 	"gannetspur/internal/stats"
+	"gannetspur/policy"
 )
 
 const (
@@ -45,6 +46,7 @@
 	stats   *stats.Counters
 	log     *slog.Logger
 	engines *engine.Pool[*link]
+	probes  uint64 // begun
 }
 
 // New returns links that report to the core.
@@ -62,6 +64,7 @@
 	engine  *engine.Engine[*link]
 	conn    *netio.Conn // nil until it is up
 	streams map[string]*stream
+	probe   *probe                   // that is out here, or waits for the connection; nil: none
 	past    map[string]time.Duration // ids given up here, until then
 	oldest  []string                 // the same ids, oldest first
 	stall   *deadline.Entry          // ends the link in the middle of an answer
@@ -140,6 +143,9 @@
 			s.want()
 		}
 	}
+	if l.probe != nil {
+		l.probe.write()
+	}
 	l.closeIfDone()
 	l.watchIdle()
 }
@@ -164,7 +170,7 @@
 	l.all.loop.Timers.Add(max(l.used, l.all.core.Now()-idle)+idle, func() {
 		switch {
 		case l.conn == nil:
-		case len(l.streams) == 0 && l.all.core.Now() >= l.used+idle:
+		case len(l.streams) == 0 && l.probe == nil && l.all.core.Now() >= l.used+idle:
 			l.Retire()
 		default:
 			if len(l.streams) > 0 {
@@ -182,7 +188,7 @@
 }
 
 func (l *link) closeIfDone() {
-	if l.retired && l.conn != nil && len(l.streams) == 0 {
+	if l.retired && l.conn != nil && len(l.streams) == 0 && l.probe == nil {
 		l.end = core.EndIdle
 		l.conn.Close()
 	}
@@ -289,6 +295,9 @@
 
 // answer takes one message. One for an id that was given up is passed by.
 func (l *link) answer(a answer) error {
+	if p := l.probe; p != nil && a.id == p.tag {
+		return p.answer(a)
+	}
 	s := l.streams[a.id]
 	if s == nil {
 		l.all.stats.Add("links.late-answer")
@@ -310,7 +319,6 @@
 		}
 		s.report.Load = gauges(a.fields)
 		l.finish(s, end)
-	case "FIT":
 	default:
 		return fmt.Errorf("unknown word %.20q in an answer", a.word)
 	}
@@ -430,6 +438,9 @@
 	l.stall.Stop()
 	l.all.stats.Add("links.ended." + end.String())
 	l.engine.Remove(l)
+	if l.probe != nil {
+		l.probe.end(end, policy.Load{})
+	}
 	for _, s := range l.inOrder() {
 		if l.streams[s.attempt.Request.ID] != s { // given up on word of another's end
 			continue
--- a/internal/front/pgwire/class.go
+++ b/internal/front/pgwire/class.go
@@ -83,10 +83,10 @@
 	return sorted{class: class}, nil
 }
 
-// keyOf reads the key of a load from the bound values. A load without one is
-// never sent: nothing would drop a repeat of it.
+// keyOf reads the key of a load from the bound values: what repeats are dropped by, or what
+// keeps the order. Without one it is never sent.
 func keyOf(s sorted, values [][]byte) (string, *pgproto.Error) {
-	if s.class.Effect != policy.Keyed {
+	if s.class.Effect != policy.Keyed && !s.class.InOrder {
 		return "", nil
 	}
 	switch {
--- a/internal/front/pgwire/extended.go
+++ b/internal/front/pgwire/extended.go
@@ -454,8 +454,13 @@
 		came = left.Came
 	}
 	r := &core.Request{
-		ID: k.id(), Class: class.Name, Token: token, Statement: want,
-		Deadline: came + wait, Client: k,
+		ID: k.id(), Class: class.Name, Statement: want, Deadline: came + wait, Client: k,
+	}
+	if class.Effect == policy.Keyed {
+		r.Token = token
+	}
+	if class.InOrder {
+		r.Order = token
 	}
 	switch {
 	case s.read == nil || f.opts.Shapes == nil:
--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -419,6 +419,12 @@
 			return http1.Bad("Req-Token: missing or not of 1 to 64 letters, digits, - and _")
 		}
 	}
+	if class.InOrder {
+		r.Order = c.Head["req-key"]
+		if !isToken(r.Order) { // without it nothing would keep its turn
+			return http1.Bad("Req-Key: missing or not of 1 to 64 letters, digits, - and _")
+		}
+	}
 	if s := f.opts.Shapes; s != nil {
 		s.ExpectText(r, text)
 	} else {
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -45,7 +45,7 @@
 // fields are the header fields that are read; all others are passed by.
 var fields = map[string]bool{
 	"content-length": true, "transfer-encoding": true, "connection": true, "req-id": true, "req-wait-ms": true,
-	"req-retry": true, "req-token": true, "req-cost": true, "req-kb": true,
+	"req-retry": true, "req-token": true, "req-cost": true, "req-kb": true, "req-key": true,
 }
 
 // Parse reads one call; n is 0 while it is not whole.
--- a/internal/site/crossing/crossing.go
+++ b/internal/site/crossing/crossing.go
@@ -232,7 +232,7 @@
 			return true
 		}
 	}
-	if r.Foreign || r.Stream || len(s.peers) == 0 {
+	if r.Foreign || r.Stream || r.Order != "" || len(s.peers) == 0 { // the turns of a key are this gateway's to keep
 		return false
 	}
 	q := s.query(r, turned)
--- /dev/null
+++ b/internal/stories/order_test.go
@@ -0,0 +1,209 @@
+package stories
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"gannetspur/internal/pgproto"
+	"gannetspur/policy"
+)
+
+const settle = 300 * time.Millisecond
+
+// ordered has loads run at most once, and one at a time for each key.
+func ordered(s *policy.Settings) {
+	for i, c := range s.Classes {
+		if c.Name == "load" {
+			s.Classes[i].Effect, s.Classes[i].InOrder = policy.Unsafe, true
+		}
+	}
+	s.Rules.Settle, s.Rules.TipFor = settle, 0
+}
+
+// keyed words a load of a key.
+func keyed(n int, key string) string {
+	return strings.Replace(post("load", "Req-Key: "+key+"\r\n"), id, fmt.Sprintf("%016x", n), 1)
+}
+
+// orderedEngine reports each want with its time, and ends one when it is told its id.
+type orderedEngine struct {
+	addr  string
+	wants chan string
+	ends  chan string
+}
+
+func newOrderedEngine(t *testing.T) *orderedEngine {
+	e := &orderedEngine{wants: make(chan string, 100), ends: make(chan string, 100)}
+	e.addr = listen(t, func(c net.Conn) {
+		go func() {
+			for id := range e.ends {
+				if id == "break" {
+					c.Close()
+					return
+				}
+				fmt.Fprintf(c, "%s DONE batches=1 0\r\n\r\n", id)
+			}
+		}()
+		b := make([]byte, 1<<16)
+		for {
+			n, err := c.Read(b)
+			if err != nil {
+				return
+			}
+			for _, line := range strings.Split(string(b[:n]), "\r\n") {
+				if w := strings.Fields(line); len(w) > 1 && w[0] == "want" {
+					e.wants <- w[1]
+				}
+			}
+		}
+	})
+	return e
+}
+
+// none tells that nothing has reached the engine.
+func (e *orderedEngine) none(t *testing.T, why string) {
+	t.Helper()
+	select {
+	case id := <-e.wants:
+		t.Fatalf("%s reached the engine %s", id, why)
+	default:
+	}
+}
+
+// Loads of one key run one at a time, in the order in which they were taken, whichever connections
+// they came on; another key is not held up; and behind one that may run still, as its client left
+// or its connection broke, the key rests.
+func TestOrderOfAKey(t *testing.T) {
+	e := newOrderedEngine(t)
+	g := newGateway(t, ordered).platform(e.addr)
+	var clients []*httpClient
+	ids := func(n int) string { return fmt.Sprintf("%016x", n) }
+	take := func(n int, key string) {
+		t.Helper()
+		k := httpConnect(t, g.addr)
+		text := keyed(n, key)
+		_, _ = io.WriteString(k.c, text[:len(text)-3]) // the last byte counts
+		_, _ = io.WriteString(k.c, text[len(text)-3:])
+		for g.count("taken.") < int64(len(clients)+1) {
+			time.Sleep(time.Millisecond)
+		}
+		clients = append(clients, k)
+	}
+	for n := range 4 {
+		take(n, "a")
+	}
+	take(4, "b")
+	same(t, "first", await(t, e.wants), ids(0))
+	same(t, "other key", await(t, e.wants), ids(4))
+	e.none(t, "out of turn")
+	e.ends <- ids(0)
+	same(t, "second, once the first is over", await(t, e.wants), ids(1))
+	left := time.Now()
+	clients[1].c.Close()
+	same(t, "third", await(t, e.wants), ids(2))
+	if rest := time.Since(left); rest < settle {
+		t.Errorf("the key rested for %v behind a client that left", rest)
+	}
+	broke := time.Now()
+	e.ends <- "break"
+	same(t, "fourth", await(t, e.wants), ids(3))
+	if rest := time.Since(broke); rest < settle {
+		t.Errorf("the key rested for %v behind a connection that broke", rest)
+	}
+	e.ends <- ids(3)
+	if got, _ := clients[3].answer(); !strings.HasPrefix(got, "200") {
+		t.Errorf("fourth: %s", got)
+	}
+	if got, _ := clients[2].answer(); !strings.HasPrefix(got, "500") { // it may have run, and is not sent again
+		t.Errorf("third: %s", got)
+	}
+	e.none(t, "a second time")
+}
+
+// A load that waits for its turn until its time is up gets its one answer then, never having been
+// sent, and the next in line goes on.
+func TestWaitForATurnEnds(t *testing.T) {
+	e := newOrderedEngine(t)
+	g := newGateway(t, ordered).platform(e.addr)
+	long, short, next := httpConnect(t, g.addr), httpConnect(t, g.addr), httpConnect(t, g.addr)
+	for i, k := range []*httpClient{long, short, next} {
+		text := keyed(i, "a")
+		if k == short {
+			text = strings.Replace(text, "2000", "200", 1)
+		}
+		_, _ = io.WriteString(k.c, text)
+		for g.count("taken.") < int64(i+1) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	same(t, "first", await(t, e.wants), fmt.Sprintf("%016x", 0))
+	if got, _ := short.answer(); !strings.HasPrefix(got, "503") {
+		t.Errorf("the one that waited in vain: %s", got)
+	}
+	e.ends <- fmt.Sprintf("%016x", 0)
+	same(t, "next", await(t, e.wants), fmt.Sprintf("%016x", 2))
+	e.ends <- fmt.Sprintf("%016x", 2)
+	if got, _ := next.answer(); !strings.HasPrefix(got, "200") {
+		t.Errorf("the one after it: %s", got)
+	}
+}
+
+// A class in order needs a key of a plain form; without one nothing is sent.
+func TestOrderNeedsAKey(t *testing.T) {
+	e := newOrderedEngine(t)
+	g := newGateway(t, ordered).platform(e.addr)
+	for name, head := range map[string]string{
+		"missing": "", "empty": "Req-Key: \r\n", "oversized": "Req-Key: " + strings.Repeat("7", 65) + "\r\n",
+		"repeated": "Req-Key: a\r\nReq-Key: a\r\n", "odd": "Req-Key: a b\r\n",
+	} {
+		if got, _ := httpConnect(t, g.addr).call(post("load", head)); !strings.HasPrefix(got, "400") {
+			t.Errorf("%s: %s", name, got)
+		}
+	}
+	e.none(t, "without a key")
+}
+
+// The PostgreSQL front keeps the order too, by the parameter that a rule or a comment names.
+func TestOrderOnPostgres(t *testing.T) {
+	asked, release := make(chan string, 10), make(chan struct{})
+	addr, _ := pgEngine(t, func(c pgCall) []byte {
+		asked <- c.bind
+		<-release
+		return pgproto.Append(pgproto.Append(pgproto.Append(pgproto.Append(nil, '1'), '2'), 'n'), 'C', pgproto.Str("INSERT 0 1"))
+	})
+	g := newGateway(t, ordered).postgres(addr)
+	send := func(text, key string, n int) *pgClient {
+		t.Helper()
+		k := connect(t, g.addr)
+		k.send(parse("", text), bind("", "", key, fmt.Sprint(n)), execute("", 0), sync)
+		for g.count("taken.load") < int64(n) {
+			time.Sleep(time.Millisecond)
+		}
+		return k
+	}
+	first := send("INSERT INTO stock_1.parts VALUES ($1, $2)", "a", 1)
+	second := send("/* class=load key=$1 */ INSERT INTO stock_1.parts VALUES ($1, $2)", "a", 2)
+	other := send("INSERT INTO stock_1.parts VALUES ($1, $2)", "b", 3)
+	for _, n := range []string{"1", "3"} {
+		if got := await(t, asked); !strings.HasSuffix(strings.TrimRight(got, "\x00"), n) {
+			t.Errorf("asked %q, want load %s", got, n)
+		}
+	}
+	if len(asked) > 0 {
+		t.Error("two loads of a key at once")
+	}
+	close(release)
+	if got := await(t, asked); !strings.HasSuffix(strings.TrimRight(got, "\x00"), "2") {
+		t.Errorf("asked %q, want load 2", got)
+	}
+	for _, k := range []*pgClient{first, second, other} {
+		same(t, "answer", k.until('Z'), "1 2 C(INSERT 0 1) Z")
+	}
+	k := connect(t, g.addr)
+	k.send(parse("", "/* class=load */ DELETE FROM stock_1.parts WHERE part = $1"), bind("", "", "x"), execute("", 0), sync)
+	same(t, "load without a key", k.until('Z'), "1 E(22023) Z")
+}
--- a/internal/stories/peers_test.go
+++ b/internal/stories/peers_test.go
@@ -38,6 +38,7 @@
 	site    config.Site
 	log     *slog.Logger
 	addr    string
+	lines   *lines.Links
 	rest    *rest.Front
 	options rest.Options
 	pgwire  pgwire.Options
@@ -122,7 +123,8 @@
 	t := g.t
 	t.Helper()
 	g.site.MaxStreams = 32
-	g.core.SetLinks(lines.New(g.loop, g.core, g.site, g.stats, g.log))
+	g.lines = lines.New(g.loop, g.core, g.site, g.stats, g.log)
+	g.core.SetLinks(g.lines)
 	f := rest.New(g.loop, g.core, g.options, g.stats)
 	if err := f.Listen("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
--- a/internal/stories/platform_test.go
+++ b/internal/stories/platform_test.go
@@ -45,6 +45,12 @@
 	if _, err := io.WriteString(k.c, text); err != nil {
 		k.t.Fatal(err)
 	}
+	return k.answer()
+}
+
+// answer reads and words the response.
+func (k *httpClient) answer() (answer string, head http.Header) {
+	k.t.Helper()
 	resp, err := http.ReadResponse(k.r, nil)
 	if err != nil {
 		k.t.Fatal(err)
