Learn from another process in one place, and drop a probe's unread flag

Need: found on reading the change over. succeed and take each restored the core's learning and the shapes; both call learn now (a warning on shapes is upgrade.shapes in either case). probe.written was set and never read. Behaviour is otherwise as it was; the tests of cmd/ringwood, engine/lines and the probe stories pass.

--- a/cmd/ringwood/beside.go
+++ b/cmd/ringwood/beside.go
@@ -40,12 +40,7 @@
 
 // succeed goes on from what another process knows.
 func (g *gateway) succeed(k *handover.Knowledge) error {
-	g.core.Learn(k.Core)
-	if g.shapes != nil && len(k.Shapes) > 0 {
-		if err := g.shapes.Take(k.Shapes); err != nil { // it learns them anew
-			g.log.Warn("succession.shapes", "error", err)
-		}
-	}
+	g.learn(k)
 	if err := g.front.TakeShared(k.Shared); err != nil { // their clients ask again
 		g.log.Warn("succession.results", "error", err)
 	}
--- a/cmd/ringwood/serve_upgrade.go
+++ b/cmd/ringwood/serve_upgrade.go
@@ -101,19 +101,25 @@
 
 // take takes what the old process knows.
 func (g *gateway) take(k *handover.Knowledge) error {
-	g.core.Learn(k.Core)
+	g.learn(k)
 	for name, n := range k.Counters {
 		g.counters.Raise(name, n)
 	}
-	if g.shapes != nil && len(k.Shapes) > 0 {
-		if err := g.shapes.Take(k.Shapes); err != nil { // it learns them anew; no reason to stay away
-			g.log.Warn("upgrade.shapes", "error", err, "unusable", errors.Is(err, shape.ErrSnapshotVersion))
-		}
-	}
 	g.follow(k)
 	return nil
 }
 
+// learn goes on from what another process has learned.
+func (g *gateway) learn(k *handover.Knowledge) {
+	g.core.Learn(k.Core)
+	if g.shapes == nil || len(k.Shapes) == 0 {
+		return
+	}
+	if err := g.shapes.Take(k.Shapes); err != nil { // it learns them anew; no reason to stay away
+		g.log.Warn("upgrade.shapes", "error", err, "unusable", errors.Is(err, shape.ErrSnapshotVersion))
+	}
+}
+
 // owner makes this process the one that operators and the service manager speak to.
 func (g *gateway) owner() {
 	g.tookOver = true
--- a/internal/engine/lines/probe.go
+++ b/internal/engine/lines/probe.go
@@ -12,10 +12,9 @@
 // probe is one question to an engine for its load, on a link that carries requests as well. A
 // link carries one at a time; its tag is no id of a request, as those are 16 hex digits.
 type probe struct {
-	link    *link
-	tag     string
-	written bool
-	timer   *deadline.Entry
+	link  *link
+	tag   string
+	timer *deadline.Entry
 }
 
 // Probe asks an engine for its load, on a connection that is up where there is one. An engine
@@ -59,7 +58,6 @@
 
 // write asks: for the load where the deployment's probes tell it, else whether the engine is there.
 func (p *probe) write() {
-	p.written = true
 	p.wait()
 	word := "there "
 	if p.link.all.site.Policy.LoadTold {
