--- a/internal/decide/site/peer.go
+++ b/internal/decide/site/peer.go
@@ -57,7 +57,7 @@
 func (p *Peer) Heard(cfg Config, now, rtt time.Duration) {
 	if p.heard == 0 || now-p.heard >= cfg.SilentAfter {
 		p.back, p.digest = now, Digest{}
-		p.credit = 0 // what it said before is not known to hold
+		p.owe() // what it said before is not known to hold
 	}
 	p.heard, p.gone = now, false
 	if rtt <= 0 {
@@ -84,14 +84,21 @@
 	if !(takes > 0) || math.IsInf(takes, 1) { // nonsense is nothing
 		takes = 0
 	}
-	p.credit = min(p.credit, 0) + takes*p.Ramp(cfg, now)
-	if d.Drains {
-		p.credit = 0
+	p.owe()
+	if !d.Drains {
+		p.credit += takes * p.Ramp(cfg, now)
 	}
 }
 
+// owe drops what is left of the peer's credit, and keeps what one query took beyond it. Guards against a peer
+// that drains, leaves or falls silent just behind a large query, and is sent another on its first word.
+func (p *Peer) owe() { p.credit = min(p.credit, 0) }
+
 // Leaves takes its word that it has left: what it said holds no more.
-func (p *Peer) Leaves() { p.gone, p.credit = true, 0 }
+func (p *Peer) Leaves() {
+	p.gone = true
+	p.owe()
+}
 
 // Shut is an operator's word here that nothing new is sent to it, or that it may be again.
 func (p *Peer) Shut(on bool) { p.shut = on }
--- a/internal/decide/site/site_test.go
+++ b/internal/decide/site/site_test.go
@@ -164,6 +164,37 @@
 	}
 }
 
+// What one large query took beyond a peer's credit is not forgotten when the peer drains, leaves or
+// falls silent and says anew what it takes: another would cross on next to nothing.
+func TestDebtStays(t *testing.T) {
+	cfg := Defaults()
+	for name, tt := range map[string]struct {
+		between func(p *Peer, now time.Duration)
+		gap     time.Duration
+	}{
+		"word by word": {func(*Peer, time.Duration) {}, 400 * ms},
+		"drains":       {func(p *Peer, now time.Duration) { p.Told(cfg, now, Digest{Drains: true}) }, 400 * ms},
+		"leaves":       {func(p *Peer, _ time.Duration) { p.Leaves() }, 400 * ms},
+		"silent":       {func(*Peer, time.Duration) {}, cfg.SilentAfter},
+	} {
+		now := time.Hour
+		p := peer(cfg, now, 40*ms, 0.25, 0.9)
+		var c Chooser
+		var got []Where
+		for range 2 {
+			q := Query{Class: "lookup", Effect: Safe, Work: 2, Worth: 1, Left: 3 * time.Second}
+			got = append(got, c.Choose(cfg, now, &q, 0, []*Peer{p}).Where)
+			tt.between(p, now)
+			now += tt.gap
+			p.Heard(cfg, now, 40*ms)
+			p.Told(cfg, now, Digest{Room: map[string]float64{"lookup": 0.9}, Takes: 0.25})
+		}
+		if diff := cmp.Diff([]Where{There, Here}, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+	}
+}
+
 // Whatever comes when: nothing crosses to a site that is silent, draining or gone, nor a
 // query that crossed; over any time no more work crosses than the site said it takes, but for one
 // query at a time; nothing that may have run goes out against its class or window, nor more often
