Hold a key until the engine is certain to be through with a load that was given up

Core.cancel ended the attempt at once, though never_mind was in the socket of an engine that read nothing: it had it out still. Ruled out: the module (its lanes held, from the word of the core), a reset, an answer that was spoilt.

Links.Drop tells now whether an attempt is over. Where its request is answered and has a key in order, links write never_mind and ask for a page of it; BROKE, which tells that the engine knows no such query, or any other answer, the connection's end, or the roster's word of another process ends it, and the module's lane waits for that. It costs no probe. On PostgreSQL the connection is read on until the engine has ended the statement. The module does not count such an attempt as one whose answer is lost (policy.missed).

TestKeyWaitsForAnEngineThatHangs and TestOrderWaitsForACancelledLoad fail without it.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -16,8 +16,7 @@
 	c.tell(policy.Gone{Query: r.query})
 	for _, a := range r.tries {
 		if a.began && !a.ended { // the module leaves what goes on to its end
-			c.links.Drop(a)
-			c.End(a, EndCancelled, Report{})
+			c.drop(a, EndCancelled)
 		}
 	}
 	c.forget(r)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -28,8 +28,9 @@
 type Links interface {
 	// Send begins an attempt; Core.End ends it.
 	Send(a *Attempt)
-	// Drop gives an attempt up that has not ended. Core.End may be left out.
-	Drop(a *Attempt)
+	// Drop gives an attempt up that has not ended, and tells whether it is over. One that MustSettle is not
+	// where its engine may run it still; Core.End follows once it can't.
+	Drop(a *Attempt) bool
 	// Hurry sets the priority of an attempt that is out.
 	Hurry(a *Attempt, priority int)
 	// Engine tells of an engine's entry or of a change to it.
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -35,10 +35,7 @@
 		a.told = true
 		c.sites.Sending(a)
 	}
-	a.timer = c.timers.Add(a.Sent+max(s.Within, time.Millisecond), func() {
-		c.links.Drop(a)
-		c.End(a, EndTimeout, Report{})
-	})
+	a.timer = c.timers.Add(a.Sent+max(s.Within, time.Millisecond), func() { c.drop(a, EndTimeout) })
 	if c.sending != nil && len(r.tries) == 1 {
 		c.sending(r, a.Sent)
 	}
@@ -85,7 +82,21 @@
 	if n < r.base || n >= len(r.tries) || r.tries[n].ended {
 		return
 	}
-	a := r.tries[n]
-	c.links.Drop(a)
-	c.End(a, EndCancelled, Report{})
+	c.drop(r.tries[n], EndCancelled)
 }
+
+// drop gives an attempt up, which ends it unless it has to be certain that its engine is through with it.
+func (c *Core) drop(a *Attempt, end End) {
+	if c.links.Drop(a) {
+		c.End(a, end, Report{})
+		return
+	}
+	a.timer.Stop()
+	c.stats.Add("settling." + a.Request.Class)
+}
+
+// MustSettle tells whether an attempt that is given up counts as out until its engine is certain to be
+// through with it: its request is answered, and the next of its key may go out only then. An engine that
+// hangs reads a cancel when it is back; the rest that settings give a key covers the way there alone. Where
+// the request goes on, its own next attempt is not held up.
+func (a *Attempt) MustSettle() bool { return a.Request.Order != "" && a.Request.answered }
--- a/internal/core/sites_test.go
+++ b/internal/core/sites_test.go
@@ -42,7 +42,10 @@
 // drops tells links and sites apart: both are asked to drop.
 type drops struct{ *world }
 
-func (d drops) Drop(*Attempt) { d.say("drop attempt") }
+func (d drops) Drop(*Attempt) bool {
+	d.say("drop attempt")
+	return true
+}
 
 type sitesOf struct{ *world }
 
--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -47,10 +47,7 @@
 		return false
 	}
 	r.Statement = statement
-	a.timer = c.timers.Add(c.clock.Now()+max(within, time.Millisecond), func() {
-		c.links.Drop(a)
-		c.End(a, EndTimeout, Report{})
-	})
+	a.timer = c.timers.Add(c.clock.Now()+max(within, time.Millisecond), func() { c.drop(a, EndTimeout) })
 	links.Continue(a)
 	return true
 }
--- a/internal/engine/lines/links.go
+++ b/internal/engine/lines/links.go
@@ -33,6 +33,9 @@
 	// idlePart of the engines' idle time is when an idle connection is closed from
 	// here, so that no send crosses a close from there.
 	idlePart = 0.8
+	// askAgain is how long an engine has to tell that it is through with what was given up, before it is asked
+	// once more: any answer may be lost on its way.
+	askAgain = time.Second
 )
 
 // Rows is a whole result: its pages as the engine sent them, each of whole rows.
@@ -78,6 +81,7 @@
 	attempt *core.Attempt
 	link    *link
 	written bool
+	asked   *deadline.Entry // it is given up, and its engine is asked again then whether it is through with it
 	pages   Rows
 	missing int // pages
 	size    int // of those that are here
@@ -181,9 +185,15 @@
 	})
 }
 
-// Retire has the link take no more.
+// Retire has the link take no more. The process that it leads to is over, as far as anybody can tell, and with
+// it what was given up there.
 func (l *link) Retire() {
 	l.retired = true
+	for _, s := range l.inOrder() {
+		if s.asked != nil && l.streams[s.attempt.Request.ID] == s {
+			l.settle(s, core.EndCancelled)
+		}
+	}
 	l.closeIfDone()
 }
 
@@ -222,23 +232,71 @@
 }
 
 // Drop gives an attempt up.
-func (ls *Links) Drop(a *core.Attempt) {
+func (ls *Links) Drop(a *core.Attempt) bool {
 	s, ok := a.Link.(*stream)
 	if !ok {
-		return
+		return true
 	}
 	l := s.link
-	delete(l.streams, a.Request.ID)
-	if s.written && l.conn != nil { // a lost link ends its streams one by one
+	switch {
+	case s.asked != nil:
+		return false
+	case !s.written || l.conn == nil: // a lost link ends its streams one by one
+	case s.missing > 0: // it is done, and only its pages are still wanted
+		l.conn.Write([]byte("shut " + a.Request.ID + "\r\n"))
+	case a.MustSettle() && !l.retired: // else its process is over
+		s.ask()
+		return false
+	default:
+		l.conn.Write([]byte("never_mind " + a.Request.ID + "\r\n"))
+	}
+	l.release(s)
+	l.closeIfDone()
+	return true
+}
+
+// release takes a stream off the link that is given up. Where it was written, its id is not used here again
+// for a while.
+func (l *link) release(s *stream) {
+	id := s.attempt.Request.ID
+	delete(l.streams, id)
+	if s.written && l.conn != nil {
 		l.forget()
-		l.past[a.Request.ID] = ls.core.Now() + pastFor
-		l.oldest = append(l.oldest, a.Request.ID)
-		word := "never_mind "
-		if s.missing > 0 { // it is done, and only its pages are still wanted
-			word = "shut "
-		}
-		l.conn.Write([]byte(word + a.Request.ID + "\r\n"))
+		l.past[id] = l.all.core.Now() + pastFor
+		l.oldest = append(l.oldest, id)
+	}
+}
+
+// ask gives the attempt up and asks for a page of it. An engine reads one word after the other, and tells that
+// it knows no such query once it has read the first.
+func (s *stream) ask() {
+	id := s.attempt.Request.ID
+	s.link.conn.Write([]byte("never_mind " + id + "\r\nturn " + id + " 1\r\n"))
+	s.asked = s.link.all.loop.Timers.Add(s.link.all.core.Now()+askAgain, s.ask)
+}
+
+// settled takes an answer for an attempt that was given up: with any but a note the engine is through with it.
+func (l *link) settled(s *stream, a answer) error {
+	end := core.EndCancelled
+	switch a.word {
+	case "TELL":
+		return nil
+	case "WAIT", "PAST": // it never ran
+		end = ends[a.word]
+	case "DONE", "MORE", "BROKE":
+	default:
+		return fmt.Errorf("unknown word %.20q in an answer", a.word)
 	}
+	l.settle(s, end)
+	return nil
+}
+
+// settle ends an attempt that was given up.
+func (l *link) settle(s *stream, end core.End) {
+	s.asked.Stop()
+	l.release(s)
+	l.used = l.all.core.Now()
+	l.all.core.End(s.attempt, end, core.Report{})
 	l.closeIfDone()
 }
 
@@ -303,6 +361,9 @@
 		l.all.stats.Add("links.late-answer")
 		return nil
 	}
+	if s.asked != nil {
+		return l.settled(s, a)
+	}
 	switch a.word {
 	case "TELL":
 		if kind, value, ok := note(a.fields); ok {
@@ -445,6 +506,10 @@
 		if l.streams[s.attempt.Request.ID] != s { // given up on word of another's end
 			continue
 		}
+		if s.asked != nil {
+			l.settle(s, core.EndCancelled)
+			continue
+		}
 		delete(l.streams, s.attempt.Request.ID)
 		l.all.core.End(s.attempt, end, core.Report{})
 	}
--- a/internal/engine/pg/links.go
+++ b/internal/engine/pg/links.go
@@ -102,6 +102,7 @@
 	begins  int               // completions of a transaction's beginning that come ahead of the answer
 	clean   bool              // DISCARD ALL is under way: nobody may use it yet
 	goes    bool              // the attempt has had an answer, and goes on
+	dropped bool              // the attempt is given up, and its end is waited for
 	applied map[string]string // settings of its session, by name
 	whole   bool              // CommandComplete or the like has come
 	failure *pgproto.Error
@@ -288,18 +289,31 @@
 // Drop gives an attempt up. Where it was written, the engine is told on a
 // connection of its own, and the link is not used again: the word could arrive
 // late and end whatever ran there next.
-func (ls *Links) Drop(a *core.Attempt) {
+func (ls *Links) Drop(a *core.Attempt) bool {
 	l, ok := a.Link.(*link)
-	if !ok || l.attempt != a {
-		return
+	switch {
+	case !ok || l.attempt != a:
+		return true
+	case l.dropped:
+		return false
+	case l.written && a.MustSettle() && l.conn != nil && !l.retired && l.key != nil:
+		l.dropped, l.retired = true, true // the answer, or the connection's end, tells that it is over
+		l.cancel()
+		return false
 	}
 	l.clear()
 	if !l.written {
-		return
+		return true
 	}
-	ls.stats.Add("links.cancelled")
-	l.retired = true
 	l.close(core.EndCancelled)
+	l.cancel()
+	return true
+}
+
+// cancel has the engine end what runs on the link.
+func (l *link) cancel() {
+	ls := l.all
+	ls.stats.Add("links.cancelled")
 	if l.key == nil {
 		return
 	}
@@ -323,7 +337,7 @@
 // Retire has the link take no more.
 func (l *link) Retire() {
 	l.retired = true
-	if l.attempt == nil && l.conn != nil {
+	if (l.attempt == nil || l.dropped) && l.conn != nil {
 		l.close(core.EndIdle)
 	}
 }
@@ -607,6 +621,9 @@
 
 func (l *link) finish(end core.End, rep core.Report) {
 	a, s := l.attempt, l.statement()
+	if l.dropped && end != core.EndServed {
+		end = core.EndCancelled
+	}
 	if s != nil && s.Sets != "" && end == core.EndServed {
 		l.applied[s.Sets] = s.Query
 	}
@@ -659,6 +676,9 @@
 	l.all.stats.Add("links.ended." + end.String())
 	l.engine.Remove(l)
 	if a := l.attempt; a != nil {
+		if l.dropped {
+			end = core.EndCancelled
+		}
 		var rep core.Report
 		if l.failure != nil {
 			rep.Detail = l.failure
--- a/internal/lab/fleet/engine.go
+++ b/internal/lab/fleet/engine.go
@@ -210,10 +210,11 @@
 }
 
 // Drop gives an attempt up.
-func (l *links) Drop(a *core.Attempt) {
+func (l *links) Drop(a *core.Attempt) bool {
 	if r, ok := a.Link.(*running); ok && r.e != nil && r.e.out[r.id] == r {
 		r.e.cancel(r)
 	}
+	return true
 }
 
 func (e *engine) cancel(r *running) {
--- a/internal/lab/sitelink/node.go
+++ b/internal/lab/sitelink/node.go
@@ -72,11 +72,12 @@
 // Engine, Hurry, Drop and Send are those of core.Links.
 func (n *Node) Engine(core.Engine)       {}
 func (n *Node) Hurry(*core.Attempt, int) {}
-func (n *Node) Drop(a *core.Attempt) {
+func (n *Node) Drop(a *core.Attempt) bool {
 	select {
 	case n.Dropped <- a.Request.ID:
 	default: // nobody looks
 	}
+	return true
 }
 func (n *Node) Send(a *core.Attempt) {
 	if n.Answer == nil {
--- a/internal/stories/order_test.go
+++ b/internal/stories/order_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"gannetspur/internal/core"
 	"gannetspur/internal/pgproto"
 	"gannetspur/policy"
 )
@@ -29,23 +30,36 @@
 	return strings.Replace(post("load", "Req-Key: "+key+"\r\n"), id, fmt.Sprintf("%016x", n), 1)
 }
 
-// orderedEngine reports each want with its time, and ends one when it is told its id.
+// orderedEngine reports each want, and ends one when it is told its id. Unless it hangs it tells that it
+// knows no query whose page it is asked for.
 type orderedEngine struct {
 	addr  string
 	wants chan string
-	ends  chan string
+	asks  chan string // for pages
+	ends  chan string // an id to end, "break", or an answer
+	hangs bool
 }
 
-func newOrderedEngine(t *testing.T) *orderedEngine {
-	e := &orderedEngine{wants: make(chan string, 100), ends: make(chan string, 100)}
+func newOrderedEngine(t *testing.T, hangs bool) *orderedEngine {
+	e := &orderedEngine{wants: make(chan string, 100), asks: make(chan string, 100), ends: make(chan string, 100), hangs: hangs}
 	e.addr = listen(t, func(c net.Conn) {
+		over := make(chan struct{})
+		defer close(over)
 		go func() {
-			for id := range e.ends {
-				if id == "break" {
-					c.Close()
+			for {
+				select {
+				case <-over:
 					return
+				case id := <-e.ends:
+					switch {
+					case id == "break":
+						c.Close()
+					case strings.Contains(id, " "):
+						fmt.Fprint(c, id)
+					default:
+						fmt.Fprintf(c, "%s DONE batches=1 0\r\n\r\n", id)
+					}
 				}
-				fmt.Fprintf(c, "%s DONE batches=1 0\r\n\r\n", id)
 			}
 		}()
 		b := make([]byte, 1<<16)
@@ -55,8 +69,15 @@
 				return
 			}
 			for _, line := range strings.Split(string(b[:n]), "\r\n") {
-				if w := strings.Fields(line); len(w) > 1 && w[0] == "want" {
+				switch w := strings.Fields(line); {
+				case len(w) < 2:
+				case w[0] == "want":
 					e.wants <- w[1]
+				case w[0] == "turn":
+					e.asks <- w[1]
+					if !e.hangs {
+						fmt.Fprintf(c, "%s BROKE - 0\r\n\r\n", w[1])
+					}
 				}
 			}
 		}
@@ -78,7 +99,7 @@
 // they came on; another key is not held up; and behind one that may run still, as its client left
 // or its connection broke, the key rests.
 func TestOrderOfAKey(t *testing.T) {
-	e := newOrderedEngine(t)
+	e := newOrderedEngine(t, false)
 	g := newGateway(t, ordered).platform(e.addr)
 	var clients []*httpClient
 	ids := func(n int) string { return fmt.Sprintf("%016x", n) }
@@ -124,10 +145,61 @@
 	e.none(t, "a second time")
 }
 
+// A load that was given up on an engine which hangs is out until that engine is certain to be through with
+// it, so the next of its key waits longer than its rest: until the engine tells, its connection breaks, or
+// the roster tells of a new process.
+func TestKeyWaitsForAnEngineThatHangs(t *testing.T) {
+	first, second := fmt.Sprintf("%016x", 0), fmt.Sprintf("%016x", 1)
+	for name, tt := range map[string]struct {
+		end   string
+		start bool
+	}{
+		"knows no such query": {end: first + " BROKE - 0\r\n\r\n"},
+		"was through":         {end: first + " DONE batches=3 0\r\n\r\n"},
+		"never ran it":        {end: first + " WAIT - 0\r\n\r\n"},
+		"breaks off":          {end: "break"},
+		"starts anew":         {start: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newOrderedEngine(t, true)
+			g := newGateway(t, ordered).platform(e.addr)
+			k := httpConnect(t, g.addr)
+			_, _ = io.WriteString(k.c, keyed(0, "a"))
+			same(t, "first", await(t, e.wants), first)
+			k.c.Close()
+			next := httpConnect(t, g.addr)
+			_, _ = io.WriteString(next.c, strings.Replace(keyed(1, "a"), "2000", "20000", 1))
+			for range 2 { // it is asked again a second later, past the rest
+				same(t, "asked", await(t, e.asks), first)
+			}
+			e.ends <- first + " TELL res=0.5,num=1 0\r\n\r\n" // it runs still
+			same(t, "asked", await(t, e.asks), first)
+			e.none(t, "while its key is out")
+			if tt.start {
+				g.do(func() {
+					g.core.Roster(policy.ListChanges, []core.Engine{{Addr: e.addr, Engine: policy.Engine{
+						ID: "e" + e.addr, Zone: "hall-a", Kind: "std-8", State: policy.EngineLive, Fresh: true, Started: g.loop.Now(),
+					}}})
+				})
+			} else {
+				e.ends <- tt.end
+			}
+			same(t, "second", await(t, e.wants), second)
+			e.ends <- second
+			if got, _ := next.answer(); !strings.HasPrefix(got, "200") {
+				t.Errorf("second: %s", got)
+			}
+			if n := g.count("settling.load"); n != 1 {
+				t.Errorf("%d attempts were waited for", n)
+			}
+		})
+	}
+}
+
 // A load that waits for its turn until its time is up gets its one answer then, never having been
 // sent, and the next in line goes on.
 func TestWaitForATurnEnds(t *testing.T) {
-	e := newOrderedEngine(t)
+	e := newOrderedEngine(t, false)
 	g := newGateway(t, ordered).platform(e.addr)
 	long, short, next := httpConnect(t, g.addr), httpConnect(t, g.addr), httpConnect(t, g.addr)
 	for i, k := range []*httpClient{long, short, next} {
@@ -154,7 +226,7 @@
 
 // A class in order needs a key of a plain form; without one nothing is sent.
 func TestOrderNeedsAKey(t *testing.T) {
-	e := newOrderedEngine(t)
+	e := newOrderedEngine(t, false)
 	g := newGateway(t, ordered).platform(e.addr)
 	for name, head := range map[string]string{
 		"missing": "", "empty": "Req-Key: \r\n", "oversized": "Req-Key: " + strings.Repeat("7", 65) + "\r\n",
@@ -207,3 +279,37 @@
 	k.send(parse("", "/* class=load */ DELETE FROM stock_1.parts WHERE part = $1"), bind("", "", "x"), execute("", 0), sync)
 	same(t, "load without a key", k.until('Z'), "1 E(22023) Z")
 }
+
+// A load on PostgreSQL that its client has left is out until its engine has ended it, however long that takes
+// after the cancel.
+func TestOrderWaitsForACancelledLoad(t *testing.T) {
+	asked, release := make(chan string, 10), make(chan []byte, 1)
+	done := pgproto.Append(pgproto.Append(pgproto.Append(pgproto.Append(nil, '1'), '2'), 'n'), 'C', pgproto.Str("INSERT 0 1"))
+	addr, seen := pgEngine(t, func(c pgCall) []byte {
+		asked <- c.bind
+		return <-release
+	})
+	g := newGateway(t, ordered).postgres(addr)
+	var clients []*pgClient
+	for n := range 2 {
+		k := connect(t, g.addr)
+		k.send(parse("", "INSERT INTO stock_1.parts VALUES ($1, $2)"), bind("", "", "a", fmt.Sprint(n)), execute("", 0), sync)
+		for g.count("taken.load") < int64(n+1) {
+			time.Sleep(time.Millisecond)
+		}
+		clients = append(clients, k)
+	}
+	await(t, asked)
+	clients[0].c.Close()
+	same(t, "engine heard", await(t, seen).query, "cancel")
+	rested := make(chan bool)
+	g.do(func() { g.loop.Timers.Add(g.loop.Now()+settle+settle, func() { close(rested) }) })
+	await(t, rested)
+	if len(asked) > 0 {
+		t.Fatal("the next load of the key went out while the first may run")
+	}
+	release <- pgError("57014")
+	await(t, asked)
+	release <- done
+	same(t, "answer", clients[1].until('Z'), "1 2 C(INSERT 0 1) Z")
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -913,7 +913,7 @@
 		notes = waitNotes
 	}
 	silent := float64(g.now - max(a.heard, g.awake))
-	if a.missed || silent < notes*float64(g.set.NoteEvery) || g.now-e.heard > g.quiet {
+	if a.missed || a.cancel || silent < notes*float64(g.set.NoteEvery) || g.now-e.heard > g.quiet {
 		return
 	}
 	a.missed = true
