Keep expectations from the decisions where clients tell no estimate, on the platform

At fault: shape.Service.put fills in a Work for every request, and policy.arrive takes any Work for a client's word of this one request and sheds by worth over work. Where all of a class are expected to be alike, all of it is shed; that is what arrive's own comment guards against.

The PostgreSQL front is as it was. TestEstimatesOnlyWhereTold fails without it.

--- a/cmd/ringwood/serve.go
+++ b/cmd/ringwood/serve.go
@@ -171,7 +171,7 @@
 		return fmt.Errorf("shapes: memory_kb: %d is more than a quarter of the memory, %d", s.MemoryKB, most)
 	}
 	g.shapes, err = shape.NewService(shape.Settings{
-		Decide: s.Decide(), Bytes: s.MemoryKB << 10, Correct: s.Correct, Snapshot: s.Snapshot, Every: s.Every(), WorkTold: workTold,
+		Decide: s.Decide(), Bytes: s.MemoryKB << 10, Correct: s.Correct, OnlyTold: s.OnlyTold, Snapshot: s.Snapshot, Every: s.Every(), WorkTold: workTold,
 	}, site.Policy.Classes, g.loop, g.counters, g.log)
 	if err == nil {
 		g.core.SetLearner(g.shapes)
--- a/internal/config/shapes.go
+++ b/internal/config/shapes.go
@@ -17,6 +17,7 @@
 	MemoryKB      int          `toml:"memory_kb"`         // of records and their upkeep, 64 to a quarter of memory_mb; usual: 2048
 	Hysteresis    float64      `toml:"hysteresis"`        // factor past the bound of a class before a shape changes over, 1 to 10; usual: 1.3
 	Correct       bool         `toml:"correct_estimates"` // what is expected goes to the decisions in place of the client's estimate
+	OnlyTold      bool         `toml:"only_told"`         // and where clients tell no estimate, the decisions are told none
 	Snapshot      string       // file that what was learned survives a restart in; "": none
 	SnapshotEvery float64      `toml:"snapshot_every_s"` // 10 to 86400; usual: 300
 	Classes       []ShapeClass `toml:"class"`            // of reading statements, the cheapest first; none: classes are not decided
--- a/internal/shape/service.go
+++ b/internal/shape/service.go
@@ -20,6 +20,7 @@
 	Decide   decide.Config
 	Bytes    int
 	Correct  bool          // what is expected goes to the decisions in place of the hint
+	OnlyTold bool          // and where there is no hint, nothing does
 	Snapshot string        // file; "": none
 	Every    time.Duration // between snapshots
 	WorkTold bool          // engines tell the work; else times stand for it
@@ -210,7 +211,7 @@
 
 func (s *Service) put(r *core.Request, x *Execution, threads float64) {
 	r.Note = x
-	if !s.set.Correct || !x.Estimate.Known {
+	if !s.set.Correct || !x.Estimate.Known || s.set.OnlyTold && r.Work == 0 {
 		return
 	}
 	s.corrected++
--- a/internal/stories/shapes_test.go
+++ b/internal/stories/shapes_test.go
@@ -120,3 +120,42 @@
 	}
 	return string(b)
 }
+
+// What is expected of a statement goes to the decisions in place of a client's estimate, and where the client told
+// none only if the settings don't say otherwise.
+func TestEstimatesOnlyWhereTold(t *testing.T) {
+	for name, tt := range map[string]struct {
+		onlyTold, tells bool
+		corrected       int64
+	}{
+		"none is told":                {false, false, 1},
+		"none is told, and only told": {true, false, 0},
+		"told, and only told":         {true, true, 1},
+	} {
+		addr, _ := lineEngine(t, func(line string) string { return done(line, "") })
+		g := newGateway(t, nil)
+		g.options.Shapes = withShapes(t, g, shape.Settings{Correct: true, OnlyTold: tt.onlyTold, WorkTold: true})
+		g.platform(addr)
+		head := ""
+		if tt.tells {
+			head = "Req-Cost: 500.0\r\nReq-Kb: 50\r\n"
+		}
+		const learned = 40
+		k := httpConnect(t, g.addr)
+		for n := range learned {
+			k.call(strings.Replace(post("lookup", ""), id, fmt.Sprintf("%016x", n), 1))
+		}
+		count := func() (n int64) {
+			g.do(func() {
+				g.options.Shapes.Count()
+				n = g.stats.All()["shapes.corrected"]
+			})
+			return n
+		}
+		before := count()
+		k.call(strings.Replace(post("lookup", head), id, fmt.Sprintf("%016x", learned), 1))
+		if n := count() - before; n != tt.corrected {
+			t.Errorf("%s: %d estimates put, want %d", name, n, tt.corrected)
+		}
+	}
+}
