Use the room that engines tell beyond a gateway's own part of them

At fault: Gateway.choose tests an engine by this gateway's own part alone; told load only ranked engines (relief) and opened the bound of all together.

spare lets a gateway hold half of what an engine told to be free beyond its part, less what it sent there since, less with the report's age and with the level of all engines.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,7 +23,7 @@
 	gainC       = 0.3                    // c: pole of the closed loop
 	lambda      = 0.3                    // weight of the newest period in alpha
 	startCores  = 2.0                    // bound at the start, threads a core
-	swapCaution = 0.75                   // of that, where short memory slows a whole engine
+	swapCaution = 0.85                   // of that, where short memory slows a whole engine
 	waitEase    = 1.5                    // and more, where what finds no memory waits in line
 	capStarts   = 1.2                    // a bound stays under this many starts, and the cap always binds
 	floorShare  = 0.5                    // bound floor, of one thread
@@ -50,6 +50,7 @@
 	chance      = 2.0                    // spread in what is held that the bound of all leaves room for
 	spreads     = 3.0                    // mean deviations of latency from which an attempt is overdue
 	toldFor     = 2 * period             // age at which a told load has faded to a third
+	freeShare   = 0.5                    // of the threads that an engine tells to be free, for one gateway
 	mostHeld    = 50.0                   // queries a core that a report is believed to tell at most
 	usualRank   = 2.5                    // priority of a query of the usual worth over its work
 	coldCost    = 1.3                    // and each query counts this much over its expected work
@@ -64,7 +65,7 @@
 	}
 	g := &Gateway{set: s, rng: rand.New(rand.NewPCG(seed, seed)), classes: map[string]*class{},
 		tenants: map[string]*tenant{}, kinds: map[string]Kind{}, byID: map[string]*engine{},
-		queries: map[uint64]*query{}, lanes: map[string]*lane{},
+		queries: map[uint64]*query{}, lanes: map[string]*lane{}, width: 1,
 		sets:  map[int64]float64{},
 		quiet: time.Duration(quietNotes * float64(s.NoteEvery))}
 	for _, c := range s.Classes {
@@ -343,10 +344,12 @@
 		return
 	}
 	e.load = g.full * l.Busy
+	e.free = 0
 	if l.Held >= 0 { // busy cores say nothing of what waits
 		held := min(l.Held, mostHeld*e.cores)
 		g.theirs += (held - g.theirs) / 40
 		e.load = held * g.width / e.cores
+		e.free = max(g.full-e.load, 0) * e.cores
 	}
 	e.toldAt, e.load = g.now, min(e.load, 2*g.full)
 	g.fleet.level += (e.load/g.full - g.fleet.level) / 5
@@ -374,6 +377,20 @@
 	return 0.25 * min(g.load-e.load, 0) * e.cores * math.Exp(-float64(g.now-e.toldAt)/float64(toldFor))
 }
 
+// spare is what this gateway may hold at an engine beyond its own part of it: of what the engine told to be
+// free, less what went there since, and less the older the report and the fuller all engines. Guards against
+// refusals at a gateway with more than its equal share of the traffic, while engines stand half empty.
+func (g *Gateway) spare(e *engine) float64 {
+	free := e.free
+	for _, a := range e.out {
+		if a.sent >= e.toldAt {
+			free -= a.q.weight
+		}
+	}
+	ease := min(max((1-g.fleet.level)/levelSlack, 0), 1)
+	return freeShare * ease * g.warm(e) * max(free, 0) * math.Exp(-float64(g.now-e.toldAt)/float64(toldFor))
+}
+
 // aim is the class aim, stretched by the query's expected work, in ms.
 func (g *Gateway) aim(q *query) float64 {
 	c := q.class
@@ -457,7 +474,7 @@
 	var best *engine
 	most, mark := math.Inf(-1), g.mark(q.set)
 	for _, e := range g.engines {
-		bound := g.limit(q, &e.loop)
+		bound := g.limit(q, &e.loop) + g.spare(e)
 		if e.suspected && g.trial(q, e) {
 			return e
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1092,3 +1092,29 @@
 		}
 	}
 }
+
+// TestToldRoomIsUsed: a gateway whose own part of an engine is full sends on while the engine tells that it
+// holds little, never more than a part of what it told, and less once the report is old.
+func TestToldRoomIsUsed(t *testing.T) {
+	s := settings()
+	s.Gateways, s.NoteEvery, s.LoadTold = 8, 0, true
+	out := func(held float64, age time.Duration) (n int) {
+		r := start(t, s, live("e", "a", 1))
+		r.g.fleet.top, r.g.fleet.bound = 1e9, 1e9 // one engine alone is looked at
+		r.do(Probed{Engine: "e", Result: Served, Load: Load{Told: true, Busy: 0.1, Held: held}})
+		r.after(age)
+		for id := uint64(1); id <= 60; id++ {
+			if has[Send](r.arrive(id, "unsafe")) {
+				n++
+			}
+		}
+		return n
+	}
+	untold, empty, half, old, full := out(-1, 0), out(0, 0), out(6, 0), out(0, 5*time.Second), out(60, 0)
+	if !(empty > half && half > untold && old < half && old >= untold && full <= untold) {
+		t.Errorf("sent %d untold, %d empty, %d half full, %d on an old report, %d full", untold, empty, half, old, full)
+	}
+	if empty >= 16 { // two threads a core of eight
+		t.Errorf("%d sent by one of eight gateways", empty)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -148,6 +148,7 @@
 	out       []*attempt
 	heard     time.Duration // latest word from it
 	load      float64       // told threads a core
+	free      float64       // told threads that it has room for; 0 where it doesn't tell what it holds
 	toldAt    time.Duration // when that was told; 0: never
 	lostAt    time.Duration // when a connection to it broke; 0: never
 	doubted   bool          // it is taken as cold since, and nothing else says so
