Bound connections to PostgreSQL engines by pools: per engine and user, fair, kept ahead, with an age

Links opened a connection for each statement that found none idle: nothing held them to what an engine allows, one program could take all, and transactions whose clients think held them without a bound.

internal/decide/pool decides for one engine, pure: use, open, wait, or no use waiting; whose turn it is (fewest at work, then longest without a turn); which connections are opened ahead, idle for too long, or old. engine/pg carries it out. [pool] in the deploy file, all off by default. Weighed: first come first served (a busy program starves others); a queue ahead of the module (it would choose by old word).

Core.drop: an attempt that is given up before its link wrote it (Core.Writing) ends as not-sent; it was cancelled or timeout, which count as perhaps run.

--- a/cmd/ringwood/serve.go
+++ b/cmd/ringwood/serve.go
@@ -16,6 +16,7 @@
 
 	"gannetspur/internal/config"
 	"gannetspur/internal/core"
+	"gannetspur/internal/decide/pool"
 	"gannetspur/internal/engine/lines"
 	"gannetspur/internal/engine/pg"
 	"gannetspur/internal/front/pgwire"
@@ -296,8 +297,11 @@
 	}
 	g.core.SetLinks(pg.New(g.loop, g.core, pg.Options{
 		User: p.User, Database: p.Database, Password: p.Engine.Password, TLS: p.Engine.Config,
-		ConnectTimeout: config.FromMS(p.ConnectWithin), IdleClose: config.FromMS(p.IdleClose),
-		MostHeld: part(p.MemoryMB, 4),
+		ConnectTimeout: config.FromMS(p.ConnectWithin), MostHeld: part(p.MemoryMB, 4),
+		Pool: pool.Limits{
+			Most: p.Pool.PerEngine, MostUser: p.Pool.PerUser, Keep: p.Pool.Keep,
+			Idle: config.FromMS(p.IdleClose), Life: config.FromMS(1000 * p.Pool.Life),
+		},
 	}, g.counters, g.log))
 	if err := g.openSites(sites, pg.Codec{}, p.Site.Policy, p.MemoryMB); err != nil {
 		return err
--- a/internal/config/engine_test.go
+++ b/internal/config/engine_test.go
@@ -28,6 +28,9 @@
 		"a key alone":           {`key = ""`, `key = "password"`, "tls.certificate"},
 		"no certificate in it":  {`certificate = ""`, `certificate = "password"`, "tls.certificate"},
 		"encryption of nothing": {"require = false", "require = true", "tls.require"},
+		"a pool":                {`per_engine = 0 `, `per_engine = 4 `, ""},
+		"too many kept":         {"keep = 0 ", "keep = 101 ", "pool.keep"},
+		"an odd life":           {`life_s = 0 `, `life_s = 0.5 `, "pool.life_s"},
 		"an odd time":           {"transaction_idle_s = 10", "transaction_idle_s = -1", "transaction_idle_s"},
 	} {
 		dir := t.TempDir()
--- a/internal/config/postgres.go
+++ b/internal/config/postgres.go
@@ -37,6 +37,7 @@
 	Consul        Consul
 	TLS           TLS
 	Engine        Engine
+	Pool          Pool
 	Shapes        Shapes
 	Site          Site `toml:"-"`
 }
@@ -69,6 +70,22 @@
 	Config   *tls.Config `toml:"-"`
 }
 
+// Pool bounds the connections to each engine. What is left out bounds nothing.
+type Pool struct {
+	PerEngine int     `toml:"per_engine"` // connections to one engine, to 10,000
+	PerUser   int     `toml:"per_user"`   // of these, how many work for one user
+	Keep      int     // are opened ahead, and stay open while idle; at most per_engine, where that is set, and 100
+	Life      float64 `toml:"life_s"` // a connection ends behind its statement once it is so old; 1 to 604,800
+}
+
+func (p *Pool) check(c *checker) {
+	c.must(p.PerEngine >= 0 && p.PerEngine <= 10000, "pool.per_engine", "%d is not from 0 to 10000", p.PerEngine)
+	c.must(p.PerUser >= 0 && p.PerUser <= 10000, "pool.per_user", "%d is not from 0 to 10000", p.PerUser)
+	c.must(p.Keep >= 0 && p.Keep <= 100, "pool.keep", "%d is not from 0 to 100", p.Keep)
+	c.must(p.PerEngine == 0 || p.Keep <= p.PerEngine, "pool.keep", "%d is more than pool.per_engine, %d", p.Keep, p.PerEngine)
+	c.must(p.Life == 0 || p.Life >= 1 && p.Life <= 604800, "pool.life_s", "%g is not 0, nor from 1 to 604800", p.Life)
+}
+
 // Consul is where the roster of engines is read.
 type Consul struct{ Address, Service, Token, Zone, Kind string }
 
@@ -116,6 +133,7 @@
 	c.must(p.TxIdle >= 0 && p.TxIdle <= 86400, "transaction_idle_s", "%g is not from 0 to 86400", p.TxIdle)
 	c.must(p.TxMost >= 0 && p.TxMost <= 86400, "transaction_most_s", "%g is not from 0 to 86400", p.TxMost)
 	c.must(p.Sockets >= 0, "sockets", "%d is below 0", p.Sockets)
+	p.Pool.check(c)
 	if p.Database == "" {
 		p.Database = p.User
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -103,6 +103,7 @@
 	n        int
 	ended    bool
 	neverRan bool          // its end proves it
+	wrote    bool          // its link was about to write it whole
 	told     bool          // other sites' service has heard of it
 	began    bool          // a part of its answer has come, and it goes on
 	notAfter time.Duration // it may not be written later; 0: no such limit
--- a/internal/core/end.go
+++ b/internal/core/end.go
@@ -24,13 +24,14 @@
 	EndGarbage            // what came on the connection can't be read
 	EndCancelled          // given up from this side
 	EndNotSent            // ended before any of it was written
+	EndCrowded            // no connection is free in its time: it was not sent
 	EndIdle               // a connection that nothing was open on
 	endCount
 )
 
 var endNames = [endCount]string{
 	"unknown", "served", "rejected", "too-large", "error", "full", "past", "pages-lost", "timeout", "refused", "connect-timeout",
-	"no-descriptor", "no-engine", "reset", "garbage", "cancelled", "not-sent", "idle",
+	"no-descriptor", "no-engine", "reset", "garbage", "cancelled", "not-sent", "crowded", "idle",
 }
 
 func (e End) String() string {
@@ -48,7 +49,7 @@
 		return policy.Served
 	case EndError, EndPagesLost:
 		return policy.Failed
-	case EndFull:
+	case EndFull, EndCrowded:
 		return policy.Full
 	case EndTimeout:
 		return policy.TimedOut
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -88,6 +88,9 @@
 // drop gives an attempt up, which ends it unless it has to be certain that its engine is through with it.
 func (c *Core) drop(a *Attempt, end End) {
 	if c.links.Drop(a) {
+		if !a.wrote { // it waited for a connection all the time
+			end = EndNotSent
+		}
 		c.End(a, end, Report{})
 		return
 	}
--- a/internal/core/sites_test.go
+++ b/internal/core/sites_test.go
@@ -27,7 +27,11 @@
 func (w *world) Now() time.Duration     { return w.now }
 func (w *world) say(f string, a ...any) { w.heard = append(w.heard, fmt.Sprintf(f, a...)) }
 
-func (w *world) Send(a *Attempt)     { w.sent = append(w.sent, a); w.say("send") }
+func (w *world) Send(a *Attempt) {
+	w.core.Writing(a)
+	w.sent = append(w.sent, a)
+	w.say("send")
+}
 func (w *world) Hurry(*Attempt, int) {}
 func (w *world) Engine(Engine)       {}
 func (w *world) Answer(_ *Request, a Answer) {
--- a/internal/core/standing.go
+++ b/internal/core/standing.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// Writing is asked by links right before they write an attempt whole, and counts it. It may
+// Writing is asked by links right before they write an attempt whole, and counts it: one that was not has never run. It may
 // no longer be written where an earlier one may have run and its key's window is about to
 // close, or where operators have taken its engine out while it waited for a connection: it
 // ends as not sent then.
@@ -65,6 +65,7 @@
 		return false
 	}
 	c.written++
+	a.wrote = true
 	return true
 }
 
--- a/internal/engine/pg/links.go
+++ b/internal/engine/pg/links.go
@@ -14,6 +14,7 @@
 
 	"gannetspur/internal/core"
 	"gannetspur/internal/deadline"
+	"gannetspur/internal/decide/pool"
 	"gannetspur/internal/engine"
 	"gannetspur/internal/netio"
 	"gannetspur/internal/pgproto"
@@ -43,7 +44,7 @@
 	Password       string        // for engines that want SCRAM-SHA-256; "": none
 	TLS            *tls.Config   // nil: connections are not encrypted; else an engine that declines is not spoken to
 	ConnectTimeout time.Duration // for the connection and its startup together
-	IdleClose      time.Duration // 0: idle connections stay open
+	Pool           pool.Limits   // of the connections to each engine
 	MostHeld       int           // bytes of rows of all results that are on their way
 }
 
@@ -55,6 +56,7 @@
 	stats   *stats.Counters
 	log     *slog.Logger
 	engines *engine.Pool[*link]
+	places  map[string]*place
 	size    int           // of the rows on their way
 	prover  *scram.Client // keeps what it has worked out for each engine's salt; nil: no password
 }
@@ -67,7 +69,7 @@
 	if opts.MostHeld <= 0 {
 		opts.MostHeld = usualHeld
 	}
-	ls := &Links{loop: loop, core: c, opts: opts, stats: counters, log: l, engines: engine.NewPool[*link]()}
+	ls := &Links{loop: loop, core: c, opts: opts, stats: counters, log: l, engines: engine.NewPool[*link](), places: map[string]*place{}}
 	if opts.Password != "" {
 		var err error
 		if ls.prover, err = scram.SHA256.NewClient("", opts.Password, ""); err != nil { // its text is no password: engines will say so
@@ -81,6 +83,8 @@
 type link struct {
 	all     *Links
 	engine  *engine.Engine[*link]
+	place   *place
+	free    bool        // the pool counts on it
 	conn    *netio.Conn // nil until it is up
 	ready   bool        // its startup is over
 	asking  bool        // whether it takes TLS
@@ -94,6 +98,7 @@
 	last    int               // number of the last name given
 
 	attempt *core.Attempt
+	ticket  *pool.Ticket // the attempt's
 	written bool
 	using   string // text and types of the attempt's statement, where it has a name
 	parsing string // the name that this attempt's Parse gives
@@ -108,36 +113,8 @@
 	failure *pgproto.Error
 }
 
-// Engine takes an entry of the roster.
-func (ls *Links) Engine(e core.Engine) { ls.engines.Engine(e) }
-
-// Send begins an attempt on an idle connection, or on a new one.
-func (ls *Links) Send(a *core.Attempt) {
-	e := ls.engines.Get(a.Engine)
-	if e == nil {
-		ls.core.End(a, core.EndNoEngine, core.Report{})
-		return
-	}
-	var l *link
-	for _, o := range e.Links {
-		if !o.retired && o.attempt == nil && !o.clean {
-			l = o
-			break
-		}
-	}
-	if l == nil {
-		l = ls.dial(e)
-	}
-	l.attempt, l.written, l.goes = a, false, false
-	l.fresh()
-	a.Link = l
-	if l.ready {
-		l.write()
-	}
-}
-
 func (ls *Links) dial(e *engine.Engine[*link]) *link {
-	l := &link{all: ls, engine: e, named: map[string]string{}, applied: map[string]string{}}
+	l := &link{all: ls, engine: e, place: ls.place(e.ID), named: map[string]string{}, applied: map[string]string{}}
 	e.Links = append(e.Links, l)
 	ls.stats.Add("links.dialed")
 	by := ls.loop.Now() + ls.opts.ConnectTimeout
@@ -290,6 +267,10 @@
 // connection of its own, and the link is not used again: the word could arrive
 // late and end whatever ran there next.
 func (ls *Links) Drop(a *core.Attempt) bool {
+	if w, ok := a.Link.(*waiter); ok {
+		w.leave()
+		return true
+	}
 	l, ok := a.Link.(*link)
 	switch {
 	case !ok || l.attempt != a:
@@ -302,7 +283,8 @@
 		return false
 	}
 	l.clear()
-	if !l.written {
+	if !l.written { // it is still being opened, for whoever comes next
+		ls.next(l.engine.ID)
 		return true
 	}
 	l.close(core.EndCancelled)
@@ -337,6 +319,7 @@
 // Retire has the link take no more.
 func (l *link) Retire() {
 	l.retired = true
+	l.taken()
 	if (l.attempt == nil || l.dropped) && l.conn != nil {
 		l.close(core.EndIdle)
 	}
@@ -347,6 +330,7 @@
 		l.end = why
 	}
 	l.retired = true
+	l.taken()
 	if l.conn != nil {
 		l.conn.Close()
 	}
@@ -507,7 +491,10 @@
 	if l.result != nil {
 		l.all.size -= len(l.result.Rows)
 	}
-	l.attempt, l.result, l.failure = nil, nil, nil
+	if l.ticket != nil {
+		l.place.pool.Leave(l.all.core.Now(), l.ticket)
+	}
+	l.attempt, l.ticket, l.result, l.failure = nil, nil, nil, nil
 }
 
 // fatal ends the connection on an error that the engine ends it on.
@@ -532,9 +519,7 @@
 		return l.failure
 	case l.clean:
 		l.clean, l.used = false, l.all.core.Now()
-		if l.retired {
-			l.close(core.EndIdle)
-		}
+		l.rest()
 		return nil
 	case body[0] != 'I':
 		return l.goesOn()
@@ -543,12 +528,13 @@
 		l.ready = true
 		l.used = l.all.core.Now()
 		l.watchIdle()
-		switch {
-		case l.attempt != nil:
+		l.watchAge()
+		if l.attempt != nil {
 			l.write()
-		case l.retired:
-			l.close(core.EndIdle)
+		} else {
+			l.rest()
 		}
+		l.all.ahead(l.engine.ID)
 		return nil
 	}
 	if l.attempt == nil {
@@ -634,28 +620,12 @@
 		l.close(core.EndIdle)
 	case a.Request.Stream || s != nil && s.Taints:
 		l.tidy()
+	default:
+		l.rest()
 	}
 	l.all.core.End(a, end, rep)
 }
 
-func (l *link) watchIdle() {
-	if l.all.opts.IdleClose <= 0 {
-		return
-	}
-	l.all.loop.Timers.Add(max(l.used, l.all.core.Now()-l.all.opts.IdleClose)+l.all.opts.IdleClose, func() {
-		switch {
-		case l.conn == nil:
-		case l.attempt == nil && l.all.core.Now() >= l.used+l.all.opts.IdleClose:
-			l.close(core.EndIdle)
-		default:
-			if l.attempt != nil {
-				l.used = l.all.core.Now()
-			}
-			l.watchIdle()
-		}
-	})
-}
-
 // Closed ends what was open on the link.
 func (l *link) Closed(*netio.Conn, error) {
 	switch {
@@ -671,7 +641,10 @@
 }
 
 func (l *link) lost(end core.End) {
+	was := l.ready
 	l.retired, l.conn, l.ready = true, nil, false
+	l.taken()
+	l.place.pool.Closed()
 	l.stall.Stop()
 	l.all.stats.Add("links.ended." + end.String())
 	l.engine.Remove(l)
@@ -686,4 +659,8 @@
 		l.clear()
 		l.all.core.End(a, end, rep)
 	}
+	l.all.next(l.engine.ID)
+	if was { // else nobody listens there, and asking at once would go on for ever
+		l.all.ahead(l.engine.ID)
+	}
 }
--- /dev/null
+++ b/internal/engine/pg/pool.go
@@ -0,0 +1,214 @@
+package pg
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"gannetspur/internal/core"
+	"gannetspur/internal/deadline"
+	"gannetspur/internal/decide/pool"
+	"gannetspur/internal/engine"
+	"gannetspur/internal/pgproto"
+	"gannetspur/policy"
+)
+
+// place is what is kept of one engine beside its links.
+type place struct {
+	pool  pool.Pool
+	live  bool // connections are opened ahead
+	waits map[*pool.Ticket]*waiter
+}
+
+// waiter is an attempt that waits for a connection.
+type waiter struct {
+	all     *Links
+	attempt *core.Attempt
+	ticket  *pool.Ticket
+	place   *place
+	late    *deadline.Entry // it is told then that there was none
+}
+
+// tellBefore is how long before its time is over an attempt that waits is told so: it has never run then, and its client hears
+// that it may try again; a moment later all that is known is that an attempt is out.
+const tellBefore = 20 * time.Millisecond
+
+// leave takes the attempt out of the line.
+func (w *waiter) leave() {
+	w.late.Stop()
+	delete(w.place.waits, w.ticket)
+	w.place.pool.Leave(w.all.core.Now(), w.ticket)
+}
+
+func (ls *Links) place(id string) *place {
+	p := ls.places[id]
+	if p == nil {
+		p = &place{pool: pool.Pool{Limits: ls.opts.Pool}, waits: map[*pool.Ticket]*waiter{}}
+		ls.places[id] = p
+	}
+	return p
+}
+
+// Engine takes an entry of the roster. Who waits for a connection to an engine that is gone is not served by it.
+func (ls *Links) Engine(e core.Engine) {
+	ls.engines.Engine(e)
+	p := ls.place(e.ID)
+	p.live = e.State == policy.EngineLive
+	if e.State != policy.EngineGone {
+		ls.next(e.ID)
+		ls.ahead(e.ID)
+		return
+	}
+	for _, w := range p.waits {
+		w.leave()
+		ls.core.End(w.attempt, core.EndNoEngine, core.Report{})
+	}
+	ls.forget(e.ID)
+}
+
+// forget drops what is kept of an engine that the roster does not name, once its connections have ended: one that comes
+// back before has them counted.
+func (ls *Links) forget(id string) {
+	if p := ls.places[id]; p != nil && ls.engines.Get(id) == nil {
+		if open, _, _ := p.pool.Counts(); open == 0 && len(p.waits) == 0 {
+			delete(ls.places, id)
+		}
+	}
+}
+
+// Send begins an attempt on an idle connection, on a new one, or when one is free.
+func (ls *Links) Send(a *core.Attempt) {
+	e := ls.engines.Get(a.Engine)
+	if e == nil {
+		ls.core.End(a, core.EndNoEngine, core.Report{})
+		return
+	}
+	user := ""
+	if s, ok := a.Request.Statement.(*pgproto.Statement); ok {
+		user = s.User
+	}
+	p := ls.place(e.ID)
+	by := a.Sent + a.Within - tellBefore
+	switch ticket, answer := p.pool.Ask(ls.core.Now(), user, by); answer {
+	case pool.Wait:
+		ls.stats.Add("links.waited")
+		w := &waiter{all: ls, attempt: a, ticket: ticket, place: p}
+		p.waits[ticket] = w
+		a.Link = w
+		w.late = ls.loop.Timers.Add(by, func() {
+			w.leave()
+			ls.core.End(a, core.EndCrowded, core.Report{})
+		})
+	case pool.Full:
+		ls.core.End(a, core.EndCrowded, core.Report{})
+	default:
+		ls.run(e, a, ticket, answer)
+	}
+}
+
+// run gives an attempt the connection that the pool says.
+func (ls *Links) run(e *engine.Engine[*link], a *core.Attempt, ticket *pool.Ticket, answer pool.Answer) {
+	var l *link
+	if answer == pool.Use {
+		for _, o := range e.Links {
+			if o.free {
+				l = o
+				break
+			}
+		}
+	} else {
+		l = ls.dial(e)
+	}
+	l.free = false
+	l.attempt, l.ticket, l.written, l.goes = a, ticket, false, false
+	l.fresh()
+	a.Link = l
+	if l.ready {
+		l.write()
+	}
+}
+
+// next has those who wait go, as far as there is room.
+func (ls *Links) next(id string) {
+	p, e := ls.places[id], ls.engines.Get(id)
+	if p == nil || e == nil {
+		ls.forget(id)
+		return
+	}
+	for {
+		ticket, answer, ok := p.pool.Next(ls.core.Now())
+		if !ok {
+			return
+		}
+		w := p.waits[ticket]
+		w.late.Stop()
+		delete(p.waits, ticket)
+		ls.run(e, w.attempt, ticket, answer)
+	}
+}
+
+// ahead opens a connection ahead where one is wanted.
+func (ls *Links) ahead(id string) {
+	p, e := ls.places[id], ls.engines.Get(id)
+	if p == nil || e == nil || !p.live {
+		return
+	}
+	opening := false
+	for _, l := range e.Links {
+		opening = opening || !l.ready && !l.retired
+	}
+	if p.pool.Ahead(opening) {
+		ls.dial(e)
+	}
+}
+
+// rest has a connection without a statement wait for one, or end.
+func (l *link) rest() {
+	if l.retired {
+		l.close(core.EndIdle)
+		return
+	}
+	if l.ready && !l.free {
+		l.free = true
+		l.place.pool.Free()
+		l.all.next(l.engine.ID)
+	}
+}
+
+// taken tells the pool not to count on the link any more.
+func (l *link) taken() {
+	if l.free {
+		l.free = false
+		l.place.pool.Taken()
+	}
+}
+
+// watchIdle closes the link once it has idled for too long, unless it is kept.
+func (l *link) watchIdle() {
+	idle := l.all.opts.Pool.Idle
+	if idle <= 0 {
+		return
+	}
+	l.all.loop.Timers.Add(max(l.used, l.all.core.Now()-idle)+idle, func() {
+		switch {
+		case l.conn == nil:
+		case l.free && l.place.pool.Stale(l.all.core.Now(), l.used):
+			l.close(core.EndIdle)
+		default:
+			if l.attempt != nil || l.free && l.all.core.Now() >= l.used+idle { // at work, or kept
+				l.used = l.all.core.Now()
+			}
+			l.watchIdle()
+		}
+	})
+}
+
+// watchAge has the link take no more once it is old.
+func (l *link) watchAge() {
+	if life := l.place.pool.LivesFor(rand.Float64()); life > 0 {
+		l.all.loop.Timers.Add(l.all.core.Now()+life, func() {
+			if l.conn != nil {
+				l.Retire()
+			}
+		})
+	}
+}
--- a/internal/front/pgwire/extended.go
+++ b/internal/front/pgwire/extended.go
@@ -428,7 +428,7 @@
 		k.inTransaction(want, served)
 		return
 	}
-	want.Settings = k.settings
+	want.Settings, want.User = k.settings, k.user
 	want.Taints = s.taints
 	f := k.front
 	class := s.class
--- a/internal/front/pgwire/transaction.go
+++ b/internal/front/pgwire/transaction.go
@@ -305,7 +305,7 @@
 		}
 		return
 	}
-	want.Begin, want.Settings = tx.begin, k.settings
+	want.Begin, want.Settings, want.User = tx.begin, k.settings, k.user
 	r := &core.Request{
 		ID: k.id(), Class: class.Name, Statement: want, Deadline: f.core.Now() + wait, Client: k, Stream: true,
 	}
--- a/internal/lab/sitelink/node.go
+++ b/internal/lab/sitelink/node.go
@@ -80,6 +80,7 @@
 	return true
 }
 func (n *Node) Send(a *core.Attempt) {
+	n.Core.Writing(a)
 	if n.Answer == nil {
 		select {
 		case n.Sent <- a:
--- a/internal/pgproto/pgproto.go
+++ b/internal/pgproto/pgproto.go
@@ -211,6 +211,7 @@
 	Settings []Setting // that it runs under, by name; others are as the engine has them
 	Sets     string    // the setting that it changes itself
 	Taints   bool      // it may leave something in the engine's session
+	User     string    `cbor:"-"` // whom it runs for, of those who share the connections; other sites know their own
 }
 
 // Setting is one setting of a client, as the SET that made it.
--- a/internal/stories/platform_test.go
+++ b/internal/stories/platform_test.go
@@ -277,7 +277,7 @@
 		"full": policy.Full, "past": policy.NotSent, "pages-lost": policy.Failed, "timeout": policy.TimedOut,
 		"refused": policy.NoConnection, "connect-timeout": policy.NoConnection, "no-descriptor": policy.NotSent,
 		"no-engine": policy.NoConnection, "reset": policy.Lost, "garbage": policy.Unknown,
-		"cancelled": policy.Cancelled, "not-sent": policy.NotSent, "idle": policy.Unknown,
+		"cancelled": policy.Cancelled, "not-sent": policy.NotSent, "crowded": policy.Full, "idle": policy.Unknown,
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
