Try the PostgreSQL front message by message, and answer FunctionCall and Terminate by the protocol

Found: behind a refused FunctionCall the front skipped to a Sync that never comes with it (E(0A000), then nothing: message() left k.simple off); answers to what came in one piece ahead of a Terminate were dropped (next() closed before flush).

--- /dev/null
+++ b/cmd/ringlab/conform.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"gannetspur/internal/lab/conformance"
+	"gannetspur/internal/lab/rig"
+)
+
+type conformCommand struct {
+	Server string `arg:"" optional:"" help:"Address of a PostgreSQL front on loopback, before emulated engines; without it, this folder's is built and started before one."`
+	Engine string `placeholder:"ADDR" help:"With a server: an emulated engine to be asked the same by itself."`
+	Chains int    `default:"100" help:"Chains of twelve cases on one connection, drawn by chance; each is sent whole, byte by byte and in pieces."`
+	Seed   uint64 `default:"1" help:"Of what is drawn."`
+	Out    string `placeholder:"FILE" help:"Write the table there; without it, it is printed."`
+}
+
+// Run plays all cases, writes the table, and fails if anything came otherwise than expected.
+func (c *conformCommand) Run() error {
+	for _, addr := range []string{c.Server, c.Engine} {
+		if addr != "" {
+			if err := loopback(addr); err != nil {
+				return err
+			}
+		}
+	}
+	if c.Chains < 0 || c.Chains > 10000 {
+		return fmt.Errorf("--chains: %d is not from 0 to 10000", c.Chains)
+	}
+	if c.Server == "" {
+		stop, err := c.start()
+		if err != nil {
+			return err
+		}
+		defer stop()
+	}
+	list, err := conformance.All(c.Server, c.Engine, c.Seed)
+	if err != nil {
+		return err
+	}
+	table := conformance.Report(list)
+	if c.Out != "" {
+		if err := os.WriteFile(c.Out, []byte(table), 0o644); err != nil {
+			return err
+		}
+	} else {
+		fmt.Print(table)
+	}
+	var faults []error
+	for _, r := range list {
+		if !r.OK() {
+			faults = append(faults, fmt.Errorf("%s: %s", r.About, r.Name))
+		}
+	}
+	for n := range uint64(c.Chains) {
+		chain := conformance.Chain(12, c.Seed+n)
+		for _, way := range conformance.Ways {
+			if got, err := conformance.Play(c.Server, chain, way, c.Seed); err != nil || got != chain.Want {
+				faults = append(faults, errors.Join(err, fmt.Errorf("%s, %v: got %.300s, want %.300s", chain.Name, way, got, chain.Want)))
+			}
+		}
+	}
+	fmt.Fprintf(os.Stderr, "%d cases and %d chains, each in %d ways: %d came otherwise\n", len(list), c.Chains, len(conformance.Ways), len(faults))
+	return errors.Join(faults...)
+}
+
+// start builds this folder's gateway and has it serve before one emulated engine.
+func (c *conformCommand) start() (stop func(), err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "ringlab-conform-")
+	if err != nil {
+		return nil, err
+	}
+	ends := []func(){func() { _ = os.RemoveAll(dir) }}
+	stop = func() {
+		for _, end := range slices.Backward(ends) {
+			end()
+		}
+	}
+	defer func() {
+		if err != nil {
+			stop()
+		}
+	}()
+	program, err := rig.Build(ctx, ".", dir)
+	if err != nil {
+		return nil, err
+	}
+	addr, err := rig.Free()
+	if err != nil {
+		return nil, err
+	}
+	r, err := rig.New(rig.Options{
+		Root: ".", Dir: dir, Engines: 1, Work: func(string) (time.Duration, float64) { return 0, 1 }, HTTP: "127.0.0.1:0", Postgres: addr,
+		Log: slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		return nil, err
+	}
+	ends = append(ends, r.Close)
+	g, err := rig.Start(program, io.Discard, "serve", "--postgres", r.Deploy)
+	if err != nil {
+		return nil, err
+	}
+	ends = append(ends, g.Stop)
+	c.Server, c.Engine = addr, r.Postgres.Members()[0].Addr.String()
+	return stop, rig.Up(ctx, addr)
+}
+
+// loopback tells whether an address is this machine's own.
+func loopback(addr string) error {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return err
+	}
+	if ip, err := netip.ParseAddr(host); err != nil || !ip.IsLoopback() {
+		return fmt.Errorf("%s is not on this machine's loopback", addr)
+	}
+	return nil
+}
--- a/cmd/ringlab/main.go
+++ b/cmd/ringlab/main.go
@@ -16,6 +16,7 @@
 	Run      runCommand      `cmd:"" help:"Play an experiment, and keep its table, figures and chart."`
 	Compare  compareCommand  `cmd:"" help:"Set the figures of two runs of an experiment side by side."`
 	Replace  replaceCommand  `cmd:"" help:"Hold a socket as the platform does, and replace the front end at it under calls."`
+	Conform  conformCommand  `cmd:"" help:"Try a PostgreSQL front against the protocol, message by message."`
 	Keys     keysCommand     `cmd:"" help:"Make keys for trials with several sites."`
 	Sitelink sitelinkCommand `cmd:"" help:"Measure the link between sites against a bare relay."`
 	Try      tryCommand      `cmd:"" help:"Start emulated engines, a bus, a Consul stand-in and both fronts on loopback, until Ctrl-C."`
--- a/cmd/ringwood/beside_test.go
+++ b/cmd/ringwood/beside_test.go
@@ -241,6 +241,9 @@
 	if got := askAt(t, p.addr, "GET "+part+" HTTP/1.1\r\n\r\n"); !strings.Contains(got, `["x","y","z"]`) {
 		t.Errorf("a further part of the old process's result, at the new one: %.80s", got)
 	}
+	if got := askAt(t, p.addr, "DELETE "+part+" HTTP/1.1\r\n\r\n"); !strings.HasPrefix(got, "200 ") {
+		t.Errorf("a client that wants no more of it, at the new process: %.80s", got)
+	}
 	again := make(chan string, 1)
 	go func() { again <- askAt(t, p.addr, load) }() // the key guards it
 	p.await("one", 3)
@@ -318,7 +321,7 @@
 	}
 }
 
-// Where what the old process wrote can't be used, or the new one dies before its yes, there is
+// Where what the old process wrote can't be used, or the new one dies before its yes or behind it, there is
 // a front end all the same.
 func TestBesideThatFails(t *testing.T) {
 	p := newPlatform(t)
@@ -328,6 +331,15 @@
 	if got := askAt(t, p.addr, "GET /health HTTP/1.1\r\n\r\n"); got != "200 {}" {
 		t.Errorf("beside one that died: %s", got)
 	}
+	dies := p.start()
+	dies.await("msg=serving")
+	_ = dies.cmd.Process.Kill()
+	_ = dies.cmd.Wait()
+	for range 10 { // all come to the old one again
+		if got := askAt(t, p.addr, "GET /health HTTP/1.1\r\n\r\n"); got != "200 {}" {
+			t.Errorf("beside one that died after its yes: %s", got)
+		}
+	}
 	states, _ := filepath.Glob(filepath.Join(p.dir, stateFolder, "*.state"))
 	_ = a.cmd.Process.Signal(syscall.SIGSTOP) // it hangs, and what it wrote is torn
 	for _, path := range states {
--- a/internal/front/pgwire/front.go
+++ b/internal/front/pgwire/front.go
@@ -564,6 +564,7 @@
 	in.Consume(n)
 	switch {
 	case kind == 'X':
+		k.flush() // answers to what it sent ahead of it
 		k.ended = true
 		k.conn.Close()
 	case kind == 'S':
@@ -594,7 +595,8 @@
 		return k.closeMessage(body)
 	case 'Q':
 		return k.query(body)
-	case 'F':
+	case 'F': // it has no Sync behind it, as a Query has none
+		k.simple = true
 		return fail("0A000", "function calls are not supported")
 	case 'p':
 		return fail("08P01", "no password was asked for")
--- a/internal/lab/emul/pg.go
+++ b/internal/lab/emul/pg.go
@@ -76,6 +76,29 @@
 	return "", nil
 }
 
+// portal is a bound statement, and the rows that are left once it runs.
+type portal struct {
+	query, key string
+	most       int // rows that are wanted first; 0: all
+	begun      bool
+	rows       []string
+}
+
+// more adds the next rows, all or so many, and tells whether some are left.
+func (p *portal) more(out []byte, most int) []byte {
+	n := len(p.rows)
+	if most > 0 {
+		n = min(n, most)
+	}
+	for _, row := range p.rows[:n] {
+		out = pgproto.Append(out, 'D', []byte{0, 1}, pgproto.Int32(len(row)), []byte(row))
+	}
+	if p.rows = p.rows[n:]; most > 0 && n == most { // PostgreSQL looks no further
+		return pgproto.Append(out, 's')
+	}
+	return pgproto.Append(out, 'C', pgproto.Str("SELECT "+strconv.Itoa(n)))
+}
+
 // failed has the transaction fail, and what follows skipped.
 func (s *pgSession) failed() {
 	if s.skip = true; s.status == 'T' {
@@ -131,8 +154,13 @@
 	out := pgproto.Append(nil, 'R', pgproto.Int32(0))
 	out = pgproto.Append(out, 'K', pgproto.Int32(1), pgproto.Int32(1))
 	out = pgproto.Append(out, 'Z', []byte("I"))
-	query, key, named := "", "", map[string]string{}
+	named, portals := map[string]string{}, map[string]*portal{}
 	s := &pgSession{status: 'I'}
+	fail := func(code, text string) {
+		e := pgproto.Error{Severity: "ERROR", Code: code, Message: text}
+		out = pgproto.Append(out, 'E', e.Body())
+		s.failed()
+	}
 	id := c.RemoteAddr().String()
 	for {
 		if len(out) > 0 {
@@ -152,7 +180,7 @@
 			continue
 		}
 		r := pgproto.Reader{B: body}
-		if s.skip && kind != 'S' {
+		if s.skip && kind != 'S' && kind != 'X' {
 			in = in[n:]
 			continue
 		}
@@ -167,35 +195,65 @@
 			out = pgproto.Append(out, 'Z', []byte{s.status})
 		case 'P':
 			name := r.Str()
+			if _, there := named[name]; there && name != "" {
+				fail("42P05", "prepared statement already exists")
+				break
+			}
 			named[name] = r.Str()
-			query = named[name]
-			log.Info("asked", "statement", short(query))
+			log.Info("asked", "statement", short(named[name]))
 			out = pgproto.Append(out, '1')
 		case 'B':
-			r.Str()
-			query, key = named[r.Str()], ""
+			name := r.Str()
+			text, there := named[r.Str()]
+			if !there {
+				fail("26000", "prepared statement does not exist")
+				break
+			}
+			if portals[name] != nil && name != "" {
+				fail("42P03", "cursor already exists")
+				break
+			}
+			p := &portal{query: text}
 			for range r.Count() {
 				r.Int16()
 			}
 			if r.Count() > 0 {
 				if n := r.Int32(); n > 0 {
-					key = string(r.Bytes(n))
+					p.key = string(r.Bytes(n))
 				}
 			}
+			portals[name] = p
 			out = pgproto.Append(out, '2')
+		case 'C':
+			if what, name := r.Byte(), r.Str(); what == 'S' {
+				delete(named, name)
+			} else {
+				delete(portals, name)
+			}
+			out = pgproto.Append(out, '3')
 		case 'D':
 			if r.Byte() == 'S' {
-				query = named[r.Str()]
-				out = pgproto.Append(out, 't', parameters(query))
+				out = pgproto.Append(out, 't', parameters(named[r.Str()]))
 			}
 			out = pgproto.Append(out, 'T', columns)
 		case 'E':
+			p := portals[r.Str()]
+			if p == nil {
+				fail("34000", "portal does not exist")
+				break
+			}
+			if most := r.Int32(); p.begun {
+				out = p.more(out, most)
+				break
+			} else {
+				p.most = most
+			}
+			query, key := p.query, p.key
 			if opts.Heard != nil {
 				opts.Heard(id, query)
 			}
 			if tag, e := s.control(query); e != nil {
-				out = pgproto.Append(out, 'E', e.Body())
-				s.failed()
+				fail(e.Code, e.Message)
 				break
 			} else if tag != "" {
 				if words := strings.Fields(query); tag == "SET" && len(words) > 3 {
@@ -212,18 +270,19 @@
 					return nil // the gateway gave it up: it closes the connection
 				}
 				if end.Full {
-					e := pgproto.Error{Severity: "ERROR", Code: "53300", Message: "too many sessions"}
-					out = pgproto.Append(out, 'E', e.Body())
-					s.failed()
+					fail("53300", "too many sessions")
 					break
 				}
 			}
-			for _, row := range []string{query, key} {
-				out = pgproto.Append(out, 'D', []byte{0, 1}, pgproto.Int32(len(row)), []byte(row))
-			}
-			out = pgproto.Append(out, 'C', pgproto.Str("SELECT 2"))
+			p.begun, p.rows = true, []string{query, key}
+			out = p.more(out, p.most)
+		case 'X':
+			return nil
 		case 'S':
 			s.skip = false
+			if s.status == 'I' {
+				clear(portals)
+			}
 			out = pgproto.Append(out, 'Z', []byte{s.status})
 		}
 		in = in[n:]
