Leave what waits for memory in its line where all engines are full

At fault: Gateway.note moves each safe query once that an engine tells to wait for memory; with memory short everywhere it goes to the end of the next engine's line, in every front end at once. Ruled out: handshakes (a liking for engines with a connection up cut their price and what is served alike), crashes, suspects.

TestQueryWaitsOnWhereAllEnginesAreFull fails without it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -422,8 +422,8 @@
 		return
 	}
 	if ev.Kind != NoteProgress { // it stands still; elsewhere it would run. A ration is for what fails,
-		// and where memory is short on two engines, a third is no better
-		once := ev.Kind == NoteWaitLoad || len(q.tries) == 1
+		// and where memory is short on two engines, or all are full, it would but lose its place in line
+		once := ev.Kind == NoteWaitLoad || len(q.tries) == 1 && g.fleet.level <= 1-levelSlack
 		if once && g.set.Rules.LookBack == 0 && q.class.Effect == Safe && ms(g.now-a.sent)+usual < g.aim(q) {
 			g.move(a)
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -603,6 +603,22 @@
 	}
 }
 
+func TestQueryWaitsOnWhereAllEnginesAreFull(t *testing.T) {
+	s := settings()
+	s.LoadTold = true
+	for busy, moves := range map[float64]bool{0.1: true, 1: false} {
+		r := start(t, s, live("e", "a", 1), live("f", "a", 1))
+		r.arrive(1, "wide")
+		r.arrive(2, "safe")
+		for range 60 { // each report counts a fifth
+			r.do(Probed{Engine: "e", Result: Served, Load: Load{Told: true, Busy: busy, Held: -1}})
+		}
+		if out := r.do(Note{Query: 1, Kind: NoteWaitMemory}); has[Cancel](out) != moves {
+			t.Errorf("all engines at %v: %+v", busy, out)
+		}
+	}
+}
+
 func TestToldLoadClosesTheRoomForChance(t *testing.T) {
 	s, list := many(40)
 	r := start(t, s, list...)
