Grant three times a class's need where memory pages and clients estimate nothing

Need: the second deployment, whose queries carry no estimate, so that grants were left to its engines: half over what the class usually needs. At fault: Gateway.send grants a multiple of the estimate alone.

class.ample follows what answers told, only where memory pages (short memory slows all, and what is granted past the need is lost to nobody) and for queries that came without an estimate. It goes over with what was learned.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -2,7 +2,6 @@
 
 // The decisions. The interface (settings, events, actions) is in api.go, the
 // types of what is kept in state.go, the check of the settings in check.go.
-//
 // Parts, in order: figures derived from the settings; the gateway and its
 // events; the query's life; the choice of engine; the guards of the rules;
 // engine state with the control loop, health and cold ramp.
@@ -41,6 +40,7 @@
 	faultMost   = 0.6                    // share of faults that makes an engine suspect
 	coldMargin  = 0.7                    // part of a cold engine's budget that is used
 	coldBurst   = 0.5                    // and this part of a span's budget may go at once
+	swapCover   = 3.0                    // times a class's need granted where memory pages, unestimated
 	grantCover  = 0.87                   // part of its queries whose need a class's grant should cover
 	hotSpread   = 2.0                    // engines near a data set for each engine's worth of its traffic
 	setPrior    = 2.0                    // queries as which an unseen set counts, among ten such
@@ -303,6 +303,9 @@
 		} else if !g.set.CostTold {
 			c.work += (took*c.Threads - c.work) / slow
 		}
+		if g.set.Short == ShortSwap && a.q.memory == 0 { // more than the need is nobody's loss there
+			c.ample += (swapCover*ev.MemoryMB - c.ample) / min(float64(c.n), slow)
+		}
 		if a.q.memory > 0 && ev.MemoryMB > c.grant*a.q.memory {
 			c.grant *= 1 + grantCover/10
 		} else if a.q.memory > 0 && !a.spilled {
@@ -744,7 +747,7 @@
 	}
 	grant := Grant{Query: q.id, Priority: 1}
 	if g.set.GrantsHeeded {
-		grant.MemoryMB = math.Ceil(q.memory * q.class.grant)
+		grant.MemoryMB = math.Ceil(max(q.memory*q.class.grant, q.class.ample))
 		a.grant = grant.MemoryMB
 	}
 	if g.set.PriorityHeeds {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1134,3 +1134,24 @@
 		t.Errorf("%d sent by one of eight gateways", empty)
 	}
 }
+
+// Where memory pages and clients estimate nothing, a grant follows what answers told, far past the usual need: the
+// rest is lost to nobody, and a query that gets less spills. Elsewhere the engine chooses.
+func TestAmpleGrantsWhereMemoryPages(t *testing.T) {
+	for short, want := range map[MemoryShort]float64{ShortSwap: swapCover * 100, ShortWait: 0, ShortTrim: 0} {
+		s := settings()
+		s.Short, s.GrantsHeeded, s.CostTold = short, true, true
+		r := start(t, s, live("e", "a", 1))
+		if got := grantOf(r.arrive(1, "safe")).MemoryMB; got != 0 {
+			t.Errorf("%v: %g MB before anything is known", short, got)
+		}
+		r.ends(1, 0, Cancelled)
+		for id := uint64(61); id <= 90; id++ {
+			r.arrive(id, "safe")
+			r.do(Outcome{Query: id, Result: Served, Elapsed: 50 * msec, Work: 50 * msec, MemoryMB: 50 + 100*float64(id%2), Final: true})
+		}
+		if got := grantOf(r.arrive(91, "safe")).MemoryMB; math.Abs(got-want) > 0.2*want {
+			t.Errorf("%v: %g MB granted, want about %g", short, got, want)
+		}
+	}
+}
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -24,9 +24,9 @@
 
 // LearnedClass is what is known of a class.
 type LearnedClass struct {
-	Name                                       string
-	N                                          int
-	Latency, Quick, Work, Spread, Guess, Grant float64
+	Name                                              string
+	N                                                 int
+	Latency, Quick, Work, Spread, Guess, Grant, Ample float64
 }
 
 // LearnedLoop is the state of one control loop.
@@ -67,7 +67,7 @@
 	}
 	for _, c := range g.set.Classes {
 		k := g.classes[c.Name]
-		l.Classes = append(l.Classes, LearnedClass{Name: k.Name, N: k.n, Latency: k.latency, Quick: k.quick, Work: k.work, Spread: k.spread, Guess: k.guess, Grant: k.grant})
+		l.Classes = append(l.Classes, LearnedClass{Name: k.Name, N: k.n, Latency: k.latency, Quick: k.quick, Work: k.work, Spread: k.spread, Guess: k.guess, Grant: k.grant, Ample: k.ample})
 	}
 	for _, e := range g.engines {
 		if e.state == EngineGone {
@@ -100,7 +100,7 @@
 	g.ticked = l.Ticked
 	for _, k := range l.Classes {
 		if c := g.classes[k.Name]; c != nil {
-			c.n, c.latency, c.quick, c.work, c.spread, c.guess, c.grant = k.N, k.Latency, k.Quick, k.Work, k.Spread, k.Guess, k.Grant
+			c.n, c.latency, c.quick, c.work, c.spread, c.guess, c.grant, c.ample = k.N, k.Latency, k.Quick, k.Work, k.Spread, k.Guess, k.Grant, k.Ample
 		}
 	}
 	for _, k := range l.Engines {
--- a/policy/state.go
+++ b/policy/state.go
@@ -17,6 +17,7 @@
 	work    float64 // usual work of all threads, ms
 	spread  float64 // usual deviation of a latency from what was expected, as a part of it
 	guess   float64 // usual estimate, ms
+	ample   float64 // memory to grant where nothing is estimated, MB; 0: the engine's own choice
 	grant   float64 // memory to grant, as a multiple of the estimate
 }
 
