--- a/cmd/ringwood/check.go
+++ b/cmd/ringwood/check.go
@@ -10,14 +10,15 @@
 	"gannetspur/internal/config"
 )
 
-// The first field of a file of sites, and of one of upgrades.
+// The first field of a file of sites, of one of upgrades, and of a fleet's.
 var (
+	peersField = regexp.MustCompile(`(?m)^peers *=`)
 	siteField  = regexp.MustCompile(`(?m)^site *=`)
 	adminField = regexp.MustCompile(`(?m)^admin *=`)
 )
 
 type checkCommand struct {
-	Files []string `arg:"" name:"file" help:"Settings (JSON), deploy files of the PostgreSQL front, or files of shapes, upgrades or sites (TOML)."`
+	Files []string `arg:"" name:"file" help:"Settings (JSON), deploy files of the PostgreSQL front, or files of shapes, upgrades, sites or a fleet (TOML)."`
 }
 
 // Run names every fault of every file in one pass.
@@ -42,7 +43,7 @@
 
 // check reads one file as what it looks like: JSON with known and settings is a platform
 // configuration, other JSON the settings object alone; TOML with an address to listen at
-// or a Consul to ask is a deploy file, with a site a file of sites, with a socket for operators one of upgrades, other
+// or a Consul to ask is a deploy file, with peers a fleet's, with a site a file of sites, with a socket for operators one of upgrades, other
 // TOML a file of shapes.
 func (c *checkCommand) check(path string) error {
 	raw, err := os.ReadFile(path)
@@ -54,6 +55,8 @@
 		_, err = config.Load(path)
 	case filepath.Ext(path) == ".json":
 		err = config.CheckSettings(path, raw)
+	case filepath.Ext(path) == ".toml" && peersField.Match(raw):
+		_, err = config.LoadFleet(path)
 	case filepath.Ext(path) == ".toml" && siteField.Match(raw):
 		_, err = config.LoadSites(path)
 	case filepath.Ext(path) == ".toml" && adminField.Match(raw):
--- a/cmd/ringwood/control.go
+++ b/cmd/ringwood/control.go
@@ -60,6 +60,10 @@
 	return true, ""
 }
 
-func (d door) Figures() core.Figures { return d.g.core.Figures() }
+func (d door) Figures() core.Figures {
+	f := d.g.core.Figures()
+	f.Peers = d.g.peers()
+	return f
+}
 
 func (d door) Ban(engine string, out bool) error { return d.g.core.Ban(engine, out) }
--- a/cmd/ringwood/main.go
+++ b/cmd/ringwood/main.go
@@ -28,6 +28,7 @@
 	Upgrade    upgradeCommand    `cmd:"" help:"Have a new version take over from a gateway that serves, without a request lost."`
 	Status     statusCommand     `cmd:"" help:"Show how a gateway that serves stands."`
 	Site       siteCommand       `cmd:"" help:"How other sites stand, and draining."`
+	Members    membersCommand    `cmd:"" help:"Show which other front ends serve, as one of them holds."`
 	Check      checkCommand      `cmd:"" help:"Read settings and deploy files and name every fault in them."`
 	Shapes     shapesCommand     `cmd:"" help:"What is known of the shapes of statements."`
 	Users      usersCommand      `cmd:"" help:"Users of the PostgreSQL front."`
@@ -41,6 +42,7 @@
 	Shapes   string `placeholder:"FILE" help:"Estimate by the shapes of statements as this file says; of the platform's front. The PostgreSQL front has [shapes] in its deploy file."`
 	Upgrade  string `placeholder:"FILE" help:"Open a socket for operators and let new versions take over, as this file says."`
 	Sites    string `placeholder:"FILE" help:"Work with gateways at other sites as this file says."`
+	Fleet    string `placeholder:"FILE" help:"Be a member among other front ends as this file says."`
 }
 
 func (c *serveCommand) Run(all *cli) error {
@@ -48,7 +50,7 @@
 	if err != nil {
 		return err
 	}
-	if err := run(serving{config: c.Config, postgres: c.Postgres, shapes: c.Shapes, upgrade: c.Upgrade, sites: c.Sites}, log); err != nil {
+	if err := run(serving{config: c.Config, postgres: c.Postgres, shapes: c.Shapes, upgrade: c.Upgrade, sites: c.Sites, fleet: c.Fleet}, log); err != nil {
 		for _, f := range config.FaultsOf(err) {
 			log.Error("cannot serve", "file", f.File, "line", f.Line, "field", f.Field, "error", f.Want)
 		}
--- /dev/null
+++ b/cmd/ringwood/members.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"gannetspur/internal/admin"
+	"gannetspur/internal/config"
+	decide "gannetspur/internal/decide/members"
+	"gannetspur/internal/members"
+)
+
+type membersCommand struct {
+	adminFlags
+	Fleet string        `placeholder:"FILE" help:"In place of --admin: the fleet's file that the gateway was started with, which names it."`
+	JSON  bool          `help:"Print all of it as JSON."`
+	Watch time.Duration `placeholder:"SPAN" help:"Print it again each SPAN, until interrupted."`
+}
+
+func (c *membersCommand) Run() error {
+	if c.Admin == "" && c.Upgrade == "" && c.Fleet != "" {
+		f, err := config.LoadFleet(c.Fleet)
+		if err != nil {
+			return err
+		}
+		c.Admin = f.Admin
+	}
+	for {
+		if err := c.show(); err != nil || c.Watch <= 0 {
+			return err
+		}
+		time.Sleep(max(c.Watch, 100*time.Millisecond))
+		fmt.Println()
+	}
+}
+
+func (c *membersCommand) show() error {
+	last, err := c.call(admin.Request{Do: "members"}, func(admin.Reply) {})
+	switch {
+	case err != nil:
+		return err
+	case last.Why != "":
+		return errors.New(last.Why)
+	}
+	var o members.Overview
+	if err := json.Unmarshal(last.Fleet, &o); err != nil {
+		return err
+	}
+	if c.JSON {
+		e := json.NewEncoder(os.Stdout)
+		e.SetIndent("", "  ")
+		return e.Encode(o)
+	}
+	printMembers(o)
+	return nil
+}
+
+func printMembers(o members.Overview) {
+	known := "more than half of the fleet is in it"
+	if !o.View.Majority {
+		known = "half of the fleet or more is not in it: this part may be cut off, and can't know"
+	}
+	fmt.Printf("view %d (%s): %d members; %s; held by %d of %d heard lately\n", o.View.Number, o.View.Digest, o.View.Size, known, o.View.Same, o.View.Heard)
+	if o.Doubt != "" {
+		fmt.Printf("this member doubts itself: %s\n", o.Doubt)
+	}
+	fmt.Printf("\n%-22s %-8s %8s %6s  %s\n", "member", "state", "heard ms", "loss", "witnesses")
+	for _, m := range o.Members {
+		name, heard := m.Address, fmt.Sprintf("%.0f", m.HeardMS)
+		if m.ID == o.Self {
+			name, heard = name+" *", "-"
+		} else if m.HeardMS < 0 {
+			heard = "never"
+		}
+		var said []string
+		for _, w := range []struct {
+			what string
+			by   []decide.ID
+		}{{"not heard by", m.Deaf}, {"not heard by, though alive:", m.Aside}, {"heard by", m.Hear}} {
+			if len(w.by) > 0 {
+				said = append(said, fmt.Sprintf("%s %v", w.what, w.by))
+			}
+		}
+		if m.Doubts {
+			said = append(said, "doubts itself")
+		}
+		fmt.Printf("%-22s %-8s %8s %6.2f  %s\n", name, m.State, heard, m.Loss, strings.Join(said, "; "))
+	}
+}
--- a/cmd/ringwood/serve.go
+++ b/cmd/ringwood/serve.go
@@ -61,7 +61,9 @@
 	part        func()     // has the front end connections behind their answers
 
 	users    *logins.Users   // of the PostgreSQL front; nil: everybody is let in
+	words    *config.Config  // what the platform says of words among front ends; nil: nothing
 	sites    *otherSites     // nil: there are none
+	fleet    *fleet          // nil: it is no member among others
 	upgrade  *config.Upgrade // nil: off
 	self     string          // this program's path
 	old      *handover.Old   // where upgrades are on
@@ -88,6 +90,7 @@
 	shapes   string // the platform's front's file of shapes; "": off
 	upgrade  string // the file that says how a new version takes over; "": off
 	sites    string // the file that names other sites; "": off
+	fleet    string // the file that says how this front end is a member among others; "": off
 }
 
 func run(what serving, logger *slog.Logger) error {
@@ -117,7 +120,7 @@
 		g.follow(nil)
 		if err = g.listen(); err == nil {
 			g.ready = true
-			err = errors.Join(g.linkSites(), g.admin(), g.openDoor())
+			err = errors.Join(g.linkSites(), g.join(), g.admin(), g.openDoor())
 		}
 	}
 	if err != nil {
@@ -152,7 +155,7 @@
 	default:
 		err = errors.New("nothing to serve: set LB_CONFIG, --config or --postgres")
 	}
-	return errors.Join(err, g.upgradable(what.upgrade))
+	return errors.Join(err, g.upgradable(what.upgrade), g.openFleet(what.fleet))
 }
 
 // print writes the counters.
@@ -210,7 +213,7 @@
 	if g.control = cfg.Control; os.Getenv("LB_CONTROL") != "" {
 		g.control = os.Getenv("LB_CONTROL")
 	}
-	g.sockets, g.memoryMB = cfg.Sockets, cfg.MemoryMB
+	g.sockets, g.memoryMB, g.words = cfg.Sockets, cfg.MemoryMB, cfg
 	if g.socket, err = platformSocket(); err != nil {
 		return err
 	}
@@ -426,11 +429,11 @@
 // readAgain takes what may change while the program runs from its file. A file that
 // can't be used changes nothing.
 func (g *gateway) readAgain() {
-	if g.reload == nil && g.sites == nil {
+	if g.reload == nil && g.sites == nil && g.fleet == nil {
 		g.log.Info("reload.nothing", "why", "the configuration names nothing that may change")
 		return
 	}
-	err := g.reloadSites()
+	err := errors.Join(g.reloadSites(), g.reloadFleet())
 	if g.reload != nil {
 		err = errors.Join(err, g.reload())
 	}
--- /dev/null
+++ b/cmd/ringwood/serve_fleet.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+
+	"gannetspur/internal/admin"
+	"gannetspur/internal/config"
+	"gannetspur/internal/core"
+	decide "gannetspur/internal/decide/members"
+	"gannetspur/internal/members"
+)
+
+// fleet is what a gateway has of other front ends.
+type fleet struct {
+	path    string
+	file    *config.Fleet
+	opts    members.Options
+	service *members.Service // nil: it has not begun, or words are not allowed
+}
+
+// openFleet reads the file of the fleet, if there is one. The member begins later, once this process serves.
+func (g *gateway) openFleet(path string) error {
+	if path == "" || g.loop == nil {
+		return nil
+	}
+	f, err := config.LoadFleet(path)
+	if err != nil {
+		return err
+	}
+	if os.Getenv("LB_ACCEPT_FD") != "" || g.upgrade != nil {
+		return config.Fault{File: path, Want: "a member can't yet go on in a process that takes over: start it without an upgrade's file and an inherited socket"}
+	}
+	g.fleet = &fleet{path: path, file: f}
+	opts := &g.fleet.opts
+	opts.Config, opts.Chance = f.Decide(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	if f.Peers == "platform" {
+		return g.platformMembers(opts)
+	}
+	own := netip.MustParseAddrPort(f.Listen) // the file was checked
+	opts.Listen, opts.Self = f.Listen, idOf(own)
+	for _, s := range f.Seeds {
+		opts.Named = append(opts.Named, idOf(netip.MustParseAddrPort(s)))
+	}
+	opts.Address = func(id decide.ID) (netip.AddrPort, bool) { return addrOf(id), true }
+	opts.Member = func(a netip.AddrPort) (decide.ID, bool) { return idOf(a), a.Addr().Is4() && a.Port() > 0 }
+	opts.Keys = members.NewKeys(own, keysOf(f))
+	return nil
+}
+
+// idOf makes a member's name of its address, so that who tells of a member tells where it is.
+func idOf(a netip.AddrPort) decide.ID {
+	b := a.Addr().As4()
+	return decide.ID(b[0])<<40 | decide.ID(b[1])<<32 | decide.ID(b[2])<<24 | decide.ID(b[3])<<16 | decide.ID(a.Port())
+}
+
+func addrOf(id decide.ID) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{byte(id >> 40), byte(id >> 32), byte(id >> 24), byte(id >> 16)}), uint16(id))
+}
+
+// platformMembers are the front ends of the tier, by their places in the platform's configuration.
+func (g *gateway) platformMembers(opts *members.Options) error {
+	c := g.words
+	switch {
+	case c == nil:
+		return config.Fault{File: g.fleet.path, Field: "peers", Want: "the platform's front alone has them from a configuration"}
+	case !c.Site.MayTell || c.PeerListen == "" || len(c.Peers) == 0:
+		return nil // off: front ends send each other nothing there
+	}
+	places := map[netip.AddrPort]decide.ID{}
+	var addrs []netip.AddrPort
+	for i, p := range c.Peers {
+		a, err := netip.ParseAddrPort(p)
+		if err != nil {
+			return fmt.Errorf("configuration: peers[%d]: %w", i, err)
+		}
+		addrs = append(addrs, a)
+		places[a] = decide.ID(i + 1)
+		opts.Named = append(opts.Named, decide.ID(i+1))
+		if p == c.PeerListen {
+			opts.Self = decide.ID(i + 1)
+		}
+	}
+	if opts.Self == 0 {
+		return errors.New("configuration: peer_listen is not among peers")
+	}
+	opts.Listen, opts.Config.Closed = c.PeerListen, true
+	opts.Address = func(id decide.ID) (a netip.AddrPort, ok bool) {
+		if id < 1 || int(id) > len(addrs) {
+			return a, false
+		}
+		return addrs[id-1], true
+	}
+	opts.Member = func(a netip.AddrPort) (decide.ID, bool) { id, ok := places[a]; return id, ok }
+	return nil
+}
+
+func keysOf(f *config.Fleet) (keys []members.Key) {
+	for _, k := range f.Keys {
+		keys = append(keys, members.Key{Number: uint8(k.Number), Secret: k.Secret})
+	}
+	return keys
+}
+
+// join begins to be a member.
+func (g *gateway) join() (err error) {
+	if g.fleet == nil {
+		return nil
+	}
+	if g.fleet.opts.Listen == "" {
+		g.log.Info("members.off", "why", "the configuration does not allow words among front ends")
+		return nil
+	}
+	g.fleet.service, err = members.Start(g.loop, g.fleet.opts, g.counters, g.log)
+	if err == nil {
+		g.log.Info("members", "addr", g.fleet.service.Addr(), "self", uint64(g.fleet.opts.Self), "named", len(g.fleet.opts.Named))
+	}
+	return err
+}
+
+// leaveFleet tells the others that this front end stops.
+func (g *gateway) leaveFleet() {
+	if g.fleet != nil && g.fleet.service != nil {
+		g.fleet.service.Leave()
+	}
+}
+
+// peers are the figures at the door; nil: it is no member.
+func (g *gateway) peers() *core.PeerFigures {
+	if g.fleet == nil || g.fleet.service == nil {
+		return nil
+	}
+	f := g.fleet.service.Figures()
+	return &core.PeerFigures{Live: f.Live, Named: f.Named, Cut: f.Cut, Lost: f.Dead + f.Lost, View: int(f.View.Number), Majority: f.Majority}
+}
+
+// reloadFleet has the keys read again. All else holds from the start on.
+func (g *gateway) reloadFleet() error {
+	if g.fleet == nil || g.fleet.opts.Keys == nil {
+		return nil
+	}
+	f, err := config.LoadFleet(g.fleet.path)
+	if err == nil {
+		g.fleet.opts.Keys.Set(keysOf(f))
+	}
+	return err
+}
+
+// adminMembers answers an operator. It runs on a goroutine of its own.
+func (g *gateway) adminMembers() admin.Reply {
+	done := make(chan admin.Reply, 1)
+	g.loop.Post(func() {
+		if g.fleet == nil || g.fleet.service == nil {
+			done <- admin.Reply{Why: "this gateway is no member among others", Done: true}
+			return
+		}
+		raw, err := json.Marshal(g.fleet.service.Overview())
+		r := admin.Reply{Fleet: raw, Done: true}
+		if err != nil {
+			r.Why = err.Error()
+		}
+		done <- r
+	})
+	return <-done
+}
--- a/cmd/ringwood/serve_upgrade.go
+++ b/cmd/ringwood/serve_upgrade.go
@@ -137,10 +137,17 @@
 func (g *gateway) admin() error {
 	u := g.upgrade
 	if u == nil {
-		if g.sites == nil || g.sites.admin == "" {
+		path := ""
+		if g.fleet != nil {
+			path = g.fleet.file.Admin
+		}
+		if g.sites != nil && g.sites.admin != "" {
+			path = g.sites.admin
+		}
+		if path == "" {
 			return nil
 		}
-		_, err := admin.Listen(g.sites.admin, g.answer)
+		_, err := admin.Listen(path, g.answer)
 		return err
 	}
 	path := u.Program
@@ -162,6 +169,8 @@
 		return
 	}
 	switch r.Do {
+	case "members":
+		say(g.adminMembers())
 	case "site-status", "site-drain", "site-undrain":
 		say(g.adminSite(r))
 	case "status":
--- a/cmd/ringwood/stop.go
+++ b/cmd/ringwood/stop.go
@@ -23,6 +23,7 @@
 	waiting := min(g.core.LongestDeadline(), longestHeld) + stopExtra - beforeKill
 	g.log.Info("stopping")
 	g.leaveSites()
+	g.leaveFleet()
 	if g.succession != nil {
 		g.succession.Stopping()
 	}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -24,7 +24,7 @@
 
 // Request is what an operator wants.
 type Request struct {
-	Do      string   `json:"do"` // status, upgrade, check, site-status, site-drain, site-undrain
+	Do      string   `json:"do"` // status, upgrade, check, site-status, site-drain, site-undrain, members
 	Site    string   `json:"site,omitempty"`
 	Program string   `json:"program,omitempty"`
 	Args    []string `json:"args,omitempty"`
@@ -37,6 +37,7 @@
 	Build  string          `json:"build,omitempty"`
 	Status *Status         `json:"status,omitempty"`
 	Sites  json.RawMessage `json:"sites,omitempty"` // crossing.Overview
+	Fleet  json.RawMessage `json:"fleet,omitempty"` // members.Overview
 	Done   bool            `json:"done"`
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -31,6 +31,9 @@
 	Offset   uint64  // of the last known event
 	Known    []Event // the roster's events up to now
 	Site     Site
+
+	PeerListen string   // where words of other front ends come
+	Peers      []string // an address of each front end of the tier, its own included
 }
 
 // Event is one change of the list of engines, or the whole of it.
@@ -48,8 +51,10 @@
 		MemoryMB float64 `json:"memory_mb"`
 		Sockets  float64 `json:"sockets"`
 	} `json:"limits"`
-	Bus   string `json:"bus"`
-	Known struct {
+	Bus        string   `json:"bus"`
+	PeerListen string   `json:"peer_listen"`
+	Peers      []string `json:"peers"`
+	Known      struct {
 		Offset uint64 `json:"offset"`
 		Batch  []struct {
 			Offset   uint64 `json:"offset"`
@@ -121,7 +126,7 @@
 	}
 	c := &Config{
 		Name: f.Name, Listen: f.Listen, Control: f.Control, MemoryMB: int(f.Limits.MemoryMB), Sockets: int(f.Limits.Sockets),
-		Bus: f.Bus, Offset: f.Known.Offset,
+		Bus: f.Bus, Offset: f.Known.Offset, PeerListen: f.PeerListen, Peers: f.Peers,
 	}
 	if f.Seed != "" {
 		seed, err := strconv.ParseUint(f.Seed, 16, 64)
@@ -141,6 +146,12 @@
 		return nil, k.err()
 	}
 	c.Site = *f.Settings
+	if f.PeerListen != "" {
+		k.address("peer_listen", f.PeerListen)
+	}
+	for i, p := range f.Peers {
+		k.address(fmt.Sprintf("peers[%d]", i), p)
+	}
 	k.must(c.Site.Policy.Gateways >= 1, "settings.balancers", "not at least 1")
 	k.must(len(c.Site.Policy.Classes) > 0, "settings.classes", "none")
 	if err := k.err(); err != nil {
--- a/internal/config/profile.go
+++ b/internal/config/profile.go
@@ -25,6 +25,7 @@
 	ConnectTimeout time.Duration // a connection not up by then has failed
 	IdleClose      time.Duration // engines close what is idle for this long
 	NoteEvery      time.Duration
+	MayTell        bool // front ends may send each other words
 }
 
 // UnmarshalJSON reads the settings object of the simulator's first message.
@@ -40,7 +41,7 @@
 	*s = Site{
 		Policy: set, Reports: p.Report.Names, Zones: p.Zones, Kinds: p.Kinds,
 		MaxStreams: p.Limits.Streams, ConnectTimeout: FromMS(p.Limits.Connect),
-		IdleClose: FromMS(p.Limits.IdleClose), NoteEvery: set.NoteEvery,
+		IdleClose: FromMS(p.Limits.IdleClose), NoteEvery: set.NoteEvery, MayTell: p.Limits.Tells,
 	}
 	return nil
 }
@@ -106,6 +107,7 @@
 	Limits struct {
 		Cancel    bool
 		Probes    bool    `json:"may-probe"`
+		Tells     bool    `json:"may-tell"`
 		Connect   float64 `json:"connect-timeout-ms"`
 		IdleClose float64 `json:"idle-close-ms"`
 		Streams   int     `json:"max-streams"`
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -209,5 +209,17 @@
 	line("inflight", int64(f.Inflight), 'g')
 	line("hosts_listed", int64(f.Listed), 'g')
 	line("hosts_down", int64(f.Down), 'g')
+	if p := f.Peers; p != nil {
+		line("peers_live", int64(p.Live), 'g')
+		line("peers_named", int64(p.Named), 'g')
+		line("peers_cut", int64(p.Cut), 'g')
+		line("peers_gone", int64(p.Lost), 'g')
+		line("peers_view", int64(p.View), 'g')
+		if p.Majority {
+			line("peers_majority", 1, 'g')
+		} else {
+			line("peers_majority", 0, 'g')
+		}
+	}
 	return b
 }
--- a/internal/core/standing.go
+++ b/internal/core/standing.go
@@ -82,6 +82,13 @@
 	Inflight int            // requests taken and not ended
 	Listed   int            // engines that the roster names
 	Down     int            // of these, how many are avoided: by operators, or by the module
+	Peers    *PeerFigures   // nil: this front end is no member among others
+}
+
+// PeerFigures tell of other front ends, itself included.
+type PeerFigures struct {
+	Live, Named, Cut, Lost, View int // in the view; known or named; of these cut; dead or lost; the view's number
+	Majority                     bool
 }
 
 // Figures is a snapshot.
--- a/internal/decide/members/gossip.go
+++ b/internal/decide/members/gossip.go
@@ -24,7 +24,7 @@
 }
 
 // sum takes a record into the digests, or out of them.
-func (m *Machine) sum(r record) { m.sums[mix(uint32(r.Author), 0)%buckets] ^= r.hash() }
+func (m *Machine) sum(r record) { m.sums[mix(r.Author.key(), 0)%buckets] ^= r.hash() }
 
 func (m *Machine) digest() (all uint32) {
 	for _, s := range m.sums {
@@ -48,8 +48,17 @@
 // take reads a datagram. What says that it is of another member than the one whose address it came from is dropped:
 // guards against one that says it is everybody.
 func (m *Machine) take(from ID, b []byte) {
-	d, err := read(b)
-	if err != nil || d.From != from || from == m.self.id || len(b) > m.cfg.Limit {
+	long := len(b)
+	b, err := open(b)
+	var d message
+	if err == nil {
+		d, err = read(b)
+	}
+	if err != nil || d.From != from || from == m.self.id || long > m.cfg.Limit {
+		m.Dropped++
+		return
+	}
+	if m.peers[from] == nil && m.cfg.Closed {
 		m.Dropped++
 		return
 	}
@@ -84,7 +93,7 @@
 		}
 		p.beat = d.Seq
 	case kindProbe:
-		m.say(kindAnswer, p, uint32(d.Seq), nil)
+		m.say(kindAnswer, p, uint64(d.Seq), nil)
 	case kindAsk:
 		if o := m.peers[ID(d.About)]; o != nil && o != m.self && o.known {
 			o.vouch, m.look = m.now+6*m.cfg.Beat, true
@@ -92,7 +101,7 @@
 		}
 	case kindSync:
 		m.supply(p, func(o *peer) bool {
-			b := mix(uint32(o.id), 0) % buckets
+			b := mix(o.id.key(), 0) % buckets
 			return d.Sums[b] != uint16(m.sums[b])
 		})
 		return
@@ -129,11 +138,11 @@
 		return
 	}
 	parts := min(len(m.peers)/mostListed+1, 255)
-	m.say(kindList, p, uint32(m.rng.IntN(parts))<<8|uint32(parts), nil)
+	m.say(kindList, p, uint64(m.rng.IntN(parts))<<8|uint64(parts), nil)
 }
 
 // list is what this member has of a part of the records.
-func (m *Machine) list(about uint32) (all []listed) {
+func (m *Machine) list(about uint64) (all []listed) {
 	for _, o := range m.peers {
 		if o.known && part(o.id, about) {
 			all = append(all, listed{o.id, uint8(o.record.hash())})
@@ -173,6 +182,9 @@
 		}
 		return
 	}
+	if m.peers[r.Author] == nil && m.cfg.Closed {
+		return
+	}
 	p := m.peer(r.Author)
 	if p.known && !r.after(p.record) {
 		if r.Inc == p.record.Inc && r.Seq == p.record.Seq && m.news[r.Author] > m.cfg.Rings/2 {
@@ -239,7 +251,7 @@
 		if d := m.news[b] - m.news[a]; d != 0 {
 			return d
 		}
-		return cmp.Compare(mix(uint32(a), m.seq), mix(uint32(b), m.seq))
+		return cmp.Compare(mix(a.key(), m.seq), mix(b.key(), m.seq))
 	})
 	for _, id := range ids[:min(len(ids), 24)] {
 		rs = append(rs, m.peers[id].record)
@@ -265,7 +277,7 @@
 
 // say sends a datagram with as many of the records as fit and may be sent, and tells how many, or -1 where nothing
 // was sent: that would go over the budget. What tells that a member lives goes before what it knows of others.
-func (m *Machine) say(kind byte, to *peer, about uint32, rs []record) (n int) {
+func (m *Machine) say(kind byte, to *peer, about uint64, rs []record) (n int) {
 	d := message{Kind: kind, From: m.self.id, Inc: m.self.record.Inc, Seq: uint16(m.seq), Records: m.digest(), View: m.view, About: about}
 	if kind == kindSync {
 		for _, s := range m.sums {
@@ -276,10 +288,11 @@
 		d.Lists = m.list(about)
 	}
 	b := d.append(make([]byte, 0, m.cfg.Limit))
-	if float64(len(b)+m.cfg.Frame) > m.tokens || kind >= kindSync && m.tokens < m.reserve() {
+	frame := sumBytes + m.cfg.Frame
+	if float64(len(b)+frame) > m.tokens || kind >= kindSync && m.tokens < m.reserve() {
 		return -1
 	}
-	most := min(m.cfg.Limit, int(m.tokens-m.reserve())-m.cfg.Frame)
+	most := min(m.cfg.Limit-sumBytes, int(m.tokens-m.reserve())-frame)
 	for _, r := range rs {
 		at := len(b)
 		if b = r.append(b); len(b) > most {
@@ -289,7 +302,7 @@
 		n++
 		m.told(r.Author)
 	}
-	m.tokens -= float64(len(b) + m.cfg.Frame)
-	m.out = append(m.out, Send{to.id, b})
+	m.tokens -= float64(len(b) + frame)
+	m.out = append(m.out, Send{to.id, seal(b)})
 	return n
 }
--- a/internal/decide/members/members.go
+++ b/internal/decide/members/members.go
@@ -14,8 +14,15 @@
 	"time"
 )
 
-// ID names a member, and its address: the same after a restart.
-type ID uint32
+// ID names a member, and its address: the same after a restart. The caller chooses them, up to MostID: small ones cost
+// fewer bytes.
+type ID uint64
+
+// MostID has room for an IPv4 address with its port.
+const MostID = 1<<48 - 1
+
+// key is the same for a member at all members.
+func (id ID) key() uint32 { return uint32(id) ^ uint32(id>>32)*0x9e3779b1 }
 
 // Config is the same at all members of an installation.
 type Config struct {
@@ -30,13 +37,14 @@
 	Burst  float64       // bytes saved up while there is nothing to say
 	Frame  int           // bytes that the sender adds to each datagram, which count
 	Limit  int           // bytes of a datagram, without these
+	Closed bool          // nobody is a member but those that the settings name
 }
 
 // Defaults are for front ends of one installation within 20 ms of each other.
 func Defaults() Config {
 	return Config{
 		Beat: 500 * time.Millisecond, Rings: 4, Quorum: 3, Missed: 2, Probes: 3, Hold: 800 * time.Millisecond,
-		Most: 2500 * time.Millisecond, Bytes: 400, Burst: 6000, Limit: 256,
+		Most: 4 * time.Second, Bytes: 400, Burst: 6000, Limit: 256,
 	}
 }
 
--- a/internal/decide/members/record.go
+++ b/internal/decide/members/record.go
@@ -43,7 +43,7 @@
 }
 
 // hash is the same for the same record, whoever has it.
-func (r record) hash() uint32 { return mix(mix(uint32(r.Author)*2654435761, r.Inc), uint32(r.Seq)) }
+func (r record) hash() uint32 { return mix(mix(r.Author.key()*2654435761, r.Inc), uint32(r.Seq)) }
 
 // mix spreads two words over one (the finalizer of MurmurHash3, which is in the public domain).
 func mix(a, b uint32) uint32 {
@@ -95,7 +95,7 @@
 
 func readRecord(b []byte) (r record, rest []byte, err error) {
 	v, b, err := number(b)
-	if err != nil || v > 1<<32-1 || len(b) < 8 {
+	if err != nil || v > MostID || len(b) < 8 {
 		return r, nil, errWire
 	}
 	r.Author, r.Inc, r.Seq = ID(v), binary.BigEndian.Uint32(b), binary.BigEndian.Uint16(b[4:])
@@ -111,7 +111,7 @@
 			return r, nil, errWire
 		}
 		by := v >> 2
-		if by == 0 && i > 0 || v&3 == 0 || last+by > 1<<32-1 || ID(last+by) == r.Author { // twice, of nothing, of itself
+		if by == 0 && i > 0 || v&3 == 0 || last+by > MostID || ID(last+by) == r.Author { // twice, of nothing, of itself
 			return r, nil, errWire
 		}
 		last += by
--- a/internal/decide/members/watch.go
+++ b/internal/decide/members/watch.go
@@ -28,7 +28,7 @@
 	for r := range m.cfg.Rings {
 		ring := slices.Clone(m.order)
 		slices.SortFunc(ring, func(a, b *peer) int {
-			return cmp.Or(cmp.Compare(mix(uint32(a.id), uint32(r)), mix(uint32(b.id), uint32(r))), byID(a, b))
+			return cmp.Or(cmp.Compare(mix(a.id.key(), uint32(r)), mix(b.id.key(), uint32(r))), byID(a, b))
 		})
 		m.rings = append(m.rings, ring)
 	}
@@ -47,8 +47,8 @@
 // doubtful tells whether another may be gone, by anybody's word.
 func (p *peer) doubtful() bool { return len(p.against) > 0 || p.mine == deaf }
 
-// targets are those that are told that this member lives: the next on each ring, and the next after it that lives
-// where that one may be gone.
+// targets are those that are told that this member lives: the next on each ring; where that one may be gone the next
+// after it, and it itself at each fourth beat.
 func (m *Machine) targets() (to []*peer) {
 	m.turn()
 	add := func(p *peer) {
@@ -59,7 +59,7 @@
 	for _, ring := range m.rings {
 		first := true
 		m.along(ring, 1, func(p *peer) bool {
-			if first || !p.doubtful() {
+			if !p.doubtful() || first && m.seq%4 == 0 {
 				add(p)
 			}
 			first = false
@@ -104,9 +104,9 @@
 // judges tells whether this member is one of those that look for themselves where another is not heard by somebody:
 // chance decides, the same for all, so that there are witnesses enough though those on the rings may be gone too.
 func (m *Machine) judges(p *peer) bool {
-	mine, before := mix(uint32(p.id), uint32(m.self.id)), 0
+	mine, before := mix(p.id.key(), m.self.id.key()), 0
 	for _, o := range m.order {
-		if o != p && o != m.self && len(o.against) == 0 && mix(uint32(p.id), uint32(o.id)) < mine {
+		if o != p && o != m.self && len(o.against) == 0 && mix(p.id.key(), o.id.key()) < mine {
 			if before++; before >= m.cfg.Rings {
 				return false
 			}
@@ -141,7 +141,7 @@
 			continue
 		}
 		disputed := len(p.against)+len(p.aside) > 0
-		watched := set[p] || p.mine == hears || len(p.against) > 0 && len(p.against) < m.cfg.Quorum && m.judges(p)
+		watched := set[p] || p.mine == hears || len(p.against) > 0 && m.witnesses(p) < m.cfg.Quorum && m.judges(p)
 		if watched && !p.watched {
 			p.fresh = max(p.fresh, m.now-m.silence(p)) // it had no cause to tell this member: it is asked at once
 		}
@@ -174,7 +174,7 @@
 		p.askAt = m.now + 2*m.cfg.Beat/5
 		if p.asked == 2 && !p.doubtful() {
 			for _, o := range m.some(2, func(o *peer) bool { return o != p && len(o.against) == 0 && o.mine == none }) {
-				m.say(kindAsk, o, uint32(p.id), nil)
+				m.say(kindAsk, o, uint64(p.id), nil)
 			}
 		}
 	}
@@ -217,7 +217,7 @@
 		switch {
 		case len(p.by) > 0:
 			p.mine = aside
-		case len(p.against) < m.cfg.Quorum: // else enough say so
+		case m.witnesses(p) < m.cfg.Quorum: // else enough say so
 			p.mine = deaf
 		}
 	case (p.mine == deaf || p.mine == aside) && p.heard >= p.fresh && heard:
@@ -225,8 +225,8 @@
 	case p.mine == deaf && len(p.by) > 0:
 		p.mine = aside
 		m.contradicted()
-	case p.mine == aside && len(p.by) == 0 && len(p.against) > 0 && m.now >= m.doubt:
-		p.mine = deaf // those who heard it don't any more
+	case p.mine == aside && len(p.by) == 0 && (len(p.against) > 0 || m.now-p.turned > 4*m.cfg.Beat && m.now-p.fresh > 4*m.cfg.Beat) && m.now >= m.doubt:
+		p.mine = deaf // those who heard it don't any more, or nobody says so
 	case p.mine == none && disputed && heard && p.heard > p.turned:
 		p.mine = hears
 	case p.mine == hears && (!disputed && m.now-p.turned > 4*m.cfg.Beat || !heard && p.asked > m.questions(p)):
--- a/internal/decide/members/wire.go
+++ b/internal/decide/members/wire.go
@@ -2,12 +2,16 @@
 
 import (
 	"encoding/binary"
+	"hash/crc32"
 )
 
 // A datagram is a head and records, as many as fit. Numbers are big-endian.
 //
 //	version and kind:1 from:uvarint inc:4 seq:2 records' digest:4 view's number:uvarint view's digest:4 about:uvarint
 //
+// Four bytes more are a sum of all before (CRC-32C): what was changed on its way counts for nothing, also where
+// nothing is signed.
+//
 // about is the member that is asked for (kindAsk), or the sequence that is answered (kindAnswer), else 0.
 // A kindSync has the digests of the sender's buckets in place of records.
 const (
@@ -22,7 +26,7 @@
 )
 
 // mostHead bounds a datagram's head, in bytes.
-const mostHead = 35
+const mostHead = 37
 
 // buckets is into how many parts records are divided to find those that differ.
 const buckets = 32
@@ -34,7 +38,7 @@
 	Seq     uint16
 	Records uint32
 	View    View // without its size
-	About   uint32
+	About   uint64
 	Sums    []uint16
 	Lists   []listed
 	Carries []record
@@ -50,8 +54,8 @@
 const mostListed = 40
 
 // part tells whether a member is in the part that about names: its number, and of how many, in a byte each.
-func part(id ID, about uint32) bool {
-	return mix(uint32(id), 7)%max(about&0xff, 1) == about>>8
+func part(id ID, about uint64) bool {
+	return uint64(mix(id.key(), 7))%max(about&0xff, 1) == about>>8
 }
 
 func (d message) append(b []byte) []byte {
@@ -62,7 +66,7 @@
 	b = binary.BigEndian.AppendUint32(b, d.Records)
 	b = binary.AppendUvarint(b, uint64(d.View.Number))
 	b = binary.BigEndian.AppendUint32(b, d.View.Digest)
-	b = binary.AppendUvarint(b, uint64(d.About))
+	b = binary.AppendUvarint(b, d.About)
 	for _, s := range d.Sums {
 		b = binary.BigEndian.AppendUint16(b, s)
 	}
@@ -77,8 +81,28 @@
 	return b
 }
 
+// sumBytes is what a datagram's sum takes.
+const sumBytes = 4
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// seal adds the sum.
+func seal(b []byte) []byte { return binary.BigEndian.AppendUint32(b, crc32.Checksum(b, castagnoli)) }
+
+// open takes the sum off.
+func open(b []byte) ([]byte, error) {
+	n := len(b) - sumBytes
+	if n < 0 || binary.BigEndian.Uint32(b[n:]) != crc32.Checksum(b[:n], castagnoli) {
+		return nil, errWire
+	}
+	return b[:n], nil
+}
+
 // Read tells who a datagram says it is of, and whether it can be read at all.
 func Read(b []byte) (from ID, err error) {
+	if b, err = open(b); err != nil {
+		return 0, err
+	}
 	d, err := read(b)
 	return d.From, err
 }
@@ -89,7 +113,7 @@
 	}
 	d.Kind = b[0] & 0xf
 	v, b, err := number(b[1:])
-	if err != nil || v > 1<<32-1 || len(b) < 10 {
+	if err != nil || v > MostID || len(b) < 10 {
 		return d, errWire
 	}
 	d.From, d.Inc = ID(v), binary.BigEndian.Uint32(b)
@@ -98,10 +122,10 @@
 		return d, errWire
 	}
 	d.View = View{Number: uint32(v), Digest: binary.BigEndian.Uint32(b)}
-	if v, b, err = number(b[4:]); err != nil || v > 1<<32-1 {
+	if v, b, err = number(b[4:]); err != nil || v > MostID {
 		return d, errWire
 	}
-	d.About = uint32(v)
+	d.About = v
 	if d.Kind == kindSync {
 		if len(b) != 2*buckets {
 			return d, errWire
@@ -112,7 +136,7 @@
 		return d, nil
 	}
 	for last := uint64(0); d.Kind == kindList && len(b) > 0; b = b[1:] {
-		if v, b, err = number(b); err != nil || len(b) == 0 || v == 0 && len(d.Lists) > 0 || last+v > 1<<32-1 {
+		if v, b, err = number(b); err != nil || len(b) == 0 || v == 0 && len(d.Lists) > 0 || last+v > MostID {
 			return d, errWire
 		}
 		last += v
--- /dev/null
+++ b/internal/lab/tier/drawn.go
@@ -0,0 +1,44 @@
+package tier
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Drawn is a schedule that a seed gives: troubles of all kinds, one after the other and at once, with nobody choosing.
+// The last quarter of the span is quiet.
+func Drawn(seed uint64, processes, troubles int, span time.Duration) (faults []Fault) {
+	rng := rand.New(rand.NewPCG(seed, 0x74696572))
+	who := func(most int) []int {
+		all := rng.Perm(processes)
+		return all[:1+rng.IntN(max(most, 1))]
+	}
+	quiet := span * 3 / 4
+	for range troubles {
+		f := Fault{At: time.Duration(rng.Int64N(int64(quiet / 2))), Who: who(processes / 3)}
+		f.For = time.Second + time.Duration(rng.Int64N(int64(quiet-f.At-time.Second)))
+		switch rng.IntN(8) {
+		case 0:
+			f.Do, f.Back = Cut, rng.IntN(2) == 0
+		case 1:
+			f.Do = Cut
+			f.To = who(processes / 2)
+		case 2:
+			f.Do, f.Back, f.Share = Lossy, true, 0.3
+		case 3:
+			f.Do, f.Back, f.Slow = Slow, true, time.Duration(rng.IntN(1000))*time.Millisecond
+		case 4:
+			f.Do, f.Share = []Do{Twice, Spoil}[rng.IntN(2)], 0.3
+		case 5:
+			f.Do, f.Who = Pause, f.Who[:1]
+			f.For = min(f.For, 10*time.Second)
+		case 6:
+			f.Do, f.For, f.Who = Restart, 0, f.Who[:1]
+		case 7: // and starts again, so that a crash and a pause don't meet at one
+			f.Do, f.For, f.Who = Restart, 0, f.Who[:1]
+			f.At += quiet / 4
+		}
+		faults = append(faults, f)
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/lab/tier/mesh.go
@@ -0,0 +1,148 @@
+// Package tier starts several processes of ringwood as front ends of one tier, with emulated engines, bus and clients,
+// puts relays between them, does to them and to the ways between them what a schedule says, merges what all of them
+// logged, and checks that no rule was broken.
+package tier
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// way is what happens on the way from one front end to another.
+type way struct {
+	cut   bool
+	loss  float64
+	twice float64       // share that comes twice
+	spoil float64       // share of which a byte is changed
+	slow  time.Duration // each takes longer by this, and by up to as much again
+}
+
+// mesh relays datagrams between front ends: each has an address of its own for each other one, which is where that
+// other seems to be, for all that it sends and hears.
+type mesh struct {
+	n     int
+	real  []netip.AddrPort
+	socks [][]*net.UDPConn // [a][b]: b as a sees it
+
+	mu     sync.Mutex
+	ways   [][]way
+	rng    *rand.Rand
+	passed int
+	lost   int
+	wait   sync.WaitGroup
+}
+
+func newMesh(real []netip.AddrPort, seed uint64) (m *mesh, err error) {
+	m = &mesh{n: len(real), real: real, rng: rand.New(rand.NewPCG(seed, 0x6d657368))}
+	defer func() {
+		if err != nil {
+			m.close()
+		}
+	}()
+	for a := range m.n {
+		m.ways = append(m.ways, make([]way, m.n))
+		m.socks = append(m.socks, make([]*net.UDPConn, m.n))
+		for b := range m.n {
+			if a == b {
+				continue
+			}
+			if m.socks[a][b], err = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}); err != nil {
+				return m, fmt.Errorf("mesh: %w", err)
+			}
+		}
+	}
+	for a := range m.n {
+		for b := range m.n {
+			if a != b {
+				m.wait.Go(func() { m.relay(a, b) })
+			}
+		}
+	}
+	return m, nil
+}
+
+// seen is where a front end sees another one, and itself.
+func (m *mesh) seen(a, b int) string {
+	if a == b {
+		return m.real[a].String()
+	}
+	return m.socks[a][b].LocalAddr().String()
+}
+
+// relay passes on what a sends to b.
+func (m *mesh) relay(a, b int) {
+	buf := make([]byte, 2048)
+	for {
+		n, from, err := m.socks[a][b].ReadFromUDPAddrPort(buf)
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil || from != m.real[a]:
+			continue // word of ICMP, or of somebody else
+		}
+		m.mu.Lock()
+		w, times := m.ways[a][b], 1
+		switch {
+		case w.cut || m.rng.Float64() < w.loss:
+			times = 0
+			m.lost++
+		case m.rng.Float64() < w.twice:
+			times = 2
+		}
+		if times > 0 && n > 0 && m.rng.Float64() < w.spoil {
+			buf[m.rng.IntN(n)] ^= byte(1 + m.rng.IntN(255))
+		}
+		later := w.slow
+		if w.slow > 0 {
+			later += time.Duration(m.rng.Int64N(int64(w.slow)))
+		}
+		m.passed += times
+		m.mu.Unlock()
+		back := m.socks[b][a]
+		to := net.UDPAddrFromAddrPort(m.real[b])
+		for range times {
+			if later == 0 {
+				_, _ = back.WriteToUDP(buf[:n], to) // one that is down hears nothing
+				continue
+			}
+			words := append([]byte(nil), buf[:n]...)
+			time.AfterFunc(later, func() { _, _ = back.WriteToUDP(words, to) })
+		}
+	}
+}
+
+// change changes the ways from some to others.
+func (m *mesh) change(from, to []int, f func(*way)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, a := range from {
+		for _, b := range to {
+			if a != b {
+				f(&m.ways[a][b])
+			}
+		}
+	}
+}
+
+// passes tells whether anything gets from one to another at all, now.
+func (m *mesh) passes(a, b int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.ways[a][b].cut
+}
+
+func (m *mesh) close() {
+	for _, row := range m.socks {
+		for _, s := range row {
+			if s != nil {
+				_ = s.Close()
+			}
+		}
+	}
+	m.wait.Wait()
+}
--- /dev/null
+++ b/internal/lab/tier/tier.go
@@ -0,0 +1,467 @@
+package tier
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"gannetspur/internal/lab/emul"
+	"gannetspur/internal/lab/load"
+	"gannetspur/internal/lab/rig"
+)
+
+// Options say what to play.
+type Options struct {
+	Root      string // the repository, whose examples are taken
+	Program   string
+	Dir       string // for files
+	Processes int    // 3 to 24
+	Engines   int
+	Rate      float64 // requests a second at each front end
+	Seed      uint64
+	Faults    []Fault
+	Span      time.Duration // from the time on when all have found each other
+	Log       io.Writer     // of all processes; nil: none
+}
+
+// Fault is what happens to front ends, or to the ways from some to others, at a time.
+type Fault struct {
+	At    time.Duration
+	For   time.Duration // pauses and changes of ways last so long; 0: to the end
+	Do    Do
+	Who   []int // front ends from 0
+	To    []int // of ways: to these; nil: to all others
+	Back  bool  // and the way back
+	Share float64
+	Slow  time.Duration
+}
+
+// Do is a kind of fault.
+type Do string
+
+// Kinds of fault.
+const (
+	Cut     Do = "cut"     // nothing passes
+	Lossy   Do = "lossy"   // a share is lost
+	Twice   Do = "twice"   // a share comes twice
+	Spoil   Do = "spoil"   // of a share a byte is changed
+	Slow    Do = "slow"    // datagrams take so much longer, and up to as much again
+	Pause   Do = "pause"   // SIGSTOP, and SIGCONT later
+	Crash   Do = "crash"   // SIGKILL
+	Stop    Do = "stop"    // SIGTERM
+	Start   Do = "start"   // what ended starts again
+	Restart Do = "restart" // SIGKILL, and a start at once
+)
+
+// Kinds are all kinds of fault.
+var Kinds = []Do{Cut, Lossy, Twice, Spoil, Slow, Pause, Crash, Stop, Start, Restart}
+
+// Result is what was seen.
+type Result struct {
+	Events   []Event
+	Broken   []string // rules, each with what broke it
+	Verdicts map[load.Verdict]int
+	Requests int
+	Began    time.Time       // when all had found each other
+	Found    time.Duration   // until all had found each other
+	Known    []time.Duration // of each crash: until the last survivor called it dead or lost
+	Views    int             // the most changes of the view that one front end had
+	Passed   int             // datagrams
+	Lost     int
+}
+
+// tier is what is played.
+type tier struct {
+	opts  Options
+	mesh  *mesh
+	procs []*process
+	began time.Time // when all had found each other
+
+	mu     sync.Mutex
+	events []Event
+	news   chan struct{} // closed and made anew with each event
+	spans  []span        // of front ends that were not there, or not heard by all
+	up     []bool
+}
+
+// span is a time in which a front end could not be relied on.
+type span struct {
+	who      int
+	from, to time.Time // zero: to the end
+	down     bool      // its process did not run
+	deaf     []int     // with whom it had no whole way, both ways
+}
+
+// Run plays it. An error is that it could not be played; broken rules are in the result.
+func Run(ctx context.Context, opts Options) (res *Result, err error) {
+	t := &tier{opts: opts, news: make(chan struct{}), up: make([]bool, opts.Processes)}
+	if err := os.MkdirAll(opts.Dir, 0o700); err != nil {
+		return nil, err
+	}
+	ledger := emul.NewLedger(12 * time.Second)
+	r, err := rig.New(rig.Options{
+		Root: opts.Root, Dir: opts.Dir, Engines: opts.Engines, HTTP: "127.0.0.1:9090", Postgres: "127.0.0.1:0", Ledger: ledger,
+		Work: emul.Plain, Log: slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	if err := t.prepare(r); err != nil {
+		return nil, err
+	}
+	defer t.mesh.close()
+	defer func() { // by their ids, also where something failed
+		for _, p := range t.procs {
+			p.end()
+		}
+	}()
+	if err := t.each(func(p *process) error { return t.start(p.n) }); err != nil {
+		return nil, err
+	}
+	started := time.Now()
+	if err := t.await(ctx, 30*time.Second, t.settled); err != nil {
+		return nil, fmt.Errorf("the front ends do not find each other: %w", err)
+	}
+	t.began = time.Now()
+	res = &Result{Verdicts: map[load.Verdict]int{}, Began: t.began, Found: t.began.Sub(started)}
+
+	loading, stop := context.WithCancel(ctx)
+	defer stop()
+	var sources []*load.Source
+	var all sync.WaitGroup
+	for _, p := range t.procs {
+		s, err := load.New(load.Options{
+			Name: fmt.Sprint(p.n), Connections: 8, Rate: opts.Rate, Loads: 0.1, Reports: 0.1, Churn: 0.1, Within: 4 * time.Second, Seed: opts.Seed + uint64(p.n),
+			Dial: func(seed uint64) (load.Client, error) { return load.DialHTTP(p.addr, seed) },
+		})
+		if err != nil {
+			return nil, err
+		}
+		defer s.Close()
+		sources = append(sources, s)
+		all.Go(func() { s.Run(loading) })
+	}
+	err = t.play(ctx)
+	stop()
+	all.Wait()
+	if err != nil {
+		return nil, err
+	}
+	if err := t.await(ctx, settleMost, t.settled); err != nil {
+		res.Broken = append(res.Broken, "views: "+t.views())
+	}
+	var records []load.Record
+	for _, s := range sources {
+		records = append(records, s.Records()...)
+	}
+	t.judge(res, records, ledger.Runs())
+	return res, nil
+}
+
+// settleMost is how long views may differ after the last fault.
+const settleMost = 15 * time.Second
+
+// prepare writes the files of all front ends.
+func (t *tier) prepare(r *rig.Rig) error {
+	raw, err := os.ReadFile(r.Config)
+	if err != nil {
+		return err
+	}
+	var real []netip.AddrPort
+	for len(real) < t.opts.Processes {
+		free, err := rig.Free()
+		if err != nil {
+			return err
+		}
+		if a := netip.MustParseAddrPort(free); !slices.Contains(real, a) {
+			real = append(real, a)
+		}
+	}
+	if t.mesh, err = newMesh(real, t.opts.Seed); err != nil {
+		return err
+	}
+	for i := range t.opts.Processes {
+		var file map[string]any
+		if err := json.Unmarshal(raw, &file); err != nil {
+			return err
+		}
+		addr, err := rig.Free()
+		if err != nil {
+			return err
+		}
+		var peers []string
+		for j := range t.opts.Processes {
+			peers = append(peers, t.mesh.seen(i, j))
+		}
+		file["name"], file["listen"], file["peer_listen"], file["peers"] = fmt.Sprintf("n%d", i), addr, real[i].String(), peers
+		settings := file["settings"].(map[string]any)
+		settings["balancers"] = t.opts.Processes
+		settings["limits"].(map[string]any)["may-tell"] = true
+		dir := filepath.Join(t.opts.Dir, fmt.Sprint("n", i))
+		if err := os.Mkdir(dir, 0o700); err != nil {
+			return err
+		}
+		text, err := json.MarshalIndent(file, "", " ")
+		if err != nil {
+			return err
+		}
+		if err := errors.Join(os.WriteFile(filepath.Join(dir, "config.json"), text, 0o600),
+			os.WriteFile(filepath.Join(dir, "fleet.toml"), []byte("peers = \"platform\"\n"), 0o600)); err != nil {
+			return err
+		}
+		t.procs = append(t.procs, &process{n: i, program: t.opts.Program, dir: dir, addr: addr, log: t.opts.Log, hear: t.hear})
+	}
+	return nil
+}
+
+func (t *tier) each(f func(*process) error) error {
+	errs := make([]error, len(t.procs))
+	var all sync.WaitGroup
+	for i, p := range t.procs {
+		all.Go(func() { errs[i] = f(p) })
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+func (t *tier) hear(e Event) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.events = append(t.events, e)
+	close(t.news)
+	t.news = make(chan struct{})
+}
+
+// await waits until something is so, looking at each event.
+func (t *tier) await(ctx context.Context, most time.Duration, so func() bool) error {
+	late := time.After(most)
+	for {
+		t.mu.Lock()
+		news, ok := t.news, so()
+		t.mu.Unlock()
+		if ok {
+			return nil
+		}
+		select {
+		case <-news:
+		case <-late:
+			return fmt.Errorf("not within %v", most)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// latest are the views that the front ends that are up have: the digests, and the sizes. The caller holds the lock.
+func (t *tier) latest() (digest map[int]string, size map[int]int) {
+	digest, size = map[int]string{}, map[int]int{}
+	for _, e := range t.events {
+		switch {
+		case e.Name == "members": // it has started
+			delete(digest, e.From)
+		case e.Name == "members.view" && t.up[e.From]:
+			n, _ := e.Fields["size"].(float64)
+			digest[e.From], size[e.From] = fmt.Sprint(e.Fields["digest"]), int(n)
+		}
+	}
+	return digest, size
+}
+
+// settled tells whether all that are up have the view of just these. The caller holds the lock.
+func (t *tier) settled() bool {
+	up := 0
+	for _, is := range t.up {
+		if is {
+			up++
+		}
+	}
+	digest, size := t.latest()
+	seen := map[string]bool{}
+	for i, is := range t.up {
+		if is {
+			if size[i] != up {
+				return false
+			}
+			seen[digest[i]] = true
+		}
+	}
+	return len(seen) == 1
+}
+
+// views words the views that differ.
+func (t *tier) views() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	digest, size := t.latest()
+	var all []string
+	for i, is := range t.up {
+		if is {
+			all = append(all, fmt.Sprintf("%d has %d members (%s)", i, size[i], digest[i]))
+		}
+	}
+	return strings.Join(all, ", ")
+}
+
+func (t *tier) start(n int) error {
+	t.mu.Lock()
+	t.up[n] = true
+	t.mu.Unlock()
+	return t.procs[n].start()
+}
+
+// play does what the schedule says.
+func (t *tier) play(ctx context.Context) error {
+	type step struct {
+		at time.Duration
+		do func() error
+	}
+	var steps []step
+	for _, f := range t.opts.Faults {
+		steps = append(steps, step{f.At, func() error { return t.do(f, true) }})
+		if f.For > 0 {
+			steps = append(steps, step{f.At + f.For, func() error { return t.do(f, false) }})
+		}
+	}
+	slices.SortStableFunc(steps, func(a, b step) int { return int(a.at - b.at) })
+	steps = append(steps, step{t.opts.Span, func() error { return nil }})
+	for _, s := range steps {
+		if err := rig.Pause(ctx, max(time.Until(t.began.Add(s.at)), 0)); err != nil {
+			return err
+		}
+		if err := s.do(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// do begins or ends a fault.
+func (t *tier) do(f Fault, begin bool) error {
+	to := f.To
+	if to == nil {
+		for i := range t.procs {
+			if !slices.Contains(f.Who, i) {
+				to = append(to, i)
+			}
+		}
+	}
+	ways := func(change func(*way)) {
+		t.mesh.change(f.Who, to, change)
+		if f.Back {
+			t.mesh.change(to, f.Who, change)
+		}
+	}
+	share, slow := f.Share, f.Slow
+	if !begin {
+		share, slow = 0, 0
+	}
+	switch f.Do {
+	case Cut:
+		ways(func(w *way) { w.cut = begin })
+		t.note(f, to, begin)
+	case Lossy:
+		ways(func(w *way) { w.loss = share })
+	case Twice:
+		ways(func(w *way) { w.twice = share })
+	case Spoil:
+		ways(func(w *way) { w.spoil = share })
+	case Slow:
+		ways(func(w *way) { w.slow = slow })
+	case Pause:
+		for _, n := range f.Who {
+			if begin {
+				t.down(n, true)
+				t.procs[n].signal(syscall.SIGSTOP, false)
+			} else {
+				t.procs[n].signal(syscall.SIGCONT, false)
+				t.back(n)
+			}
+		}
+	case Crash, Stop, Restart:
+		for _, n := range f.Who {
+			s := syscall.SIGKILL
+			if f.Do == Stop {
+				s = syscall.SIGTERM
+			}
+			t.down(n, f.Do == Restart)
+			t.procs[n].signal(s, true)
+		}
+		for _, n := range f.Who {
+			if !t.procs[n].wait(10 * time.Second) {
+				return fmt.Errorf("front end %d does not end", n)
+			}
+		}
+		if f.Do == Restart {
+			return t.again(f.Who)
+		}
+	case Start:
+		return t.again(f.Who)
+	}
+	return nil
+}
+
+func (t *tier) again(who []int) error {
+	errs := make([]error, len(who))
+	var all sync.WaitGroup
+	for i, n := range who {
+		all.Go(func() {
+			errs[i] = t.start(n)
+			t.back(n)
+		})
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+// down notes that a process does not run from now on; counts tells that it is still one of those who serve.
+func (t *tier) down(n int, counts bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.up[n] = counts
+	t.spans = append(t.spans, span{who: n, from: time.Now(), down: true})
+}
+
+func (t *tier) back(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range t.spans {
+		if s := &t.spans[i]; s.who == n && s.down && s.to.IsZero() {
+			s.to = time.Now()
+		}
+	}
+}
+
+// note notes between whom nothing passes in one direction at least.
+func (t *tier) note(f Fault, to []int, begin bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	add := func(n int, others []int) {
+		if begin {
+			t.spans = append(t.spans, span{who: n, from: time.Now(), deaf: others})
+			return
+		}
+		for i := range t.spans {
+			if s := &t.spans[i]; s.who == n && !s.down && s.to.IsZero() && slices.Equal(s.deaf, others) {
+				s.to = time.Now()
+			}
+		}
+	}
+	for _, n := range f.Who {
+		add(n, to)
+	}
+	for _, n := range to {
+		add(n, f.Who)
+	}
+}
