--- /dev/null
+++ b/cmd/ringlab/members.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"gannetspur/internal/lab/members"
+	"gannetspur/internal/lab/report"
+)
+
+// membersExperiment plays membership in virtual time: ours and baselines, on one network.
+type membersExperiment struct {
+	Kind, Name, Title string
+	Seeds             []uint64
+	Plays             []membersPlay `toml:"play"`
+}
+
+type membersPlay struct {
+	Name    string
+	Ways    []string
+	Members []int
+	Loss    float64
+	WarmS   float64 `toml:"warm_s"` // until all have found each other
+	RestS   float64 `toml:"rest_s"`
+	PauseS  float64 `toml:"pause_s"` // one stands still
+	Crashes int     // one after the other
+	Most    float64 // share that dies at once in the end
+}
+
+func readMembers(path string) (*membersExperiment, error) {
+	var e membersExperiment
+	return &e, readFile(path, &e, func(bad func(ok bool, format string, args ...any)) {
+		named(bad, e.Name, e.Seeds, 1, 1)
+		bad(len(e.Plays) > 0, "play: none")
+		for i, p := range e.Plays {
+			for _, w := range p.Ways {
+				bad(members.Ways[w] != nil, "play[%d].ways: there is no %q", i, w)
+			}
+			for _, n := range p.Members {
+				bad(n >= 3 && n <= 2000, "play[%d].members: %d is not from 3 to 2000", i, n)
+			}
+			bad(p.Loss >= 0 && p.Loss < 1 && p.Most >= 0 && p.Most < 1, "play[%d].loss, most: not from 0 to 1", i)
+			bad(p.WarmS > 0 && p.RestS > 0 && p.WarmS+p.RestS <= 200000, "play[%d].warm_s, rest_s: not above 0", i)
+		}
+	})
+}
+
+// runMembers plays all of it, as many plays at once as there are processors. The CSV is the same for the same seeds.
+func runMembers(c *runCommand) error {
+	e, err := readMembers(c.File)
+	if err != nil {
+		return err
+	}
+	if len(c.Seed) > 0 {
+		e.Seeds = c.Seed
+	}
+	type job struct {
+		play  membersPlay
+		m     members.Measure
+		found members.Found
+	}
+	var jobs []*job
+	s := func(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+	for _, p := range e.Plays {
+		for _, n := range p.Members {
+			for _, way := range p.Ways {
+				for _, seed := range e.Seeds {
+					jobs = append(jobs, &job{play: p, m: members.Measure{
+						Way: way, Members: n, Seed: seed, Loss: p.Loss, Warm: s(p.WarmS), Rest: s(p.RestS), Pause: s(p.PauseS), Crashes: p.Crashes, Most: p.Most,
+					}})
+				}
+			}
+		}
+	}
+	room := make(chan struct{}, runtime.NumCPU())
+	var all sync.WaitGroup
+	for _, j := range jobs {
+		room <- struct{}{}
+		all.Go(func() {
+			j.found = j.m.Play()
+			if !c.Quiet {
+				fmt.Printf("%s, %d members, %s, seed %d\n", j.play.Name, j.m.Members, j.m.Way, j.m.Seed)
+			}
+			<-room
+		})
+	}
+	all.Wait()
+
+	table := report.Table{Columns: []string{"play", "members", "way", "plays", "known to a survivor: p50, p99 (s)", "to the last: worst (s)", "never known", "wrong deaths a member and day",
+		"by one that stood still", "changes of the view a crash", "bytes a second, at rest", "in a trouble", "datagrams a second", "CPU a second (ms)", "a decision (us)",
+		"most dead: one view of the rest (s)", "changes"}}
+	raw := report.Table{Columns: []string{"play", "members", "way", "seed", "agreed", "p50_s", "p99_s", "last_s", "never", "wrong", "wrong_by_paused", "changes", "bytes", "busy_bytes", "datagrams", "most_s", "most_changes"}}
+	chart := report.Lines{Title: e.Title, X: "members", Y: "until the last survivor knows of a crash, s", LogX: true}
+	for i := 0; i < len(jobs); {
+		first := jobs[i]
+		var detected, last, most []time.Duration
+		var wrong, by, n, views, never int
+		var changes, bytes, busy, packets, span float64
+		var cpu, each time.Duration
+		for ; i < len(jobs) && jobs[i].m.Way == first.m.Way && jobs[i].m.Members == first.m.Members && jobs[i].play.Name == first.play.Name; i++ {
+			f, m := jobs[i].found, jobs[i].m
+			late := 0
+			for _, d := range f.Detected {
+				if d >= 15*time.Second {
+					late++
+				}
+			}
+			raw.Add(jobs[i].play.Name, m.Members, m.Way, m.Seed, f.Agreed, quantile(f.Detected, 0.5), quantile(f.Detected, 0.99), quantile(f.Last, 1), late, f.Wrong, f.WrongBy,
+				f.Changes, f.Bytes, f.BytesAll, f.Packets, f.MostLast.Seconds(), f.MostViews)
+			detected, last, most = append(detected, f.Detected...), append(last, f.Last...), append(most, f.MostLast)
+			wrong, by, never, views, n = wrong+f.Wrong, by+f.WrongBy, never+late, max(views, f.MostViews), n+1
+			changes, bytes, busy, packets = changes+f.Changes, bytes+f.Bytes, max(busy, f.BytesAll), packets+f.Packets
+			cpu, each = cpu+f.CPU, each+f.Each
+			span += float64(m.Members) * (m.Rest + m.Pause + time.Duration(m.Crashes)*15*time.Second).Hours() / 24
+		}
+		slices.Sort(detected)
+		rest := "-"
+		if first.m.Most > 0 {
+			if rest = "never"; slices.Min(most) > 0 {
+				rest = fmt.Sprintf("%.1f", slices.Max(most).Seconds())
+			}
+		}
+		k := float64(n)
+		table.Add(first.play.Name, first.m.Members, first.m.Way, n, fmt.Sprintf("%s, %s", quantile(detected, 0.5), quantile(detected, 0.99)), quantile(last, 1), never,
+			fmt.Sprintf("%.2f", float64(wrong)/span), by, fmt.Sprintf("%.2f", changes/k), fmt.Sprintf("%.0f", bytes/k), fmt.Sprintf("%.0f", busy), fmt.Sprintf("%.1f", packets/k),
+			fmt.Sprintf("%.2f", float64(cpu.Microseconds())/1000/k), fmt.Sprintf("%.1f", float64(each.Nanoseconds())/1000/k), rest, views)
+		if first.m.Crashes > 0 && len(last) > 0 {
+			at := slices.Index(chart.Series, first.play.Name+" "+first.m.Way)
+			if at < 0 {
+				at = len(chart.Series)
+				chart.Series, chart.Points = append(chart.Series, first.play.Name+" "+first.m.Way), append(chart.Points, nil)
+			}
+			chart.Points[at] = append(chart.Points[at], [2]float64{float64(first.m.Members), slices.Max(last).Seconds()})
+		}
+	}
+	md, err := table.Markdown()
+	if err != nil {
+		return err
+	}
+	fmt.Println(md)
+	if c.Out == "" {
+		return nil
+	}
+	csv, err := raw.CSV()
+	if err != nil {
+		return err
+	}
+	svg, err := chart.SVG()
+	if err != nil {
+		return err
+	}
+	return report.Write(c.Out, map[string][]byte{e.Name + ".md": []byte(md), e.Name + ".csv": []byte(csv), e.Name + ".svg": svg})
+}
+
+// quantile words one of durations in order, in seconds.
+func quantile(all []time.Duration, q float64) string {
+	if len(all) == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f", all[min(int(q*float64(len(all))), len(all)-1)].Seconds())
+}
--- a/cmd/ringlab/run.go
+++ b/cmd/ringlab/run.go
@@ -36,7 +36,7 @@
 	Ringwood string   `placeholder:"FILE" help:"The gateway's program; without it, it is built from this folder."`
 	Out      string   `placeholder:"FOLDER" help:"Keep table, figures and chart there, under the experiment's name."`
 	Log      string   `placeholder:"FILE" help:"Keep the gateways' events there."`
-	Seed     []uint64 `placeholder:"N" help:"Seeds in place of the file's; of experiments of kind tier."`
+	Seed     []uint64 `placeholder:"N" help:"Seeds in place of the file's; of experiments of kind tier and members."`
 	Quiet    bool     `help:"No bar of progress."`
 }
 
@@ -188,6 +188,8 @@
 		return runFleet(c)
 	case "growth":
 		return runGrowth(c)
+	case "members":
+		return runMembers(c)
 	case "tier":
 		if processes, err = readTier(c.File); len(c.Seed) > 0 {
 			processes.Seeds = c.Seed
@@ -195,7 +197,7 @@
 	case "sites":
 		sockets, err = readSites(c.File)
 	default:
-		err = fmt.Errorf("%s: kind: there is no %q; wanted is upgrades, service, fleet, growth, sites or tier", c.File, kind.Kind)
+		err = fmt.Errorf("%s: kind: there is no %q; wanted is upgrades, service, fleet, growth, sites, members or tier", c.File, kind.Kind)
 	}
 	if err != nil {
 		return err
--- a/internal/decide/members/gossip.go
+++ b/internal/decide/members/gossip.go
@@ -73,11 +73,21 @@
 		m.merge(r)
 	}
 	switch {
-	case d.Records == m.digest():
+	case d.Records>>8 == m.digest()>>8:
 		p.differs = 0
 	case p.differs == 0:
 		p.differs = m.now
 	}
+	switch {
+	case d.Kind != kindBeat:
+	case d.Records&0xff == m.murmur(d.Seq):
+		p.unlike = 0
+	case p.unlike == 0:
+		p.unlike = m.now
+	}
+	for _, r := range d.Talk {
+		m.hearRumour(r)
+	}
 	m.answers(p, d)
 }
 
@@ -105,6 +115,12 @@
 			return d.Sums[b] != uint16(m.sums[b])
 		})
 		return
+	case kindMore:
+		m.tellRumours(p, func(a about) bool {
+			b := a.hash() % buckets
+			return d.Sums[b] != uint16(m.talk.sums[b])
+		})
+		return
 	case kindList:
 		m.supply(p, func(o *peer) bool {
 			i, ok := slices.BinarySearchFunc(d.Lists, o.id, func(l listed, id ID) int { return cmp.Compare(l.ID, id) })
@@ -117,6 +133,8 @@
 	case d.Inc < p.record.Inc: // of an earlier start, or it was never told what was said of it
 		p.synced = m.now
 		m.say(kindTell, p, 0, []record{p.record})
+	case d.Inc > p.record.Inc && p.known: // it has answered what was said of it, and that was lost
+		m.inquire(p)
 	case p.known && !p.state.In(): // it is told what became of it, and by whom
 		p.synced = m.now
 		rs := []record{p.record}
@@ -126,6 +144,9 @@
 		m.say(kindTell, p, 0, rs)
 	case (!p.known || p.differs > 0 && m.now-p.differs > 3*m.cfg.Beat) && m.now-m.synced > 3*m.cfg.Beat:
 		m.inquire(p)
+	case p.unlike > 0 && m.now-p.unlike > 3*m.cfg.Beat && m.now-m.synced > 3*m.cfg.Beat && len(m.talk.news) == 0:
+		p.synced, m.synced = m.now, m.now
+		m.say(kindMore, p, 0, nil)
 	}
 }
 
@@ -266,8 +287,11 @@
 		if rs := m.due(false); len(rs) > 0 && m.tokens > 2*m.reserve() {
 			m.say(kindTell, p, 0, rs)
 		}
+		if len(m.talk.news) > 0 && m.tokens > 3*m.reserve() {
+			m.tellRumours(p, func(a about) bool { return m.talk.news[a] > 0 })
+		}
 	}
-	if len(m.news) > 0 && m.tokens > 2*m.reserve() {
+	if len(m.news)+len(m.talk.news) > 0 && m.tokens > 2*m.reserve() {
 		m.flush = m.now + m.cfg.Beat/8
 	}
 }
@@ -277,19 +301,30 @@
 
 // say sends a datagram with as many of the records as fit and may be sent, and tells how many, or -1 where nothing
 // was sent: that would go over the budget. What tells that a member lives goes before what it knows of others.
-func (m *Machine) say(kind byte, to *peer, about uint64, rs []record) (n int) {
-	d := message{Kind: kind, From: m.self.id, Inc: m.self.record.Inc, Seq: uint16(m.seq), Records: m.digest(), View: m.view, About: about}
-	if kind == kindSync {
-		for _, s := range m.sums {
+func (m *Machine) say(kind byte, to *peer, about uint64, rs []record) int {
+	return m.send(message{Kind: kind, About: about, Carries: rs}, to)
+}
+
+func (m *Machine) send(d message, to *peer) (n int) {
+	rs := d.Carries
+	d.Carries = nil
+	d.From, d.Inc, d.Seq, d.View = m.self.id, m.self.record.Inc, uint16(m.seq), m.view
+	d.Records = m.digest()&^0xff | m.murmur(d.Seq)
+	sums := &m.sums
+	switch d.Kind {
+	case kindMore:
+		sums = &m.talk.sums
+		fallthrough
+	case kindSync:
+		for _, s := range sums {
 			d.Sums = append(d.Sums, uint16(s))
 		}
-	}
-	if kind == kindList {
-		d.Lists = m.list(about)
+	case kindList:
+		d.Lists = m.list(d.About)
 	}
 	b := d.append(make([]byte, 0, m.cfg.Limit))
 	frame := sumBytes + m.cfg.Frame
-	if float64(len(b)+frame) > m.tokens || kind >= kindSync && m.tokens < m.reserve() {
+	if float64(len(b)+frame) > m.tokens || len(b)+sumBytes > m.cfg.Limit || d.Kind >= kindSync && m.tokens < m.reserve() {
 		return -1
 	}
 	most := min(m.cfg.Limit-sumBytes, int(m.tokens-m.reserve())-frame)
@@ -306,3 +341,6 @@
 	m.out = append(m.out, Send{to.id, seal(b)})
 	return n
 }
+
+// murmur is a byte of the rumours' digest, another one in each turn: what differs shows soon, though a byte is little.
+func (m *Machine) murmur(seq uint16) uint32 { return mix(m.talk.digest(), uint32(seq)) & 0xff }
--- a/internal/decide/members/members.go
+++ b/internal/decide/members/members.go
@@ -135,6 +135,7 @@
 	differs time.Duration // since then it differs; 0: it does not
 	synced  time.Duration // it was last told, or asked, what differs
 	vouch   time.Duration // another has asked for it: until then it is said whether it is heard
+	unlike  time.Duration // since then it has other rumours; 0: the same
 
 	// What is made of all records.
 	against []ID          // who don't hear it
@@ -182,12 +183,14 @@
 	wrongAt time.Duration // the last one
 	leaving bool
 
-	news   map[ID]int    // records that are to be passed on, so many times more
-	flush  time.Duration // when they are
-	sums   [buckets]uint32
-	moved  bool          // records have changed since they were judged
-	synced time.Duration // a question for what differs was last asked
-	lists  bool          // the last one was by a list
+	news    map[ID]int    // records that are to be passed on, so many times more
+	flush   time.Duration // when they are
+	sums    [buckets]uint32
+	moved   bool          // records have changed since they were judged
+	synced  time.Duration // a question for what differs was last asked
+	lists   bool          // the last one was by a list
+	talk    rumours
+	expires time.Duration // rumours are looked at next
 
 	view    View
 	major   bool
@@ -199,7 +202,9 @@
 	waits   time.Duration // since then some would be called dead
 
 	Dropped int // datagrams that could not be read, or were not of whom they said
-	out     []any
+	Refused int // rumours that were too many
+
+	out []any
 }
 
 // New returns a member. inc has to be higher than that of any earlier process of this member that may be remembered:
@@ -208,7 +213,7 @@
 func New(cfg Config, self ID, inc uint32, named []ID, now time.Duration, rng Chance) *Machine {
 	m := &Machine{
 		cfg: cfg, rng: rng, peers: map[ID]*peer{}, now: now, began: now, next: now, beatAt: now,
-		tokens: cfg.Burst, filled: now, news: map[ID]int{}, answer: now, stale: true,
+		tokens: cfg.Burst, filled: now, news: map[ID]int{}, talk: rumours{all: map[about]Rumour{}, news: map[about]int{}}, answer: now, stale: true,
 	}
 	m.self = &peer{id: self, known: true, record: record{Author: self, Inc: inc}, state: Alive, seenIn: now}
 	m.peers[self] = m.self
@@ -293,6 +298,7 @@
 	m.watch()
 	m.revise()
 	m.judge()
+	m.expire()
 	if m.now >= m.beatAt {
 		m.beatAt = max(m.beatAt+m.cfg.Beat, m.now+m.cfg.Beat/2)
 		m.beats()
--- /dev/null
+++ b/internal/decide/members/rumour.go
@@ -0,0 +1,226 @@
+package members
+
+import (
+	"cmp"
+	"encoding/binary"
+	"errors"
+	"slices"
+	"time"
+)
+
+// Rumours are words that later subsystems want all members to know: small, few, each with one owner, who alone changes it.
+// They are passed on with what the budget leaves beside beats, questions and records, and found by digests.
+
+const (
+	// MostBody is the most that a rumour says, in bytes.
+	MostBody = 96
+	// MostOwn is how many rumours one member may have, and MostRumours how many are kept of all.
+	MostOwn     = 16
+	MostRumours = 1024
+)
+
+// Errors of Publish.
+var (
+	ErrLong = errors.New("members: a rumour says more than 96 bytes")
+	ErrFull = errors.New("members: this member has 16 rumours already")
+)
+
+// Rumour is one of them. Of two of one owner, topic and key the later holds.
+type Rumour struct {
+	Topic   uint8
+	Key     uint32
+	Owner   ID
+	Inc     uint32 // of its owner, when it said so
+	Version uint32
+	Body    []byte // empty: taken back
+}
+
+// about is what a rumour is about: there is one for each.
+type about struct {
+	owner ID
+	topic uint8
+	key   uint32
+}
+
+func (r Rumour) about() about { return about{r.Owner, r.Topic, r.Key} }
+
+func (r Rumour) after(o Rumour) bool {
+	return cmp.Or(cmp.Compare(r.Inc, o.Inc), cmp.Compare(r.Version, o.Version)) > 0
+}
+
+func (a about) hash() uint32 { return mix(mix(a.owner.key(), uint32(a.topic)), a.key) }
+
+func (r Rumour) hash() uint32 { return mix(mix(r.about().hash(), r.Inc), r.Version) }
+
+// rumours is what one member has heard.
+type rumours struct {
+	all  map[about]Rumour
+	news map[about]int // to be passed on, so many times more
+	sums [buckets]uint32
+}
+
+func (s *rumours) sum(r Rumour) { s.sums[r.about().hash()%buckets] ^= r.hash() }
+
+func (s *rumours) digest() (all uint32) {
+	for _, x := range s.sums {
+		all = mix(all, x)
+	}
+	return all
+}
+
+func (s *rumours) put(r Rumour) {
+	if old, ok := s.all[r.about()]; ok {
+		s.sum(old)
+	}
+	s.all[r.about()] = r
+	s.sum(r)
+}
+
+func (s *rumours) drop(a about) {
+	s.sum(s.all[a])
+	delete(s.all, a)
+	delete(s.news, a)
+}
+
+// Publish has all members know a rumour of this one; an empty body takes it back.
+func (m *Machine) Publish(topic uint8, key uint32, body []byte) error {
+	r := Rumour{Topic: topic, Key: key, Owner: m.self.id, Inc: m.self.record.Inc, Version: 1, Body: slices.Clone(body)}
+	if len(body) > MostBody {
+		return ErrLong
+	}
+	old, ok := m.talk.all[r.about()]
+	own := 0
+	for a, o := range m.talk.all {
+		if a.owner == m.self.id && len(o.Body) > 0 {
+			own++
+		}
+	}
+	if own >= MostOwn && (!ok || len(old.Body) == 0) {
+		return ErrFull
+	}
+	if ok {
+		r.Inc, r.Version = max(r.Inc, old.Inc), old.Version+1
+	}
+	m.learn(r)
+	return nil
+}
+
+// Rumours are all that are known of a topic, by owner and key.
+func (m *Machine) Rumours(topic uint8) (all []Rumour) {
+	for a, r := range m.talk.all {
+		if a.topic == topic && len(r.Body) > 0 {
+			all = append(all, r)
+		}
+	}
+	slices.SortFunc(all, func(a, b Rumour) int { return cmp.Or(cmp.Compare(a.Owner, b.Owner), cmp.Compare(a.Key, b.Key)) })
+	return all
+}
+
+func (m *Machine) learn(r Rumour) {
+	m.talk.put(r)
+	m.talk.news[r.about()] = m.cfg.Rings
+	if m.flush == 0 {
+		m.flush = m.now + m.cfg.Beat/8
+	}
+}
+
+// hearRumour takes one of another member's. What is there has the last word; what would be too much is refused and counted.
+func (m *Machine) hearRumour(r Rumour) {
+	p := m.peers[r.Owner]
+	old, ok := m.talk.all[r.about()]
+	switch {
+	case p == nil || !p.known || !p.state.In(): // it went with its owner
+		return
+	case ok && !r.after(old):
+		if !old.after(r) && m.talk.news[r.about()] > m.cfg.Rings/2 {
+			m.talk.news[r.about()]--
+		}
+		return
+	case r.Owner == m.self.id: // of an earlier start, or made up: this member knows better
+		r.Version, r.Body = r.Version+1, old.Body
+		r.Inc = max(r.Inc, m.self.record.Inc)
+		m.learn(r)
+		return
+	case !ok:
+		own := 0
+		for a := range m.talk.all {
+			if a.owner == r.Owner {
+				own++
+			}
+		}
+		if own >= 2*MostOwn || len(m.talk.all) >= MostRumours { // twice: with those that were taken back
+			m.Refused++
+			return
+		}
+	}
+	m.learn(r)
+}
+
+// expire forgets the rumours of those who have been gone for a while.
+func (m *Machine) expire() {
+	if m.now < m.expires {
+		return
+	}
+	m.expires = m.now + time.Second
+	for a := range m.talk.all {
+		if p := m.peers[a.owner]; p == nil || !p.state.In() && m.now-p.seenIn > remembers {
+			m.talk.drop(a)
+		}
+	}
+}
+
+// tellRumours sends as many as fit of those that a filter lets through, the least told first.
+func (m *Machine) tellRumours(p *peer, which func(about) bool) {
+	var all []about
+	for a := range m.talk.all {
+		if which(a) {
+			all = append(all, a)
+		}
+	}
+	slices.SortFunc(all, func(a, b about) int {
+		return cmp.Or(cmp.Compare(m.talk.news[b], m.talk.news[a]), cmp.Compare(mix(a.hash(), m.seq), mix(b.hash(), m.seq)), cmp.Compare(a.hash(), b.hash()))
+	})
+	var rs []Rumour
+	size := 0
+	for _, a := range all {
+		if size += len(m.talk.all[a].append(nil)); size > m.cfg.Limit-mostHead-sumBytes {
+			break
+		}
+		rs = append(rs, m.talk.all[a])
+	}
+	if len(rs) == 0 || m.send(message{Kind: kindTalk, Talk: rs}, p) < 0 {
+		return
+	}
+	for _, r := range rs {
+		if m.talk.news[r.about()]--; m.talk.news[r.about()] <= 0 {
+			delete(m.talk.news, r.about())
+		}
+	}
+}
+
+func (r Rumour) append(b []byte) []byte {
+	b = binary.AppendUvarint(b, uint64(r.Owner))
+	b = binary.BigEndian.AppendUint32(b, r.Inc)
+	b = binary.AppendUvarint(b, uint64(r.Version))
+	b = binary.AppendUvarint(append(b, r.Topic), uint64(r.Key))
+	return append(append(b, byte(len(r.Body))), r.Body...)
+}
+
+func readRumour(b []byte) (r Rumour, rest []byte, err error) {
+	v, b, err := number(b)
+	if err != nil || v > MostID || len(b) < 4 {
+		return r, nil, errWire
+	}
+	r.Owner, r.Inc = ID(v), binary.BigEndian.Uint32(b)
+	if v, b, err = number(b[4:]); err != nil || v > 1<<32-1 || len(b) < 1 {
+		return r, nil, errWire
+	}
+	r.Version, r.Topic = uint32(v), b[0]
+	if v, b, err = number(b[1:]); err != nil || v > 1<<32-1 || len(b) < 1 || int(b[0]) > MostBody || len(b) <= int(b[0]) {
+		return r, nil, errWire
+	}
+	r.Key = uint32(v)
+	n := int(b[0])
+	r.Body = slices.Clone(b[1 : 1+n])
+	return r, b[1+n:], nil
+}
--- a/internal/decide/members/watch.go
+++ b/internal/decide/members/watch.go
@@ -162,8 +162,11 @@
 			continue
 		}
 		if p.mine == deaf || p.mine == aside { // it is asked still, now and then
-			p.askAt = m.now + m.cfg.Beat<<min(p.again, 6) // the more rarely, the longer it is away
-			p.again++
+			p.askAt = m.now + 4*m.cfg.Beat
+			if p.mine == deaf { // the more rarely, the longer it is away
+				p.askAt = m.now + m.cfg.Beat<<min(p.again, 6)
+				p.again++
+			}
 			m.say(kindProbe, p, 0, nil)
 			continue
 		}
@@ -226,7 +229,7 @@
 		p.mine = aside
 		m.contradicted()
 	case p.mine == aside && len(p.by) == 0 && (len(p.against) > 0 || m.now-p.turned > 4*m.cfg.Beat && m.now-p.fresh > 4*m.cfg.Beat) && m.now >= m.doubt:
-		p.mine = deaf // those who heard it don't any more, or nobody says so
+		p.mine, p.asked, p.askAt = none, 0, 0 // those who heard it don't any more, or nobody says so: it is asked anew
 	case p.mine == none && disputed && heard && p.heard > p.turned:
 		p.mine = hears
 	case p.mine == hears && (!disputed && m.now-p.turned > 4*m.cfg.Beat || !heard && p.asked > m.questions(p)):
--- a/internal/decide/members/wire.go
+++ b/internal/decide/members/wire.go
@@ -13,7 +13,7 @@
 // nothing is signed.
 //
 // about is the member that is asked for (kindAsk), or the sequence that is answered (kindAnswer), else 0.
-// A kindSync has the digests of the sender's buckets in place of records.
+// A kindSync and a kindMore have the digests of the sender's buckets in place of records, a kindTalk rumours.
 const (
 	version    = 1 << 4
 	kindBeat   = 1 // the sender lives
@@ -23,6 +23,8 @@
 	kindSync   = 5 // tell what is not in these digests
 	kindTell   = 6 // records
 	kindList   = 7 // tell what is not in this list of a part of the records
+	kindTalk   = 8 // rumours
+	kindMore   = 9 // tell the rumours that are not in these digests
 )
 
 // mostHead bounds a datagram's head, in bytes.
@@ -36,12 +38,13 @@
 	From    ID
 	Inc     uint32
 	Seq     uint16
-	Records uint32
-	View    View // without its size
+	Records uint32 // digest of the records, and in its lowest byte of the rumours
+	View    View   // without its size
 	About   uint64
 	Sums    []uint16
 	Lists   []listed
 	Carries []record
+	Talk    []Rumour
 }
 
 // listed tells which record of a member its sender has, by a byte.
@@ -78,6 +81,9 @@
 	for _, r := range d.Carries {
 		b = r.append(b)
 	}
+	for _, r := range d.Talk {
+		b = r.append(b)
+	}
 	return b
 }
 
@@ -108,7 +114,7 @@
 }
 
 func read(b []byte) (d message, err error) {
-	if len(b) < 1 || b[0]&0xf0 != version || b[0]&0xf < kindBeat || b[0]&0xf > kindList {
+	if len(b) < 1 || b[0]&0xf0 != version || b[0]&0xf < kindBeat || b[0]&0xf > kindMore {
 		return d, errWire
 	}
 	d.Kind = b[0] & 0xf
@@ -126,7 +132,7 @@
 		return d, errWire
 	}
 	d.About = v
-	if d.Kind == kindSync {
+	if d.Kind == kindSync || d.Kind == kindMore {
 		if len(b) != 2*buckets {
 			return d, errWire
 		}
@@ -142,6 +148,13 @@
 		last += v
 		d.Lists = append(d.Lists, listed{ID(last), b[0]})
 	}
+	for d.Kind == kindTalk && len(b) > 0 {
+		var r Rumour
+		if r, b, err = readRumour(b); err != nil {
+			return d, err
+		}
+		d.Talk = append(d.Talk, r)
+	}
 	for len(b) > 0 {
 		var r record
 		if r, b, err = readRecord(b); err != nil {
--- a/internal/decide/members/wire_test.go
+++ b/internal/decide/members/wire_test.go
@@ -26,17 +26,21 @@
 func TestWire(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := message{
-			Kind: byte(rapid.IntRange(kindBeat, kindList).Draw(t, "kind")), From: ID(rapid.Uint64Range(0, MostID).Draw(t, "from")), Inc: 7, Seq: 9, Records: 11,
+			Kind: byte(rapid.IntRange(kindBeat, kindMore).Draw(t, "kind")), From: ID(rapid.Uint64Range(0, MostID).Draw(t, "from")), Inc: 7, Seq: 9, Records: 11,
 			View: View{Number: rapid.Uint32().Draw(t, "number"), Digest: 13}, About: rapid.Uint64Range(0, MostID).Draw(t, "about"),
 		}
 		switch d.Kind {
-		case kindSync:
+		case kindSync, kindMore:
 			d.Sums = rapid.SliceOfN(rapid.Uint16(), buckets, buckets).Draw(t, "sums")
 		case kindList:
 			for i, id := range rapid.SliceOfNDistinct(rapid.Uint32Range(1, 9000), 0, 40, rapid.ID).Draw(t, "list") {
 				d.Lists = append(d.Lists, listed{ID(id), uint8(i)})
 			}
 			slices.SortFunc(d.Lists, func(a, b listed) int { return int(a.ID) - int(b.ID) })
+		case kindTalk:
+			for i := range rapid.IntRange(0, 3).Draw(t, "rumours") {
+				d.Talk = append(d.Talk, Rumour{Topic: 3, Key: rapid.Uint32().Draw(t, "key"), Owner: ID(i), Inc: 1, Version: 9, Body: rapid.SliceOfN(rapid.Byte(), 0, MostBody).Draw(t, "body")})
+			}
 		default:
 			for i := range rapid.IntRange(0, 4).Draw(t, "records") {
 				d.Carries = append(d.Carries, drawRecord(t, ID(i)))
@@ -53,6 +57,7 @@
 	f.Add(message{Kind: kindBeat, From: 300, Carries: []record{{Author: 3, Words: []entry{{4, 1, deaf}}}}}.append(nil))
 	f.Add(message{Kind: kindSync, Sums: make([]uint16, buckets)}.append(nil))
 	f.Add(message{Kind: kindList, Lists: []listed{{4, 1}, {9, 2}}}.append(nil))
+	f.Add(message{Kind: kindTalk, Talk: []Rumour{{Topic: 1, Key: 300, Owner: 4, Version: 2, Body: []byte("x")}}}.append(nil))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		d, err := read(b)
 		if err != nil {
--- /dev/null
+++ b/internal/lab/members/measure.go
@@ -0,0 +1,179 @@
+package members
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	decide "gannetspur/internal/decide/members"
+)
+
+// Ways are what can be measured, by name.
+var Ways = map[string]func(decide.ID, uint32, []decide.ID, time.Duration, *rand.Rand) Member{"rings": Ours, "heartbeats": Heartbeats, "swim": SWIM}
+
+// Measure is one play of a fleet that finds itself, rests, and loses one member, another and then, where Most is set,
+// that share at once.
+type Measure struct {
+	Way     string
+	Members int
+	Seed    uint64
+	Loss    float64
+	Warm    time.Duration // until all have found each other
+	Rest    time.Duration // with nothing but loss
+	Pause   time.Duration // one stands still for so long, and its words count apart; 0: none
+	Crashes int           // one after the other
+	Most    float64       // share that dies at once in the end; 0: none
+}
+
+// Found is what was measured.
+type Found struct {
+	Agreed    bool            // at the end of Warm all have all in their views
+	Detected  []time.Duration // of each crash, at each survivor: until it called it dead or lost; the longest time where it never did
+	Last      []time.Duration // of each crash: the last survivor
+	Wrong     int             // words that one that lives is dead or lost, but for one that stands still
+	WrongBy   int             // such words of others by the one that stood still
+	Changes   float64         // of the view, a survivor and crash
+	Bytes     float64         // a second and member, at rest
+	Packets   float64
+	BytesAll  float64       // a second and member, from the end of Warm to the end, in the busiest 10 s
+	Each      time.Duration // CPU of one decision, at rest; not the same each time
+	CPU       time.Duration // of a member and second
+	MostLast  time.Duration // until all survivors of Most have a view of just themselves; 0: never
+	MostViews int           // changes of the view that one survivor had meanwhile, at most
+}
+
+// detectMost is how long a crash is looked at.
+const detectMost = 15 * time.Second
+
+// Play plays it.
+func (o Measure) Play() (f Found) {
+	dead := map[decide.ID]time.Duration{} // when it died
+	known := map[decide.ID]map[decide.ID]time.Duration{}
+	changes := map[decide.ID]int{}
+	paused, pausedFrom, pausedTo := decide.ID(0), time.Duration(0), time.Duration(0)
+	quiet := true
+	w := New(Options{
+		Members: o.Members, Seed: o.Seed, Loss: o.Loss, Delay: [2]time.Duration{2 * time.Millisecond, 20 * time.Millisecond}, Drift: 0.0005, Make: Ways[o.Way],
+		Hear: func(now time.Duration, at decide.ID, a any) {
+			switch a := a.(type) {
+			case decide.Changed:
+				changes[at]++
+			case decide.Told:
+				if quiet || a.State != decide.Dead && a.State != decide.Lost {
+					return
+				}
+				_, is := dead[a.About]
+				switch {
+				case is && known[a.About][at] == 0:
+					known[a.About][at] = now
+				case is, a.About == paused && now >= pausedFrom && now <= pausedTo+5*time.Second:
+				case at == paused && now >= pausedTo:
+					f.WrongBy++
+					f.Wrong++
+				default:
+					f.Wrong++
+				}
+			}
+		},
+	})
+	w.Run(o.Warm)
+	quiet = false
+	f.Agreed = true
+	for _, id := range w.All() {
+		for _, other := range w.All() {
+			if s, _, _ := w.Member(id).State(other); !s.In() {
+				f.Agreed = false
+			}
+		}
+	}
+	bytes, packets, cpu, decisions := sum(w.Bytes), sum(w.Datagrams), w.CPU, w.Decisions
+	w.Run(o.Warm + o.Rest)
+	span := o.Rest.Seconds() * float64(o.Members)
+	f.Bytes, f.Packets = float64(sum(w.Bytes)-bytes)/span, float64(sum(w.Datagrams)-packets)/span
+	f.Each, f.CPU = (w.CPU-cpu)/time.Duration(max(w.Decisions-decisions, 1)), time.Duration(float64(w.CPU-cpu)/span)
+	busy := func(from int, began time.Duration) {
+		n := float64(len(w.Living()))
+		f.BytesAll = max(f.BytesAll, float64(sum(w.Bytes)-from)/(w.Now()-began).Seconds()/n)
+	}
+	if o.Pause > 0 {
+		paused, pausedFrom, pausedTo = decide.ID(o.Members), w.Now(), w.Now()+o.Pause
+		w.do(Event{Do: Pause, Who: []decide.ID{paused}, For: o.Pause})
+		w.Run(pausedTo + 20*time.Second)
+	}
+	clear(changes)
+	for c := range o.Crashes {
+		id, at, b := decide.ID(c+1), w.Now(), sum(w.Bytes)
+		dead[id], known[id] = at, map[decide.ID]time.Duration{}
+		w.do(Event{Do: Crash, Who: []decide.ID{id}})
+		w.Run(at + detectMost)
+		busy(b, at)
+		var last time.Duration
+		for _, s := range w.Living() {
+			took := known[id][s] - at
+			if known[id][s] == 0 {
+				took = detectMost
+			}
+			f.Detected = append(f.Detected, took)
+			last = max(last, took)
+		}
+		f.Last = append(f.Last, last)
+	}
+	if o.Crashes > 0 {
+		n := 0
+		for _, id := range w.Living() {
+			n += changes[id]
+		}
+		f.Changes = float64(n) / float64(len(w.Living())*o.Crashes)
+	}
+	if o.Most > 0 {
+		o.most(w, &f, dead, known, changes, busy)
+	}
+	slices.Sort(f.Detected)
+	return f
+}
+
+// most kills a share of the members at once.
+func (o Measure) most(w *World, f *Found, dead map[decide.ID]time.Duration, known map[decide.ID]map[decide.ID]time.Duration, changes map[decide.ID]int, busy func(int, time.Duration)) {
+	clear(changes)
+	all := w.Living()
+	rng := rand.New(rand.NewPCG(o.Seed, 99))
+	rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	die := all[:int(math.Round(o.Most*float64(len(all))))]
+	at, b := w.Now(), sum(w.Bytes)
+	for _, id := range die {
+		dead[id], known[id] = at, map[decide.ID]time.Duration{}
+	}
+	w.do(Event{Do: Crash, Who: die})
+	const look = 100 * time.Millisecond
+	for w.Now() < at+60*time.Second && f.MostLast == 0 {
+		w.Run(w.Now() + look)
+		done := true
+		for _, id := range w.Living() {
+			m, ok := w.Member(id).(*decide.Machine)
+			if ok {
+				v, _ := m.View()
+				done = done && v.Size == len(w.Living())
+			}
+			for _, d := range die {
+				if s, _, _ := w.Member(id).State(d); s.In() {
+					done = false
+				}
+			}
+		}
+		if done {
+			f.MostLast = w.Now() - at
+		}
+	}
+	busy(b, at)
+	for _, id := range w.Living() {
+		f.MostViews = max(f.MostViews, changes[id])
+	}
+}
+
+func sum(m map[decide.ID]int) (n int) {
+	for _, v := range m {
+		n += v
+	}
+	return n
+}
--- a/internal/lab/members/world_test.go
+++ b/internal/lab/members/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -10,10 +9,6 @@
 	decide "gannetspur/internal/decide/members"
 )
 
-func ours(id decide.ID, inc uint32, named []decide.ID, now time.Duration, rng *rand.Rand) Member {
-	return decide.New(decide.Defaults(), id, inc, named, now, rng)
-}
-
 // story is one hard case: what happens from a settled fleet on, and what has to be so in the end.
 type story struct {
 	name    string
@@ -94,7 +89,7 @@
 	changes := map[decide.ID]int{}
 	var w *World
 	opts := Options{
-		Members: st.members, Seed: seed, Loss: st.loss, Twice: 0.02, Delay: [2]time.Duration{2 * time.Millisecond, 20 * time.Millisecond}, Drift: 0.0005, Make: ours,
+		Members: st.members, Seed: seed, Loss: st.loss, Twice: 0.02, Delay: [2]time.Duration{2 * time.Millisecond, 20 * time.Millisecond}, Drift: 0.0005, Make: Ours,
 		Hear: func(now time.Duration, at decide.ID, a any) {
 			if now < settled {
 				return
@@ -155,10 +150,3 @@
 		})
 	}
 }
-
-func total(m map[decide.ID]int) (sum int) {
-	for _, v := range m {
-		sum += v
-	}
-	return sum
-}
