--- a/cmd/ringlab/members.go
+++ b/cmd/ringlab/members.go
@@ -108,7 +108,7 @@
 					late++
 				}
 			}
-			raw.Add(jobs[i].play.Name, m.Members, m.Way, m.Seed, f.Agreed, quantile(f.Detected, 0.5), quantile(f.Detected, 0.99), quantile(f.Last, 1), late, f.Wrong, f.WrongBy,
+			raw.Add(jobs[i].play.Name, m.Members, m.Way, m.Seed, f.Agreed, quantile(f.Detected, 0.5), quantile(f.Detected, 0.99), worst(f.Last), late, f.Wrong, f.WrongBy,
 				f.Changes, f.Bytes, f.BytesAll, f.Packets, f.MostLast.Seconds(), f.MostViews)
 			detected, last, most = append(detected, f.Detected...), append(last, f.Last...), append(most, f.MostLast)
 			wrong, by, never, views, n = wrong+f.Wrong, by+f.WrongBy, never+late, max(views, f.MostViews), n+1
@@ -117,6 +117,7 @@
 			span += float64(m.Members) * (m.Rest + m.Pause + time.Duration(m.Crashes)*15*time.Second).Hours() / 24
 		}
 		slices.Sort(detected)
+		slices.Sort(last)
 		rest := "-"
 		if first.m.Most > 0 {
 			if rest = "never"; slices.Min(most) > 0 {
@@ -155,6 +156,14 @@
 	return report.Write(c.Out, map[string][]byte{e.Name + ".md": []byte(md), e.Name + ".csv": []byte(csv), e.Name + ".svg": svg})
 }
 
+// worst words the longest of durations, in seconds.
+func worst(all []time.Duration) string {
+	if len(all) == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f", slices.Max(all).Seconds())
+}
+
 // quantile words one of durations in order, in seconds.
 func quantile(all []time.Duration, q float64) string {
 	if len(all) == 0 {
