--- a/cmd/ringwood/beside.go
+++ b/cmd/ringwood/beside.go
@@ -27,6 +27,7 @@
 			g.log.Info("replaced")
 			g.front.CloseListener()
 			g.part()
+			g.handOnFleet()
 		},
 	}, g.log)
 	if err != nil { // nobody can follow it, and it serves all the same
@@ -60,6 +61,7 @@
 		return
 	}
 	g.ready = true
+	g.joinBeside()
 	g.log.Info("serving", "addr", g.front.Addr(), "took_over", k != nil)
 	notify("READY=1\n")
 }
--- a/cmd/ringwood/serve_fleet.go
+++ b/cmd/ringwood/serve_fleet.go
@@ -6,7 +6,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"os"
+	"syscall"
+	"time"
 
 	"gannetspur/internal/admin"
 	"gannetspur/internal/config"
@@ -20,7 +21,8 @@
 	path    string
 	file    *config.Fleet
 	opts    members.Options
-	service *members.Service // nil: it has not begun, or words are not allowed
+	service *members.Service // nil: it has not begun, words are not allowed, or another process is the member
+	waits   bool             // for the address, which another process has
 }
 
 // openFleet reads the file of the fleet, if there is one. The member begins later, once this process serves.
@@ -32,9 +34,6 @@
 	if err != nil {
 		return err
 	}
-	if os.Getenv("LB_ACCEPT_FD") != "" || g.upgrade != nil {
-		return config.Fault{File: path, Want: "a member can't yet go on in a process that takes over: start it without an upgrade's file and an inherited socket"}
-	}
 	g.fleet = &fleet{path: path, file: f}
 	opts := &g.fleet.opts
 	opts.Config, opts.Chance = f.Decide(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -117,11 +116,57 @@
 	}
 	g.fleet.service, err = members.Start(g.loop, g.fleet.opts, g.counters, g.log)
 	if err == nil {
-		g.log.Info("members", "addr", g.fleet.service.Addr(), "self", uint64(g.fleet.opts.Self), "named", len(g.fleet.opts.Named))
+		g.fleet.waits = false
+		g.log.Info("members", "addr", g.fleet.service.Addr(), "self", uint64(g.fleet.opts.Self), "named", len(g.fleet.opts.Named), "carried", len(g.fleet.opts.Carried) > 0)
 	}
 	return err
 }
 
+// joinEvery is how often a process looks whether the one before it has let go of the member's address: a beat is not missed.
+const joinEvery = 50 * time.Millisecond
+
+// joinBeside goes on as the member that the process before this one was, once that one has let go of its address, or has died.
+// Whatever stands against it, this process serves.
+func (g *gateway) joinBeside() {
+	if g.fleet == nil || g.fleet.service != nil || g.stopping {
+		return
+	}
+	err := g.join()
+	switch {
+	case errors.Is(err, syscall.EADDRINUSE):
+		if !g.fleet.waits {
+			g.fleet.waits = true
+			g.log.Info("members.waits", "for", g.fleet.opts.Listen)
+		}
+		g.loop.Timers.Add(g.loop.Now()+joinEvery, g.joinBeside)
+	case err != nil:
+		g.log.Error("members.failed", "error", err, "then", "it serves, and is no member")
+	}
+}
+
+// carryFleet is what this process knows of the fleet; nil: it is no member.
+func (g *gateway) carryFleet() []byte {
+	if g.fleet == nil || g.fleet.service == nil {
+		return nil
+	}
+	b, err := g.fleet.service.Carry()
+	if err != nil { // the next one begins as after a restart
+		g.log.Error("members.carried", "error", err)
+	}
+	return b
+}
+
+// handOnFleet lets the process that serves in this one's place be the member. Where that one dies while this one lives, this
+// one goes on from what it knows now.
+func (g *gateway) handOnFleet() {
+	if g.fleet == nil || g.fleet.service == nil {
+		return
+	}
+	g.fleet.opts.Carried = g.carryFleet()
+	g.fleet.service.HandOn()
+	g.fleet.service = nil
+}
+
 // leaveFleet tells the others that this front end stops.
 func (g *gateway) leaveFleet() {
 	if g.fleet != nil && g.fleet.service != nil {
--- a/cmd/ringwood/serve_sites.go
+++ b/cmd/ringwood/serve_sites.go
@@ -75,6 +75,7 @@
 // takenOver ends what can't be handed to the process that is the owner now.
 func (g *gateway) takenOver() {
 	g.leaveSites()
+	g.handOnFleet()
 	if f, ok := g.front.(interface{ CloseUnmovable() }); ok {
 		f.CloseUnmovable()
 	}
--- a/cmd/ringwood/serve_upgrade.go
+++ b/cmd/ringwood/serve_upgrade.go
@@ -90,6 +90,7 @@
 	if g.event != nil {
 		k.Event = g.event()
 	}
+	k.Members = g.carryFleet()
 	if g.shapes != nil {
 		var err error
 		if k.Shapes, err = g.shapes.Encode(); err != nil {
@@ -112,6 +113,9 @@
 // learn goes on from what another process has learned.
 func (g *gateway) learn(k *handover.Knowledge) {
 	g.core.Learn(k.Core)
+	if g.fleet != nil {
+		g.fleet.opts.Carried = k.Members
+	}
 	if g.shapes == nil || len(k.Shapes) == 0 {
 		return
 	}
@@ -128,6 +132,7 @@
 	if err := g.linkSites(); err != nil { // as is this: it serves its own clients
 		g.log.Error("sites", "error", err)
 	}
+	g.joinBeside()
 	if err := g.admin(); err != nil { // it serves all the same
 		g.log.Error("admin", "error", err)
 	}
@@ -156,7 +161,7 @@
 	}
 	g.old = handover.NewOld(g.loop, g.core, g.front, handover.OldOptions{
 		Program: handover.Program{Path: path, Args: os.Args[1:]}, Config: u.Decide(),
-		Know: g.know, Counts: g.counters.All, Stop: g.stop, Over: g.takenOver, Exit: g.exit,
+		Know: g.know, Counts: g.counters.All, Stop: g.stop, Over: g.takenOver, Back: g.joinBeside, Exit: g.exit,
 	}, g.counters, g.log)
 	_, err := admin.Listen(u.Admin, g.answer)
 	return err
--- a/cmd/ringwood/stop.go
+++ b/cmd/ringwood/stop.go
@@ -23,10 +23,10 @@
 	waiting := min(g.core.LongestDeadline(), longestHeld) + stopExtra - beforeKill
 	g.log.Info("stopping")
 	g.leaveSites()
-	g.leaveFleet()
 	if g.succession != nil {
-		g.succession.Stopping()
+		g.succession.Stopping() // where another process serves in its place, that one goes on as the member
 	}
+	g.leaveFleet()
 	if g.shapes != nil {
 		g.shapes.Save() // now, as the end waits for nothing; what is learned until then is lost
 	}
--- a/internal/handover/messages.go
+++ b/internal/handover/messages.go
@@ -147,13 +147,14 @@
 	Event    uint64 // number of the event bus's last event taken; 0: none
 	Shared   []byte // of the front
 	Shapes   []byte // a snapshot; nil: none
+	Members  []byte // of internal/members: the fleet as this member knows it; nil: it is none
 	Counters map[string]int64
 }
 
 // sections are the parts of a World by name.
 func (k *Knowledge) sections() map[string]any {
 	return map[string]any{
-		"clock": &k.Clock, "core": &k.Core, "event": &k.Event, "shared": &k.Shared, "shapes": &k.Shapes, "counters": &k.Counters,
+		"clock": &k.Clock, "core": &k.Core, "event": &k.Event, "shared": &k.Shared, "shapes": &k.Shapes, "members": &k.Members, "counters": &k.Counters,
 	}
 }
 
--- a/internal/handover/old.go
+++ b/internal/handover/old.go
@@ -40,6 +40,7 @@
 	Counts  func() map[string]int64
 	Stop    func() // begins the planned stop
 	Over    func() // the new process is the owner; nil: nobody hears
+	Back    func() // it has died since, and this process serves again; nil: nobody hears
 	Exit    func() // ends this process: nothing is left here
 }
 
@@ -267,6 +268,9 @@
 		o.front.Listener().Pause()
 	case decide.StartAccepting:
 		o.front.Listener().Resume()
+		if o.opts.Back != nil {
+			o.opts.Back()
+		}
 	case decide.SendCommit:
 		o.send(&Shared{o.front.Shared()})
 		o.send(&Commit{})
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -12,6 +12,8 @@
 	decide "gannetspur/internal/decide/members"
 	"gannetspur/internal/netio"
 	"gannetspur/internal/stats"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // Options say who this member is and how others are reached.
@@ -25,6 +27,7 @@
 	Config  decide.Config
 	Keys    *Keys // nil: datagrams are not signed
 	Chance  decide.Chance
+	Carried []byte // what the process before this one knew, of Carry; nil: there was none
 }
 
 // Service is one member.
@@ -36,7 +39,7 @@
 	stats   *stats.Counters
 	log     *slog.Logger
 	ticker  *deadline.Entry
-	left    bool
+	over    bool // it has left, or another process goes on
 }
 
 // Start opens the socket and begins to be a member.
@@ -50,16 +53,67 @@
 		return nil, fmt.Errorf("members: %w", err)
 	}
 	now := loop.Now()
-	s.machine = decide.New(opts.Config, opts.Self, uint32(now/time.Second), opts.Named, now, opts.Chance)
+	if len(opts.Carried) > 0 {
+		if s.machine, err = s.resume(now); err != nil { // others tell it all that it needs
+			log.Warn("members.carried", "error", err, "then", "it begins as after a restart")
+		}
+	}
+	if s.machine == nil {
+		s.machine = decide.New(opts.Config, opts.Self, uint32(now/time.Second), opts.Named, now, opts.Chance)
+	}
 	s.tick()
 	return s, nil
 }
 
+func (s *Service) resume(now time.Duration) (*decide.Machine, error) {
+	var c decide.Carried
+	if err := carriedMode.Unmarshal(s.opts.Carried, &c); err != nil {
+		return nil, fmt.Errorf("members: %w", err)
+	}
+	if c.Self != s.opts.Self {
+		return nil, fmt.Errorf("members: the process before was member %d, this one is %d", c.Self, s.opts.Self)
+	}
+	return decide.Resume(s.opts.Config, c, uint32(now/time.Second), s.opts.Named, now, s.opts.Chance)
+}
+
+// carriedMode bounds what is read of another process.
+var carriedMode = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxNestedLevels: 8, MaxArrayElements: 1 << 16, MaxMapPairs: 64}.DecMode()
+	if err != nil { // of constants: it can't be
+		panic(err)
+	}
+	return m
+}()
+
+// Carry is what this process knows of the fleet, for one that takes its place.
+func (s *Service) Carry() ([]byte, error) {
+	b, err := cbor.Marshal(s.machine.Carry())
+	if err != nil {
+		return nil, fmt.Errorf("members: %w", err)
+	}
+	return b, nil
+}
+
+// HandOn frees the address, and says nothing to anybody: another process goes on as this member.
+func (s *Service) HandOn() {
+	if s.over {
+		return
+	}
+	s.end()
+	s.socket.Close()
+	s.log.Info("members.handed-on")
+}
+
+func (s *Service) end() {
+	s.over = true
+	s.ticker.Stop()
+}
+
 // Addr is where datagrams come.
 func (s *Service) Addr() string { return s.socket.Addr().String() }
 
 func (s *Service) tick() {
-	if s.left {
+	if s.over {
 		return
 	}
 	now := s.loop.Now()
@@ -69,7 +123,7 @@
 
 // take reads a datagram. Whatever can't be used is counted, and dropped.
 func (s *Service) take(from netip.AddrPort, b []byte) {
-	if s.left {
+	if s.over {
 		return
 	}
 	if s.opts.Keys != nil {
@@ -125,12 +179,11 @@
 
 // Leave tells others that this member ends.
 func (s *Service) Leave() {
-	if s.left {
+	if s.over {
 		return
 	}
 	s.handle(decide.Leave{})
-	s.left = true
-	s.ticker.Stop()
+	s.end()
 	s.log.Info("members.left")
 }
 
