Close a listener without waiting for an accept that hangs in the kernel

Cause: the socket is one for both processes. Looking at it as a file (os.File.Fd) made it a blocking one, for the process that still accepts there too; its accept then hangs in the kernel until the next client comes, and closing waits for that accept. On a platform that hands the socket on in that way it holds whenever clients are few.

Close takes 10 ms of its caller at most, and an inherited socket is looked at without that call.

--- a/cmd/ringlab/tier.go
+++ b/cmd/ringlab/tier.go
@@ -29,6 +29,7 @@
 	Name      string
 	Processes int         // 0: as many as the experiment says
 	SpanS     float64     `toml:"span_s"`
+	Alone     bool        // they are no members, to compare with
 	Drawn     int         // so many troubles are drawn from the seed, beside those that are listed
 	Faults    []tierFault `toml:"fault"`
 }
@@ -107,7 +108,7 @@
 
 func (e *tierExperiment) run(ctx context.Context, c *runCommand, program, dir string, log io.Writer) error {
 	table := report.Table{Columns: []string{"play", "front ends", "seed", "found each other (s)", "deaths known by the last (s)", "changes of one's view, at most",
-		"datagrams", "lost on the way", "requests", "served", "refused", "failed", "rules broken"}}
+		"datagrams", "lost on the way", "requests", "served", "refused", "failed", "CPU of a process (ms a second)", "memory (MB)", "rules broken"}}
 	raw := report.Table{Columns: []string{"play", "seed", "at_ms", "front_end", "event", "member", "state", "view", "size", "why"}}
 	chart := report.Bars{Title: e.Title, Axis: "until the last survivor knew of a death, s", Series: []string{"worst"}, Values: make([][]float64, 1)}
 	broken := 0
@@ -117,7 +118,7 @@
 			sub := filepath.Join(dir, fmt.Sprintf("%s-%d", p.Name, seed))
 			n := e.processes(p)
 			res, err := tier.Run(ctx, tier.Options{
-				Root: ".", Program: program, Dir: sub, Processes: n, Engines: e.Engines, Rate: e.Rate, Seed: seed,
+				Root: ".", Program: program, Dir: sub, Processes: n, Engines: e.Engines, Alone: p.Alone, Rate: e.Rate, Seed: seed,
 				Faults: p.faults(seed, n, e.Engines), Span: time.Duration(p.SpanS * float64(time.Second)), Log: log,
 			})
 			if err != nil {
@@ -133,7 +134,8 @@
 				known = fmt.Sprintf("%.2f", worst)
 			}
 			other := res.Requests - res.Verdicts[load.Served] - res.Verdicts[load.Refused]
-			table.Add(p.Name, n, seed, res.Found.Seconds(), known, res.Views, res.Passed, res.Lost, res.Requests, res.Verdicts[load.Served], res.Verdicts[load.Refused], other, len(res.Broken))
+			table.Add(p.Name, n, seed, res.Found.Seconds(), known, res.Views, res.Passed, res.Lost, res.Requests, res.Verdicts[load.Served], res.Verdicts[load.Refused], other,
+				fmt.Sprintf("%.1f", float64(res.CPU.Microseconds())/1000), fmt.Sprintf("%.1f", float64(res.Memory)/(1<<20)), len(res.Broken))
 			for _, ev := range res.Events {
 				if strings.HasPrefix(ev.Name, "members") {
 					raw.Add(p.Name, seed, ev.At.Sub(res.Began).Milliseconds(), ev.From+1, ev.Name, cell(ev, "member"), cell(ev, "state"), cell(ev, "digest"), cell(ev, "size"), cell(ev, "why"))
--- a/internal/lab/tier/process.go
+++ b/internal/lab/tier/process.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -29,6 +31,7 @@
 	n       int
 	program string
 	dir     string
+	alone   bool     // it is no member
 	addr    string   // where clients connect
 	socket  *os.File // listens there, where processes take each other's place; nil: each opens its own
 	log     io.Writer
@@ -59,13 +62,25 @@
 	return err
 }
 
+// drop lets go of the socket.
+func (f *front) drop() {
+	if f.socket != nil {
+		_ = f.socket.Close()
+		f.socket = nil
+	}
+}
+
 // begin starts a process.
 func (f *front) begin() (*process, error) {
 	out, w, err := os.Pipe()
 	if err != nil {
 		return nil, fmt.Errorf("front end %d: %w", f.n, err)
 	}
-	cmd := exec.Command(f.program, "serve", "--config", filepath.Join(f.dir, "config.json"), "--fleet", filepath.Join(f.dir, "fleet.toml"))
+	args := []string{"serve", "--config", filepath.Join(f.dir, "config.json")}
+	if !f.alone {
+		args = append(args, "--fleet", filepath.Join(f.dir, "fleet.toml"))
+	}
+	cmd := exec.Command(f.program, args...)
 	cmd.Env = append(os.Environ(), "LB_CONFIG=", "LB_LISTEN=", "LB_CONTROL=", "LB_ACCEPT_FD=", "TMPDIR="+f.dir)
 	if f.socket != nil {
 		cmd.ExtraFiles = []*os.File{f.socket}
@@ -247,15 +262,43 @@
 	return uint64(len(all)), err
 }
 
+// cost is what a process has taken of its machine.
+type cost struct {
+	pid    int
+	cpu    time.Duration // by all its threads, in hundredths of a second
+	memory int           // resident bytes
+}
+
+// cost reads it of the process that runs (proc(5): stat and statm).
+func (f *front) cost() (cost, error) {
+	c := cost{pid: f.running().cmd.Process.Pid}
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", c.pid))
+	if err != nil {
+		return c, err
+	}
+	_, rest, _ := strings.Cut(string(stat), ") ") // behind the program's name
+	words := strings.Fields(rest)
+	if len(words) < 22 {
+		return c, fmt.Errorf("stat of process %d: %d words", c.pid, len(words))
+	}
+	var ticks [2]int
+	for i := range ticks {
+		if ticks[i], err = strconv.Atoi(words[11+i]); err != nil {
+			return c, fmt.Errorf("stat of process %d: %w", c.pid, err)
+		}
+	}
+	pages, err := strconv.Atoi(words[21])
+	c.cpu, c.memory = time.Duration(ticks[0]+ticks[1])*10*time.Millisecond, pages*os.Getpagesize()
+	return c, err
+}
+
 // end ends what runs, whatever it does, and waits.
 func (f *front) end() {
 	if p := f.running(); p != nil {
 		f.signal(syscall.SIGKILL, true)
 		f.wait()
 	}
-	if f.socket != nil {
-		_ = f.socket.Close()
-	}
+	f.drop()
 }
 
 // wait waits for the end of what was told to end.
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -35,6 +35,7 @@
 	Seed      uint64
 	Faults    []Fault
 	Span      time.Duration // from the time on when all have found each other
+	Alone     bool          // they are no members: nothing is checked of views
 	Log       io.Writer     // of all processes; nil: none
 }
 
@@ -92,6 +93,8 @@
 	Views    int             // the most changes of the view that one front end had
 	Passed   int             // datagrams
 	Lost     int
+	CPU      time.Duration // of a process and second, the mean over those that ran all the time
+	Memory   int           // resident bytes of a process in the end, the same
 }
 
 // tier is what is played.
@@ -105,6 +108,7 @@
 	limits map[limited]uint64 // what was before
 	starve map[int]func()     // ends it
 	later  sync.WaitGroup     // replacements under way
+	held   bool               // processes take each other's place at sockets that are held here
 
 	mu     sync.Mutex
 	events []Event
@@ -193,8 +197,10 @@
 		sources = append(sources, s)
 		all.Go(func() { s.Run(loading) })
 	}
+	costs := t.costs()
 	err = t.play(ctx)
 	t.later.Wait()
+	t.spent(res, costs, t.costs())
 	err = errors.Join(err, t.failed)
 	stop()
 	all.Wait()
@@ -212,6 +218,33 @@
 	return res, nil
 }
 
+// costs are what processes have taken so far.
+func (t *tier) costs() (all []cost) {
+	for _, p := range t.procs {
+		c, err := p.cost()
+		if err != nil { // it has ended
+			c = cost{}
+		}
+		all = append(all, c)
+	}
+	return all
+}
+
+// spent tells what was taken between two times, by those that ran at both.
+func (t *tier) spent(res *Result, before, after []cost) {
+	n := 0
+	for i, a := range after {
+		if b := before[i]; a.pid != 0 && a.pid == b.pid {
+			n++
+			res.CPU += a.cpu - b.cpu
+			res.Memory += a.memory
+		}
+	}
+	if n > 0 {
+		res.CPU, res.Memory = time.Duration(float64(res.CPU)/float64(n)/t.opts.Span.Seconds()), res.Memory/n
+	}
+}
+
 // settleMost is how long views may differ after the last fault.
 const settleMost = 15 * time.Second
 
@@ -231,6 +264,7 @@
 			real = append(real, a)
 		}
 	}
+	t.held = slices.ContainsFunc(t.opts.Faults, func(f Fault) bool { return f.Do == Replace || f.Do == ReplaceOld || f.Do == ReplaceNew })
 	if t.mesh, err = newMesh(real, t.opts.Seed); err != nil {
 		return err
 	}
@@ -266,9 +300,9 @@
 			os.WriteFile(filepath.Join(dir, "fleet.toml"), []byte("peers = \"platform\"\n"), 0o600)); err != nil {
 			return err
 		}
-		f := &front{n: i, program: t.opts.Program, dir: dir, addr: addr, log: t.opts.Log, hear: t.hear}
+		f := &front{n: i, program: t.opts.Program, dir: dir, alone: t.opts.Alone, addr: addr, log: t.opts.Log, hear: t.hear}
 		t.procs = append(t.procs, f)
-		if slices.ContainsFunc(t.opts.Faults, func(f Fault) bool { return f.Do == Replace || f.Do == ReplaceOld || f.Do == ReplaceNew }) {
+		if t.held {
 			if err := f.hold(); err != nil {
 				return err
 			}
@@ -353,6 +387,9 @@
 
 // settled tells whether all that are up have the view of just these. The caller holds the lock.
 func (t *tier) settled() bool {
+	if t.opts.Alone {
+		return true
+	}
 	up := 0
 	for _, is := range t.up {
 		if is {
@@ -574,6 +611,9 @@
 		if !t.procs[n].wait() {
 			return fmt.Errorf("front end %d does not end", n)
 		}
+		if f.Do != Restart { // with its machine: clients that connect are refused, and do not wait for nobody
+			t.procs[n].drop()
+		}
 	}
 	return nil
 }
@@ -583,7 +623,10 @@
 	var all sync.WaitGroup
 	for i, n := range who {
 		all.Go(func() {
-			errs[i] = t.start(n)
+			if t.held && t.procs[n].socket == nil {
+				errs[i] = t.procs[n].hold()
+			}
+			errs[i] = errors.Join(errs[i], t.start(n))
 			t.back(n)
 		})
 	}
--- /dev/null
+++ b/internal/netio/listen_test.go
@@ -0,0 +1,48 @@
+package netio
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// A listener is closed at once though its accept hangs in the kernel, as another process that holds the socket has made it a
+// blocking one: the loop that closes it stood still until the next client came.
+func TestCloseOfBlocking(t *testing.T) {
+	l := running(t)
+	h := &taker{c: make(chan *Conn, 2), closed: make(chan error, 2)}
+	ln, client := served(t, l, h)
+	defer client.Close()
+	<-h.c
+	other, err := ln.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	if err := unix.SetNonblock(int(other.Fd()), false); err != nil {
+		t.Fatal(err)
+	}
+	dial := func() {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+	dial() // whether the accept waits in the poller or in the kernel: after this one it is in the kernel
+	<-h.c
+	closed := make(chan struct{})
+	l.Post(func() {
+		_ = ln.Close()
+		close(closed)
+	})
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Error("the loop waits for the next client")
+		dial()
+		<-closed
+	}
+}
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -281,10 +281,21 @@
 // Addr is where it listens.
 func (l *Listener) Addr() net.Addr { return l.tcp.Addr() }
 
-// Close ends it.
+// closeMost is how long Close may take of its caller.
+const closeMost = 10 * time.Millisecond
+
+// Close ends it. It waits no longer than closeMost: where another process that has the socket made it a blocking one, an accept
+// hangs in the kernel until the next connection comes, and closing waits for that. What comes to it then is served.
 func (l *Listener) Close() error {
 	l.Resume()
-	return l.tcp.Close()
+	done := make(chan error, 1)
+	go func() { done <- l.tcp.Close() }()
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(closeMost):
+		return nil
+	}
 }
 
 // File is a duplicate of its socket.
@@ -337,8 +348,14 @@
 // before Resume. It takes the file.
 func Inherited(f *os.File) (*Listener, error) {
 	defer f.Close()
-	if on, err := unix.GetsockoptInt(int(f.Fd()), unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil || on == 0 {
-		return nil, errors.Join(errors.New("inherited listener: the descriptor is no socket that listens"), err)
+	// Not by f.Fd: that makes the socket a blocking one for a moment, and for the process that still accepts there as well.
+	raw, err := f.SyscallConn()
+	if err != nil {
+		return nil, fmt.Errorf("inherited listener: %w", err)
+	}
+	on := 0
+	if cerr := raw.Control(func(fd uintptr) { on, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ACCEPTCONN) }); cerr != nil || err != nil || on == 0 {
+		return nil, errors.Join(errors.New("inherited listener: the descriptor is no socket that listens"), cerr, err)
 	}
 	ln, err := net.FileListener(f)
 	if err != nil {
