--- a/internal/lab/members/world.go
+++ b/internal/lab/members/world.go
@@ -59,6 +59,7 @@
 	Mend              // it does
 	Lossy             // Part of what goes from Who to To is lost
 	Slow              // what goes from Who to To takes For longer
+	Jump              // their clocks go ahead by For at once
 	Replace           // another process takes their place after For, with what the one before knew at the beginning of it
 )
 
@@ -92,6 +93,7 @@
 	paused time.Duration // until then
 	held   []func()      // what came meanwhile
 	drift  float64
+	ahead  time.Duration // by which its clock has jumped
 }
 
 type item struct {
@@ -181,7 +183,7 @@
 
 // clock is a member's own: it runs apart from others, and starts anywhere.
 func (n *node) clock(now time.Duration) time.Duration {
-	return time.Duration(float64(now)*n.drift) + time.Duration(n.id)*time.Hour
+	return time.Duration(float64(now)*n.drift) + time.Duration(n.id)*time.Hour + n.ahead
 }
 
 func (w *World) start(id decide.ID) {
@@ -311,6 +313,8 @@
 			}
 			c := m.Carry()
 			w.at(w.now+e.For, func() { w.replace(n, c) })
+		case e.Do == Jump:
+			n.ahead += e.For
 		case e.Do == Stop:
 			w.handle(n, decide.Leave{})
 			n.alive = false
--- a/internal/lab/members/world_test.go
+++ b/internal/lab/members/world_test.go
@@ -78,6 +78,8 @@
 		{name: "one is slow by two seconds", members: 12, events: []Event{{At: 0, Do: Slow, Who: seq(2, 2), For: 2 * s}, {At: 0, Do: Slow, Who: seq(1, 12), To: seq(2, 2), For: 2 * s}}, span: 30 * s},
 		{name: "all are slow by two seconds", members: 12, events: []Event{{At: 0, Do: Slow, Who: seq(1, 12), For: 2 * s}}, span: 30 * s},
 		{name: "a storm of restarts", members: 12, events: storm, span: 40 * s, may: []decide.ID{3, 5}, changes: 20},
+		{name: "clocks jump by an hour", members: 12, events: []Event{{At: 0, Do: Jump, Who: seq(2, 2), For: time.Hour}, {At: 3 * s, Do: Jump, Who: seq(3, 6), For: time.Hour}}, span: 15 * s},
+		{name: "a clock jumps as another dies", members: 12, events: []Event{{At: 0, Do: Crash, Who: seq(3, 3)}, {At: s, Do: Jump, Who: seq(2, 2), For: 24 * time.Hour}}, span: 12 * s, gone: seq(3, 3), changes: 2},
 		{name: "a process takes another's place", members: 12, events: []Event{{At: 0, Do: Replace, Who: seq(2, 2), For: s}}, span: 15 * s},
 		{name: "and another, and another", members: 12, events: []Event{
 			{At: 0, Do: Replace, Who: seq(2, 4), For: 2 * s}, {At: 3 * s, Do: Replace, Who: seq(2, 4), For: s}, {At: 5 * s, Do: Replace, Who: seq(2, 2), For: s},
