--- a/cmd/ringlab/replace.go
+++ b/cmd/ringlab/replace.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -27,12 +26,8 @@
 	For      time.Duration `default:"1s" help:"Time between two replacements."`
 }
 
-// yesWithin is how long the platform waits for the yes of a new process, and endsWithin how long
-// an old one may take to end.
-const (
-	yesWithin  = 6 * time.Second
-	endsWithin = 5700 * time.Millisecond
-)
+// yesWithin is how long the platform waits for the yes of a new process.
+const yesWithin = 6 * time.Second
 
 // Run holds a socket, as the platform does, and replaces the process at it under calls.
 func (c *replaceCommand) Run() (err error) {
@@ -49,16 +44,11 @@
 		return err
 	}
 	defer r.Close()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	p := &platform{dir: dir, config: r.Config, program: c.Ringwood, addr: ln.Addr().String()}
-	if p.socket, err = ln.(*net.TCPListener).File(); err != nil { // of "tcp"
+	p := &platform{dir: dir, config: r.Config, program: c.Ringwood}
+	if p.socket, p.addr, err = rig.Hold("127.0.0.1:0"); err != nil {
 		return err
 	}
 	defer p.socket.Close()
-	_ = ln.Close() // it accepts nothing itself
 
 	now, took, err := p.start()
 	if err != nil {
@@ -136,7 +126,7 @@
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		return 0, err
 	}
-	kill := time.AfterFunc(endsWithin, func() { _ = cmd.Process.Kill() })
+	kill := time.AfterFunc(rig.EndsWithin, func() { _ = cmd.Process.Kill() })
 	defer kill.Stop()
 	err := cmd.Wait()
 	return time.Since(began), err
--- a/cmd/ringwood/beside_test.go
+++ b/cmd/ringwood/beside_test.go
@@ -56,15 +56,10 @@
 func newPlatform(t *testing.T) *platformOf {
 	t.Helper()
 	p := &platformOf{t: t, dir: t.TempDir(), seen: map[string][]string{}, hold: make(chan struct{})}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	p.addr = ln.Addr().String()
-	if p.socket, err = ln.(*net.TCPListener).File(); err != nil {
+	var err error
+	if p.socket, p.addr, err = rig.Hold("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
-	ln.Close() // as the platform, which accepts nothing
 	t.Cleanup(func() { p.socket.Close() })
 	raw, err := os.ReadFile("../../examples/toy/config.json")
 	if err != nil {
--- a/cmd/ringwood/serve_fleet.go
+++ b/cmd/ringwood/serve_fleet.go
@@ -144,12 +144,21 @@
 	}
 }
 
+// member is what this process is among others; nil: it is none, at present.
+func (g *gateway) member() *members.Service {
+	if g.fleet == nil {
+		return nil
+	}
+	return g.fleet.service
+}
+
 // carryFleet is what this process knows of the fleet; nil: it is no member.
 func (g *gateway) carryFleet() []byte {
-	if g.fleet == nil || g.fleet.service == nil {
+	m := g.member()
+	if m == nil {
 		return nil
 	}
-	b, err := g.fleet.service.Carry()
+	b, err := m.Carry()
 	if err != nil { // the next one begins as after a restart
 		g.log.Error("members.carried", "error", err)
 	}
@@ -159,27 +168,29 @@
 // handOnFleet lets the process that serves in this one's place be the member. Where that one dies while this one lives, this
 // one goes on from what it knows now.
 func (g *gateway) handOnFleet() {
-	if g.fleet == nil || g.fleet.service == nil {
+	m := g.member()
+	if m == nil {
 		return
 	}
 	g.fleet.opts.Carried = g.carryFleet()
-	g.fleet.service.HandOn()
+	m.HandOn()
 	g.fleet.service = nil
 }
 
 // leaveFleet tells the others that this front end stops.
 func (g *gateway) leaveFleet() {
-	if g.fleet != nil && g.fleet.service != nil {
-		g.fleet.service.Leave()
+	if m := g.member(); m != nil {
+		m.Leave()
 	}
 }
 
 // peers are the figures at the door; nil: it is no member.
 func (g *gateway) peers() *core.PeerFigures {
-	if g.fleet == nil || g.fleet.service == nil {
+	m := g.member()
+	if m == nil {
 		return nil
 	}
-	f := g.fleet.service.Figures()
+	f := m.Figures()
 	return &core.PeerFigures{Live: f.Live, Named: f.Named, Cut: f.Cut, Lost: f.Dead + f.Lost, View: int(f.View.Number), Majority: f.Majority}
 }
 
@@ -199,11 +210,12 @@
 func (g *gateway) adminMembers() admin.Reply {
 	done := make(chan admin.Reply, 1)
 	g.loop.Post(func() {
-		if g.fleet == nil || g.fleet.service == nil {
+		m := g.member()
+		if m == nil {
 			done <- admin.Reply{Why: "this gateway is no member among others", Done: true}
 			return
 		}
-		raw, err := json.Marshal(g.fleet.service.Overview())
+		raw, err := json.Marshal(m.Overview())
 		r := admin.Reply{Fleet: raw, Done: true}
 		if err != nil {
 			r.Why = err.Error()
--- a/internal/decide/members/carry.go
+++ b/internal/decide/members/carry.go
@@ -42,10 +42,8 @@
 		}
 		c.Members = append(c.Members, one)
 	}
-	for _, topic := range m.topics() {
-		for _, r := range m.Rumours(topic) {
-			c.Talk = r.append(c.Talk)
-		}
+	for _, r := range m.said(func(about) bool { return true }) {
+		c.Talk = r.append(c.Talk)
 	}
 	return c
 }
--- a/internal/decide/members/gossip.go
+++ b/internal/decide/members/gossip.go
@@ -242,7 +242,7 @@
 	if m.seq++; uint16(m.seq) == 0 {
 		m.seq++
 	}
-	m.look = m.look || len(m.self.record.Words) > 0
+	m.look = m.look || len(m.self.record.Words) > 0 // who answered meanwhile may end the search on a ring
 	for _, p := range m.targets() {
 		m.say(kindBeat, p, 0, m.due(true))
 	}
--- a/internal/decide/members/judge.go
+++ b/internal/decide/members/judge.go
@@ -91,7 +91,8 @@
 			continue
 		}
 		to, why := p.state, ""
-		enough := len(p.by) == 0 && !m.hearing(p) && len(p.against) >= m.quorum(p)
+		// Who is not accused costs nothing here: the quorum goes over all members.
+		enough := len(p.against) > 0 && len(p.by) == 0 && !m.hearing(p) && len(p.against) >= m.quorum(p)
 		switch {
 		case !enough:
 			p.quorate = 0
--- a/internal/decide/members/rumour.go
+++ b/internal/decide/members/rumour.go
@@ -107,23 +107,19 @@
 
 // Rumours are all that are known of a topic, by owner and key.
 func (m *Machine) Rumours(topic uint8) (all []Rumour) {
-	for a, r := range m.talk.all {
-		if a.topic == topic && len(r.Body) > 0 {
-			all = append(all, r)
-		}
-	}
-	slices.SortFunc(all, func(a, b Rumour) int { return cmp.Or(cmp.Compare(a.Owner, b.Owner), cmp.Compare(a.Key, b.Key)) })
-	return all
+	return m.said(func(a about) bool { return a.topic == topic })
 }
 
-// topics are those of which anything is known.
-func (m *Machine) topics() (all []uint8) {
-	for a := range m.talk.all {
-		if !slices.Contains(all, a.topic) {
-			all = append(all, a.topic)
+// said are the rumours that a filter lets through, but for those that were taken back, by owner, topic and key.
+func (m *Machine) said(which func(about) bool) (all []Rumour) {
+	for a, r := range m.talk.all {
+		if len(r.Body) > 0 && which(a) {
+			all = append(all, r)
 		}
 	}
-	slices.Sort(all)
+	slices.SortFunc(all, func(a, b Rumour) int {
+		return cmp.Or(cmp.Compare(a.Owner, b.Owner), cmp.Compare(a.Topic, b.Topic), cmp.Compare(a.Key, b.Key))
+	})
 	return all
 }
 
--- a/internal/decide/members/watch.go
+++ b/internal/decide/members/watch.go
@@ -114,7 +114,7 @@
 // questions is how many may go without an answer, over the same way and back.
 func (m *Machine) questions(p *peer) int {
 	both := 1 - (1-p.loss)*(1-p.loss)
-	n := math.Ceil(math.Log(0.002) / math.Log(math.Pow(max(both, 0.05), float64(copies(p)))))
+	n := math.Ceil(math.Log(0.002) / (float64(copies(p)) * math.Log(max(both, 0.05))))
 	return int(min(max(n, float64(m.cfg.Probes)), 8))
 }
 
--- a/internal/lab/members/world.go
+++ b/internal/lab/members/world.go
@@ -191,21 +191,25 @@
 	if n.alive {
 		return
 	}
-	n.life++
-	n.alive, n.paused, n.held = true, 0, nil
+	rng := w.live(n)
 	named := w.All()
 	if w.opts.Named != nil {
 		named = w.opts.Named(id)
 	}
-	n.m = w.opts.Make(id, uint32(1+w.now/time.Second), named, n.clock(w.now), rand.New(rand.NewPCG(w.opts.Seed+uint64(n.life)<<32, uint64(id)+2)))
+	n.m = w.opts.Make(id, uint32(1+w.now/time.Second), named, n.clock(w.now), rng)
 	w.tick(n, n.life)
 }
 
-// replace has a process go on as the member that another one was, whether that one still lives or not.
-func (w *World) replace(n *node, c decide.Carried) {
+// live begins another life of a member, and gives it its chance.
+func (w *World) live(n *node) *rand.Rand {
 	n.life++
 	n.alive, n.paused, n.held = true, 0, nil
-	m, err := decide.Resume(decide.Defaults(), c, uint32(1+w.now/time.Second), w.All(), n.clock(w.now), rand.New(rand.NewPCG(w.opts.Seed+uint64(n.life)<<32, uint64(n.id)+2)))
+	return rand.New(rand.NewPCG(w.opts.Seed+uint64(n.life)<<32, uint64(n.id)+2))
+}
+
+// replace has a process go on as the member that another one was, whether that one still lives or not.
+func (w *World) replace(n *node, c decide.Carried) {
+	m, err := decide.Resume(decide.Defaults(), c, uint32(1+w.now/time.Second), w.All(), n.clock(w.now), w.live(n))
 	if err != nil { // of a member's own words: it can't be
 		panic(err)
 	}
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -192,6 +192,23 @@
 	return nil
 }
 
+// EndsWithin is how long the platform lets a process live that it told to end.
+const EndsWithin = 5700 * time.Millisecond
+
+// Hold opens a socket that processes of one front end listen at one after the other, as the platform does, and tells where it is.
+func Hold(addr string) (*os.File, string, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, "", fmt.Errorf("rig: %w", err)
+	}
+	defer ln.Close()                       // what holds it accepts nothing itself
+	f, err := ln.(*net.TCPListener).File() // of "tcp"
+	if err != nil {
+		return nil, "", fmt.Errorf("rig: %w", err)
+	}
+	return f, ln.Addr().String(), nil
+}
+
 // Build builds ringwood into a folder and returns its path.
 func Build(ctx context.Context, root, dir string) (string, error) {
 	program := filepath.Join(dir, "ringwood")
--- a/internal/lab/tier/judge.go
+++ b/internal/lab/tier/judge.go
@@ -37,7 +37,7 @@
 func (t *tier) whole(who int, at time.Time) bool {
 	deaf := map[int]bool{}
 	for _, s := range t.spans {
-		if s.who != who || s.broke || s.parted || at.Before(s.from) || !s.to.IsZero() && at.After(s.to.Add(after)) {
+		if s.who != who || at.Before(s.from) || !s.to.IsZero() && at.After(s.to.Add(after)) {
 			continue
 		}
 		if s.down {
--- a/internal/lab/tier/process.go
+++ b/internal/lab/tier/process.go
@@ -3,9 +3,9 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,6 +15,8 @@
 	"syscall"
 	"time"
 
+	"gannetspur/internal/lab/rig"
+
 	"golang.org/x/sys/unix"
 )
 
@@ -52,14 +54,11 @@
 }
 
 // hold opens the socket that processes of the front end follow each other at, as the platform does.
-func (f *front) hold() error {
-	ln, err := net.Listen("tcp", f.addr)
-	if err != nil {
+func (f *front) hold() (err error) {
+	if f.socket, _, err = rig.Hold(f.addr); err != nil {
 		return fmt.Errorf("front end %d: %w", f.n, err)
 	}
-	defer ln.Close() // it accepts nothing itself
-	f.socket, err = ln.(*net.TCPListener).File()
-	return err
+	return nil
 }
 
 // drop lets go of the socket.
@@ -173,23 +172,21 @@
 	}
 	if err := f.await(next); err != nil {
 		f.tell(next, syscall.SIGKILL, true)
-		return err
+		return errors.Join(err, f.gone(next))
 	}
 	f.mu.Lock()
 	f.now = next
 	f.mu.Unlock()
 	f.tell(was, old, true)
-	kill := time.AfterFunc(endsWithin, func() { f.tell(was, syscall.SIGKILL, true) })
+	kill := time.AfterFunc(rig.EndsWithin, func() { f.tell(was, syscall.SIGKILL, true) })
 	defer kill.Stop()
 	return f.gone(was)
 }
 
-// endsWithin is how long the platform lets a process live that was told to end.
-const endsWithin = 5700 * time.Millisecond
-
 // endMost is how long a process may take to end.
 const endMost = 10 * time.Second
 
+// gone waits for the end of a process.
 func (f *front) gone(p *process) error {
 	select {
 	case <-p.ended:
@@ -296,13 +293,15 @@
 func (f *front) end() {
 	if p := f.running(); p != nil {
 		f.signal(syscall.SIGKILL, true)
-		f.wait()
+		_ = f.wait() // nothing more can be done to one that outlives it
 	}
 	f.drop()
 }
 
 // wait waits for the end of what was told to end.
-func (f *front) wait() bool {
-	p := f.running()
-	return p == nil || f.gone(p) == nil
+func (f *front) wait() error {
+	if p := f.running(); p != nil {
+		return f.gone(p)
+	}
+	return nil
 }
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -537,7 +537,9 @@
 	if how == ReplaceOld {
 		s = syscall.SIGKILL
 	}
-	t.broke(n, startMost, how != ReplaceOld)
+	if how != ReplaceNew { // there the process that serves goes on, with all its clients
+		t.broke(n, startMost, how == Replace)
+	}
 	if err := t.procs[n].replace(s, how == ReplaceNew); err != nil {
 		t.mu.Lock()
 		t.failed = errors.Join(t.failed, fmt.Errorf("%s: %w", how, err))
@@ -608,8 +610,8 @@
 		t.procs[n].signal(s, true)
 	}
 	for _, n := range f.Who {
-		if !t.procs[n].wait() {
-			return fmt.Errorf("front end %d does not end", n)
+		if err := t.procs[n].wait(); err != nil {
+			return err
 		}
 		if f.Do != Restart { // with its machine: clients that connect are refused, and do not wait for nobody
 			t.procs[n].drop()
