--- a/internal/decide/members/carry.go
+++ b/internal/decide/members/carry.go
@@ -38,7 +38,7 @@
 		}
 		one := CarriedMember{ID: p.id, State: p.state, Ago: m.now - p.seenIn, Loss: p.loss}
 		if p.known {
-			one.Record = p.record.append(nil)
+			one.Record = p.record.append(nil, place{})
 		}
 		c.Members = append(c.Members, one)
 	}
@@ -62,12 +62,13 @@
 		if len(one.Record) == 0 {
 			continue
 		}
-		r, rest, err := readRecord(one.Record)
+		r, rest, err := readRecord(one.Record, place{})
 		if err != nil || len(rest) > 0 || r.Author != one.ID || p.known {
 			return nil, ErrCarried
 		}
 		p.record, p.known, p.ended = r, true, r.Inc
 		m.sum(r)
+		m.knows++
 	}
 	for b := c.Talk; len(b) > 0; {
 		r, rest, err := readRumour(b)
--- a/internal/decide/members/carry_test.go
+++ b/internal/decide/members/carry_test.go
@@ -90,7 +90,7 @@
 	m, from := f.all[0], f.all[1].self.id
 	for id := ID(100); id < 100+2*mostMembers; id++ {
 		r := record{Author: id, Inc: 1}
-		m.merge(r)
+		m.merge(r, false)
 	}
 	m.Handle(f.now, Heard{From: from + 50000, B: seal(message{Kind: kindBeat, From: from + 50000}.append(nil))})
 	if len(m.all) != mostMembers || m.Crowded < mostMembers || m.Crowded > mostMembers+10 {
--- a/internal/decide/members/gossip.go
+++ b/internal/decide/members/gossip.go
@@ -27,23 +27,25 @@
 func (m *Machine) renew(inc uint32) { m.write(func(r *record) { r.Inc, r.Seq = inc, 0 }) }
 
 // sum takes a record into the digests, or out of them.
-func (m *Machine) sum(r record) { m.sums[mix(r.Author.key(), 0)%buckets] ^= r.hash() }
+func (m *Machine) sum(r record) { m.digest ^= r.hash() }
 
-func (m *Machine) digest() (all uint32) {
-	for _, s := range m.sums {
-		all = mix(all, s)
-	}
-	return all
-}
-
-// spread has a record passed on, once on each ring, and some times more where it speaks of others, as time counts then. What is
-// lost on the way all the same is found by the digests.
+// spread has a record passed on, once on each ring, and some times more where it speaks of others, as time counts then. The more
+// is new of late, the fewer times: what is lost or left out is found by the digests and asked for, by those who lack it. Guards
+// against a start or a death of hundreds, of which each would tell all of it to others that know it already.
 func (m *Machine) spread(id ID) {
-	m.news[id] = m.cfg.Rings
+	m.fresh++
 	later := m.cfg.Beat/16 + m.cfg.Beat/8*time.Duration(m.rng.IntN(64))/64
-	if r := &m.peers[id].record; (len(r.Words) > 0 || r.Left) && len(m.news) <= 2*m.cfg.Rings {
-		m.news[id] += 2
+	few := m.fresh <= 2*m.cfg.Rings
+	switch pressing := m.peers[id].record.pressing(); {
+	case pressing && few:
+		m.news[id] = m.cfg.Rings + 2
 		later = 0 // there is little to say: it goes at once
+	case pressing:
+		m.news[id] = max(m.cfg.Rings/2, 1)
+	case few || id == m.self.id:
+		m.news[id] = m.cfg.Rings
+	default:
+		return
 	}
 	if m.flush == 0 || m.flush > m.now+later {
 		m.flush = m.now + later
@@ -69,16 +71,16 @@
 	}
 	p := m.peer(from)
 	p.heard, p.fresh, p.asked, m.answer = m.now, m.now, 0, m.now
-	p.agreed = d.View.Digest
+	p.agreed, p.knows = d.View.Digest, int(d.Knows)
 	if d.View.Digest == m.view.Digest {
 		m.view.Number = max(m.view.Number, d.View.Number)
 	}
 	m.seen = max(m.seen, d.View.Number)
 	for _, r := range d.Carries {
-		m.merge(r)
+		m.merge(r, d.Kind == kindTell && d.About > 0)
 	}
 	switch {
-	case d.Records>>8 == m.digest()>>8:
+	case d.Records>>8 == m.digest>>8:
 		p.differs = 0
 	case p.differs == 0:
 		p.differs = m.now
@@ -101,10 +103,15 @@
 	switch d.Kind {
 	case kindBeat:
 		if gap := d.Seq - p.beat; p.beat != 0 && gap >= 1 && gap < 16 {
-			for range gap - 1 {
-				p.loss += (1 - p.loss) / 16
+			for i := range gap {
+				lost := 1.0
+				if i == gap-1 {
+					lost = 0
+				}
+				p.loss += (lost - p.loss) / lossOver
+				m.loss += (lost - m.loss) / (lossOver * 4)
 			}
-			p.loss -= p.loss / 16
+			p.beats = min(p.beats+int(gap), lossOver)
 		}
 		p.beat = d.Seq
 	case kindProbe:
@@ -114,23 +121,11 @@
 			o.vouch, m.look = m.now+6*m.cfg.Beat, true
 			m.say(kindProbe, o, 0, nil)
 		}
-	case kindSync:
-		m.supply(p, func(o *peer) bool {
-			b := mix(o.id.key(), 0) % buckets
-			return d.Sums[b] != uint16(m.sums[b])
-		})
+	case kindHave:
+		m.supply(p, d)
 		return
 	case kindMore:
-		m.tellRumours(p, func(a about) bool {
-			b := a.hash() % buckets
-			return d.Sums[b] != uint16(m.talk.sums[b])
-		})
-		return
-	case kindList:
-		m.supply(p, func(o *peer) bool {
-			i, ok := slices.BinarySearchFunc(d.Lists, o.id, func(l listed, id ID) int { return cmp.Compare(l.ID, id) })
-			return part(o.id, d.About) && !(ok && d.Lists[i].Sum == uint8(o.record.hash()))
-		})
+		m.tellRumours(p, func(a about) bool { return !d.covers(a.hash(), m.talk.all[a].hash()) })
 		return
 	}
 	switch {
@@ -147,56 +142,17 @@
 			rs = append(rs, m.peers[id].record)
 		}
 		m.say(kindTell, p, 0, rs)
-	case (!p.known || p.differs > 0 && m.now-p.differs > 3*m.cfg.Beat) && m.now-m.synced > 3*m.cfg.Beat:
+	case (!p.known || p.differs > 0 && p.knows+leads >= m.knows && (m.now-p.differs >= m.pace(p) || m.lacks(p))) && m.now-m.synced >= m.pace(p):
 		m.inquire(p)
 	case p.unlike > 0 && m.now-p.unlike > 3*m.cfg.Beat && m.now-m.synced > 3*m.cfg.Beat && len(m.talk.news) == 0:
 		p.synced, m.synced = m.now, m.now
-		m.say(kindMore, p, 0, nil)
-	}
-}
-
-// inquire asks another what it has that is not here: by the digests of all, which tell best where little differs, and
-// in turn by a list of a part, which tells best where much does.
-func (m *Machine) inquire(p *peer) {
-	p.synced, m.synced = m.now, m.now
-	if m.lists = !m.lists; !m.lists {
-		m.say(kindSync, p, 0, nil)
-		return
-	}
-	parts := min(len(m.peers)/mostListed+1, 255)
-	m.say(kindList, p, uint64(m.rng.IntN(parts))<<8|uint64(parts), nil)
-}
-
-// list is what this member has of a part of the records.
-func (m *Machine) list(about uint64) (all []listed) {
-	for _, o := range m.all {
-		if o.known && part(o.id, about) {
-			all = append(all, listed{o.id, uint8(o.record.hash())})
-		}
-	}
-	return all[:min(len(all), 2*mostListed)]
-}
-
-// supply tells what another lacks or has otherwise, as much as may be sent; the rest when it asks again.
-func (m *Machine) supply(p *peer, lacks func(*peer) bool) {
-	var rs []record
-	for _, o := range m.all {
-		if o.known && lacks(o) {
-			rs = append(rs, o.record)
-		}
-	}
-	m.rng.Shuffle(len(rs), func(i, j int) { rs[i], rs[j] = rs[j], rs[i] })
-	for range 3 {
-		n := m.say(kindTell, p, 0, rs)
-		if n <= 0 {
-			return
-		}
-		rs = rs[n:]
+		m.ask(kindMore, p, nil)
 	}
 }
 
-// merge takes another's record, or what others remember of this member.
-func (m *Machine) merge(r record) {
+// merge takes another's record, or what others remember of this member. What came as an answer is known to others already, and
+// is passed on only where it says something of others.
+func (m *Machine) merge(r record, answer bool) {
 	if r.Author == m.self.id {
 		if own := m.self.record; r.Inc > own.Inc || r.Inc == own.Inc && r.Seq > own.Seq || r.Left && r.Inc == own.Inc && !m.leaving {
 			m.renew(r.Inc + 1)
@@ -219,7 +175,12 @@
 	again := r.Inc != p.record.Inc
 	p.record, m.moved = r, true
 	m.sum(r)
-	m.spread(r.Author)
+	if answer {
+		m.gained++
+	}
+	if !answer || r.pressing() {
+		m.spread(r.Author)
+	}
 	if again {
 		m.look, m.voided = true, true
 		if p.known && p.state.In() && (p.mine == deaf || p.mine == aside) && p.heard < m.now {
@@ -234,7 +195,10 @@
 		}
 		p.asked, p.fresh, p.beat = 0, m.now, 0
 	}
-	p.known = true
+	if !p.known {
+		p.known = true
+		m.knows++
+	}
 }
 
 // beats tells that this member lives, and looks for those that may have come back.
@@ -242,6 +206,12 @@
 	if m.seq++; uint16(m.seq) == 0 {
 		m.seq++
 	}
+	m.fresh /= 2
+	if m.now-m.synced > m.cfg.Beat/2 { // who knows much more may not be among those who tell this member anything
+		for _, p := range m.some(1, m.lacks) {
+			m.inquire(p)
+		}
+	}
 	m.look = m.look || len(m.self.record.Words) > 0 // who answered meanwhile may end the search on a ring
 	for _, p := range m.targets() {
 		m.say(kindBeat, p, 0, m.due(true))
@@ -255,8 +225,13 @@
 			away = append(away, p)
 		}
 	}
-	if len(away) > 0 {
-		m.say(kindBeat, away[m.rng.IntN(len(away))], 0, []record{m.self.record})
+	if len(away) == 0 {
+		return
+	}
+	if p := away[m.rng.IntN(len(away))]; len(m.order) < 2 {
+		m.inquire(p)
+	} else {
+		m.say(kindBeat, p, 0, []record{m.self.record})
 	}
 }
 
@@ -265,7 +240,7 @@
 func (m *Machine) due(pressing bool) (rs []record) {
 	ids := make([]ID, 0, len(m.news))
 	for id := range m.news {
-		if r := &m.peers[id].record; !pressing || r.Left || len(r.Words) > 0 {
+		if !pressing || m.peers[id].record.pressing() {
 			ids = append(ids, id)
 		}
 	}
@@ -319,33 +294,27 @@
 
 func (m *Machine) send(d message, to *peer) (n int) {
 	rs := d.Carries
+	if len(rs) == 0 && to.agreed != m.view.Digest && m.now-m.viewed < 8*m.cfg.Beat && (d.Kind == kindBeat || d.Kind == kindProbe || d.Kind == kindAnswer) {
+		rs = []record{m.self.record} // it may not know this member, and so not tell it that it lives
+	}
 	d.Carries = nil
 	d.From, d.Inc, d.Seq, d.View = m.self.id, m.self.record.Inc, uint16(m.seq), m.view
-	d.Records = m.digest()&^0xff | m.murmur(d.Seq)
-	sums := &m.sums
-	switch d.Kind {
-	case kindMore:
-		sums = &m.talk.sums
-		fallthrough
-	case kindSync:
-		for _, s := range sums {
-			d.Sums = append(d.Sums, uint16(s))
-		}
-	case kindList:
-		d.Lists = m.list(d.About)
-	}
+	d.Knows = uint32(m.knows)
+	d.Records = m.digest&^0xff | m.murmur(d.Seq)
 	b := d.append(make([]byte, 0, m.cfg.Limit))
 	frame := sumBytes + m.cfg.Frame
 	if float64(len(b)+frame)+m.keep(d.Kind) > m.tokens || len(b)+sumBytes > m.cfg.Limit {
 		return -1
 	}
 	most := min(m.cfg.Limit-sumBytes, int(m.tokens-m.reserve())-frame)
+	at := d.place()
 	for _, r := range rs {
-		at := len(b)
-		if b = r.append(b); len(b) > most {
-			b = b[:at]
+		whole := len(b)
+		if b = r.append(b, at); len(b) > most {
+			b = b[:whole]
 			break
 		}
+		at = r.place()
 		n++
 		m.told(r.Author)
 	}
@@ -355,4 +324,4 @@
 }
 
 // murmur is a byte of the rumours' digest, another one in each turn: what differs shows soon, though a byte is little.
-func (m *Machine) murmur(seq uint16) uint32 { return mix(m.talk.digest(), uint32(seq)) & 0xff }
+func (m *Machine) murmur(seq uint16) uint32 { return mix(m.talk.digest, uint32(seq)) & 0xff }
--- a/internal/decide/members/judge.go
+++ b/internal/decide/members/judge.go
@@ -238,6 +238,6 @@
 	}
 	v.Number = max(m.seen, m.view.Number) + 1
 	here, lately := m.muster()
-	m.view, m.major, m.ripe = v, 2*here > lately, 0
+	m.view, m.major, m.ripe, m.viewed = v, 2*here > lately, 0, m.now
 	m.out = append(m.out, Changed{v, m.major})
 }
--- a/internal/decide/members/members.go
+++ b/internal/decide/members/members.go
@@ -123,13 +123,15 @@
 	heard   time.Duration // a datagram came; 0: never
 	fresh   time.Duration // what silence counts from: heard, or the time of a pause
 	beat    uint16        // sequence of its last beat
-	loss    float64       // share of its beats that are lost on the way
+	beats   int           // of it, that were counted for loss, up to lossOver
+	loss    float64       // share of them that are lost on the way
 	watched bool
 	asked   int           // questions without an answer
 	askAt   time.Duration // the next one
 	again   int           // questions since it was said not to be heard
 	mine    verdict       // what this member's own record says of it
 	agreed  uint32        // digest of its view
+	knows   int           // how many records it has
 	differs time.Duration // since then it differs; 0: it does not
 	synced  time.Duration // it was last told, or asked, what differs
 	vouch   time.Duration // another has asked for it: until then it is said whether it is heard
@@ -177,31 +179,36 @@
 	beatAt  time.Duration
 	seq     uint32
 	tokens  float64
+	asks    float64 // of these, for questions for what differs
 	filled  time.Duration
 	doubt   time.Duration // this member doubts itself until then
 	why     string
 	answer  time.Duration // anybody was heard at all
 	seek    time.Duration // while nobody is: the next look for anybody
+	loss    float64       // share of all beats to this member that are lost
 	wrong   int           // words of this member that others have contradicted lately
 	wrongAt time.Duration // the last one
 	leaving bool
 
 	news    map[ID]int    // records that are to be passed on, so many times more
 	flush   time.Duration // when they are
-	sums    [buckets]uint32
+	knows   int           // how many records there are here
+	digest  uint32        // of all records
 	moved   bool          // records have changed since they were judged
 	synced  time.Duration // a question for what differs was last asked
-	lists   bool          // the last one was by a list
+	gained  int           // records that were learned by it
+	fresh   int           // records that were to be passed on of late: in two beats, about
 	talk    rumours
 	expires time.Duration // rumours are looked at next
 
-	view  View
-	major bool
-	seen  uint32        // the highest number of a view that was heard of
-	ripe  time.Duration // since then a change of the view waits
-	shape uint32        // the digest that waits
-	still time.Duration // since then it is the same
-	waits time.Duration // since then some would be called dead
+	view   View
+	viewed time.Duration // since then
+	major  bool
+	seen   uint32        // the highest number of a view that was heard of
+	ripe   time.Duration // since then a change of the view waits
+	shape  uint32        // the digest that waits
+	still  time.Duration // since then it is the same
+	waits  time.Duration // since then some would be called dead
 
 	Dropped int // datagrams that could not be read, or were not of whom they said
 	Crowded int // members that would have been too many
@@ -222,10 +229,11 @@
 func begin(cfg Config, self ID, inc uint32, named []ID, now time.Duration, rng Chance) *Machine {
 	m := &Machine{
 		cfg: cfg, rng: rng, peers: map[ID]*peer{}, now: now, began: now, next: now, beatAt: now,
-		tokens: cfg.Burst, filled: now, news: map[ID]int{}, talk: rumours{all: map[about]Rumour{}, news: map[about]int{}}, answer: now, stale: true,
+		tokens: cfg.Burst, asks: cfg.Burst / asking, filled: now, news: map[ID]int{}, talk: rumours{all: map[about]Rumour{}, news: map[about]int{}}, answer: now, stale: true,
 	}
 	m.self = &peer{id: self, known: true, record: record{Author: self, Inc: inc}, state: Alive, seenIn: now}
 	m.enter(m.self)
+	m.knows = 1
 	for _, id := range named {
 		m.peer(id)
 	}
@@ -388,6 +396,7 @@
 // refill adds to what may be sent.
 func (m *Machine) refill(now time.Duration) {
 	m.tokens = min(m.cfg.Burst, m.tokens+m.cfg.Bytes*(now-m.filled).Seconds())
+	m.asks = min(m.cfg.Burst/asking, m.asks+m.cfg.Bytes/2/asking*(now-m.filled).Seconds())
 	m.filled = now
 }
 
--- a/internal/decide/members/record.go
+++ b/internal/decide/members/record.go
@@ -42,6 +42,10 @@
 	return cmp.Or(cmp.Compare(r.Inc, o.Inc), cmp.Compare(r.Seq, o.Seq)) > 0
 }
 
+// pressing tells whether others wait for it: it says something of members, or that its author leaves. What else there is to
+// know can be asked for.
+func (r record) pressing() bool { return r.Left || len(r.Words) > 0 }
+
 // hash is the same for the same record, whoever has it.
 func (r record) hash() uint32 { return mix(mix(r.Author.key()*2654435761, r.Inc), uint32(r.Seq)) }
 
@@ -63,27 +67,45 @@
 	flagDoubts = 2
 )
 
-func (r record) append(b []byte) []byte {
-	b = binary.AppendUvarint(b, uint64(r.Author))
-	b = binary.BigEndian.AppendUint32(b, r.Inc)
-	b = binary.BigEndian.AppendUint16(b, r.Seq)
-	flags := byte(0)
+// place is what a record is written in relation to: the sender at first, and then the record before. Front ends of one installation
+// have addresses close to each other and have started within days, so that most records take half the bytes.
+type place struct {
+	id  ID
+	inc uint32
+}
+
+func (r record) append(b []byte, at place) []byte {
+	b = binary.AppendUvarint(b, zig(int64(r.Author)-int64(at.id)))
+	b = binary.AppendUvarint(b, zig(int64(int32(r.Inc-at.inc))))
+	b = binary.AppendUvarint(b, uint64(r.Seq))
+	flags := uint64(0)
 	if r.Left {
 		flags |= flagLeft
 	}
 	if r.Doubts {
 		flags |= flagDoubts
 	}
-	b = append(b, flags, byte(len(r.Words)))
-	last := uint64(0)
-	for _, e := range r.Words { // in order, so that differences are small
-		b = binary.AppendUvarint(b, (uint64(e.About)-last)<<2|uint64(e.Says))
+	b = binary.AppendUvarint(b, uint64(len(r.Words))<<2|flags)
+	last := r.Author
+	for i, e := range r.Words { // in order, so that differences are small, and all but the first above 0
+		by := uint64(e.About - last)
+		if i == 0 {
+			by = zig(int64(e.About) - int64(last))
+		}
+		b = binary.AppendUvarint(b, by<<2|uint64(e.Says))
 		b = append(b, e.Tag)
-		last = uint64(e.About)
+		last = e.About
 	}
 	return b
 }
 
+func (r record) place() place { return place{r.Author, r.Inc} }
+
+// zig and zag write a number of either sign as one that is small where it is near 0.
+func zig(v int64) uint64 { return uint64(v<<1 ^ v>>63) }
+
+func zag(v uint64) int64 { return int64(v>>1) ^ -int64(v&1) }
+
 // number reads a number that is written in the fewest bytes, as all here are.
 func number(b []byte) (v uint64, rest []byte, err error) {
 	v, n := binary.Uvarint(b)
@@ -93,29 +115,47 @@
 	return v, b[n:], nil
 }
 
-func readRecord(b []byte) (r record, rest []byte, err error) {
-	v, b, err := number(b)
-	if err != nil || v > MostID || len(b) < 8 {
-		return r, nil, errWire
+// member adds a signed difference to an id, where that is one.
+func member(at ID, by uint64) (ID, error) {
+	id := int64(at) + zag(by)
+	if by > 2*MostID+1 || id < 0 || id > MostID {
+		return 0, errWire
 	}
-	r.Author, r.Inc, r.Seq = ID(v), binary.BigEndian.Uint32(b), binary.BigEndian.Uint16(b[4:])
-	flags, n := b[6], int(b[7])
-	if flags > flagLeft|flagDoubts || n > mostWords {
+	return ID(id), nil
+}
+
+func readRecord(b []byte, at place) (r record, rest []byte, err error) {
+	var head [4]uint64
+	for i := range head {
+		if head[i], b, err = number(b); err != nil {
+			return r, nil, errWire
+		}
+	}
+	flags, n := byte(head[3]&3), head[3]>>2
+	if r.Author, err = member(at.id, head[0]); err != nil || head[1] > 1<<32-1 || head[2] > 1<<16-1 || n > mostWords {
 		return r, nil, errWire
 	}
+	r.Inc, r.Seq = at.inc+uint32(zag(head[1])), uint16(head[2])
 	r.Left, r.Doubts = flags&flagLeft != 0, flags&flagDoubts != 0
-	b = b[8:]
-	last := uint64(0)
+	last := r.Author
 	for i := range n {
-		if v, b, err = number(b); err != nil || len(b) == 0 {
+		var v uint64
+		if v, b, err = number(b); err != nil || len(b) == 0 || v&3 == 0 {
 			return r, nil, errWire
 		}
 		by := v >> 2
-		if by == 0 && i > 0 || v&3 == 0 || last+by > MostID || ID(last+by) == r.Author { // twice, of nothing, of itself
+		if i > 0 { // it was written as it is
+			if by > MostID {
+				return r, nil, errWire
+			}
+			by = zig(int64(by))
+		}
+		id, err := member(last, by)
+		if err != nil || id == last || id == r.Author { // twice, or of itself
 			return r, nil, errWire
 		}
-		last += by
-		r.Words = append(r.Words, entry{ID(last), b[0], verdict(v & 3)})
+		last = id
+		r.Words = append(r.Words, entry{id, b[0], verdict(v & 3)})
 		b = b[1:]
 	}
 	return r, b, nil
--- a/internal/decide/members/rumour.go
+++ b/internal/decide/members/rumour.go
@@ -54,19 +54,12 @@
 
 // rumours is what one member has heard.
 type rumours struct {
-	all  map[about]Rumour
-	news map[about]int // to be passed on, so many times more
-	sums [buckets]uint32
+	all    map[about]Rumour
+	news   map[about]int // to be passed on, so many times more
+	digest uint32        // of all
 }
 
-func (s *rumours) sum(r Rumour) { s.sums[r.about().hash()%buckets] ^= r.hash() }
-
-func (s *rumours) digest() (all uint32) {
-	for _, x := range s.sums {
-		all = mix(all, x)
-	}
-	return all
-}
+func (s *rumours) sum(r Rumour) { s.digest ^= r.hash() }
 
 func (s *rumours) put(r Rumour) {
 	if old, ok := s.all[r.about()]; ok {
--- a/internal/decide/members/watch.go
+++ b/internal/decide/members/watch.go
@@ -86,10 +86,23 @@
 	return to
 }
 
+// lossOver is over how many beats the loss on a way is measured, about.
+const lossOver = 16
+
+// lost is the share that is thought to be lost on the way of another: what was measured, and where that is little, and nobody else has
+// missed it, what is lost on all ways here. Guards against a start amid loss, in which those who don't know yet whom to tell that they
+// live are asked too few times.
+func (m *Machine) lost(p *peer) float64 {
+	if p.beats < lossOver && len(p.against) == 0 {
+		return max(p.loss, m.loss)
+	}
+	return p.loss
+}
+
 // silence is how long a member may say nothing before it is asked: as many beats as are hardly ever lost in a row on
 // its way.
 func (m *Machine) silence(p *peer) time.Duration {
-	n := math.Ceil(math.Log(0.005) / math.Log(max(p.loss, 0.05)))
+	n := math.Ceil(math.Log(0.005) / math.Log(max(m.lost(p), 0.05)))
 	beats := min(max(n, float64(m.cfg.Missed)), 10)
 	return time.Duration(beats*float64(m.cfg.Beat)) + m.cfg.Beat/4
 }
@@ -104,8 +117,8 @@
 
 // copies is how often a question goes out at once: twice where much is lost. A wrong word costs far more than it, as it goes to
 // all, and so does its answer.
-func copies(p *peer) int {
-	if p.loss > 0.1 {
+func (m *Machine) copies(p *peer) int {
+	if m.lost(p) > 0.1 {
 		return 2
 	}
 	return 1
@@ -113,8 +126,8 @@
 
 // questions is how many may go without an answer, over the same way and back.
 func (m *Machine) questions(p *peer) int {
-	both := 1 - (1-p.loss)*(1-p.loss)
-	n := math.Ceil(math.Log(0.002) / (float64(copies(p)) * math.Log(max(both, 0.05))))
+	both := 1 - (1-m.lost(p))*(1-m.lost(p))
+	n := math.Ceil(math.Log(0.002) / (float64(m.copies(p)) * math.Log(max(both, 0.05))))
 	return int(min(max(n, float64(m.cfg.Probes)), 8))
 }
 
@@ -181,7 +194,7 @@
 		if p.mine == deaf || p.mine == aside { // it is asked still, now and then
 			p.askAt = m.now + 4*m.cfg.Beat
 			if p.mine == deaf { // the more rarely, the longer it is away
-				p.askAt = m.now + m.cfg.Beat<<min(p.again, 6)
+				p.askAt = m.now + 4*m.cfg.Beat<<min(p.again, 4)
 				p.again++
 			}
 			m.say(kindProbe, p, 0, nil)
@@ -190,7 +203,7 @@
 		if p.asked >= m.questions(p) || m.say(kindProbe, p, 0, nil) < 0 {
 			continue // listen has it, or it was not asked
 		}
-		if copies(p) > 1 {
+		if m.copies(p) > 1 {
 			m.say(kindProbe, p, 0, nil)
 		}
 		p.asked++
--- a/internal/decide/members/wire.go
+++ b/internal/decide/members/wire.go
@@ -3,35 +3,33 @@
 import (
 	"encoding/binary"
 	"hash/crc32"
+	"slices"
 )
 
 // A datagram is a head and records, as many as fit. Numbers are big-endian.
 //
-//	version and kind:1 from:uvarint inc:4 seq:2 records' digest:4 view's number:uvarint view's digest:4 about:uvarint
+//	version and kind:1 from:uvarint inc:4 seq:2 records' digest:4 records:uvarint view's number:uvarint view's digest:4 about:uvarint
 //
 // Four bytes more are a sum of all before (CRC-32C): what was changed on its way counts for nothing, also where
 // nothing is signed.
 //
 // about is the member that is asked for (kindAsk), or the sequence that is answered (kindAnswer), else 0.
-// A kindSync and a kindMore have the digests of the sender's buckets in place of records, a kindTalk rumours.
+// A kindHave and a kindMore have a filter before the records, behind a byte with its length: of what the sender has of the part
+// that about names. A kindTalk has rumours in place of records. In a kindTell that answers a kindHave, about is 1.
 const (
-	version    = 1 << 4
+	version    = 2 << 4
 	kindBeat   = 1 // the sender lives
 	kindProbe  = 2 // answer this
 	kindAnswer = 3
 	kindAsk    = 4 // probe another member, whose answer is heard of in records
-	kindSync   = 5 // tell what is not in these digests
+	kindHave   = 5 // tell the records that are not in this filter
 	kindTell   = 6 // records
-	kindList   = 7 // tell what is not in this list of a part of the records
-	kindTalk   = 8 // rumours
-	kindMore   = 9 // tell the rumours that are not in these digests
+	kindTalk   = 7 // rumours
+	kindMore   = 8 // tell the rumours that are not in this filter
 )
 
 // mostHead bounds a datagram's head, in bytes.
-const mostHead = 37
-
-// buckets is into how many parts records are divided to find those that differ.
-const buckets = 32
+const mostHead = 39
 
 type message struct {
 	Kind    byte
@@ -39,27 +37,18 @@
 	Inc     uint32
 	Seq     uint16
 	Records uint32 // digest of the records, and in its lowest byte of the rumours
+	Knows   uint32 // how many records it has
 	View    View   // without its size
 	About   uint64
-	Sums    []uint16
-	Lists   []listed
+	Has     filter
 	Carries []record
 	Talk    []Rumour
 }
 
-// listed tells which record of a member its sender has, by a byte.
-type listed struct {
-	ID  ID
-	Sum uint8
-}
-
-// mostListed is how many members a part of the records holds, about: a list of them fits a datagram.
-const mostListed = 40
+func (d message) place() place { return place{d.From, d.Inc} }
 
-// part tells whether a member is in the part that about names: its number, and of how many, in a byte each.
-func part(id ID, about uint64) bool {
-	return uint64(mix(id.key(), 7))%max(about&0xff, 1) == about>>8
-}
+// asks tells whether a message has a filter.
+func (d message) asks() bool { return d.Kind == kindHave || d.Kind == kindMore }
 
 func (d message) append(b []byte) []byte {
 	b = append(b, version|d.Kind)
@@ -67,19 +56,17 @@
 	b = binary.BigEndian.AppendUint32(b, d.Inc)
 	b = binary.BigEndian.AppendUint16(b, d.Seq)
 	b = binary.BigEndian.AppendUint32(b, d.Records)
+	b = binary.AppendUvarint(b, uint64(d.Knows))
 	b = binary.AppendUvarint(b, uint64(d.View.Number))
 	b = binary.BigEndian.AppendUint32(b, d.View.Digest)
 	b = binary.AppendUvarint(b, d.About)
-	for _, s := range d.Sums {
-		b = binary.BigEndian.AppendUint16(b, s)
-	}
-	last := ID(0)
-	for _, l := range d.Lists {
-		b = append(binary.AppendUvarint(b, uint64(l.ID-last)), l.Sum)
-		last = l.ID
+	if d.asks() {
+		b = append(append(b, byte(len(d.Has))), d.Has...)
 	}
+	at := d.place()
 	for _, r := range d.Carries {
-		b = r.append(b)
+		b = r.append(b, at)
+		at = r.place()
 	}
 	for _, r := range d.Talk {
 		b = r.append(b)
@@ -115,7 +102,11 @@
 	}
 	d.From, d.Inc = ID(v), binary.BigEndian.Uint32(b)
 	d.Seq, d.Records = binary.BigEndian.Uint16(b[4:]), binary.BigEndian.Uint32(b[6:])
-	if v, b, err = number(b[10:]); err != nil || v > 1<<32-1 || len(b) < 4 {
+	if v, b, err = number(b[10:]); err != nil || v > mostMembers {
+		return d, errWire
+	}
+	d.Knows = uint32(v)
+	if v, b, err = number(b); err != nil || v > 1<<32-1 || len(b) < 4 {
 		return d, errWire
 	}
 	d.View = View{Number: uint32(v), Digest: binary.BigEndian.Uint32(b)}
@@ -123,21 +114,11 @@
 		return d, errWire
 	}
 	d.About = v
-	if d.Kind == kindSync || d.Kind == kindMore {
-		if len(b) != 2*buckets {
-			return d, errWire
-		}
-		for ; len(b) > 0; b = b[2:] {
-			d.Sums = append(d.Sums, binary.BigEndian.Uint16(b))
-		}
-		return d, nil
-	}
-	for last := uint64(0); d.Kind == kindList && len(b) > 0; b = b[1:] {
-		if v, b, err = number(b); err != nil || len(b) == 0 || v == 0 && len(d.Lists) > 0 || last+v > MostID {
+	if d.asks() {
+		if len(b) < 1 || len(b) <= int(b[0]) {
 			return d, errWire
 		}
-		last += v
-		d.Lists = append(d.Lists, listed{ID(last), b[0]})
+		d.Has, b = slices.Clone(b[1:1+int(b[0])]), b[1+int(b[0]):]
 	}
 	for d.Kind == kindTalk && len(b) > 0 {
 		var r Rumour
@@ -146,11 +127,13 @@
 		}
 		d.Talk = append(d.Talk, r)
 	}
+	at := d.place()
 	for len(b) > 0 {
 		var r record
-		if r, b, err = readRecord(b); err != nil {
+		if r, b, err = readRecord(b, at); err != nil {
 			return d, err
 		}
+		at = r.place()
 		d.Carries = append(d.Carries, r)
 	}
 	return d, nil
--- a/internal/decide/members/wire_test.go
+++ b/internal/decide/members/wire_test.go
@@ -26,17 +26,13 @@
 func TestWire(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := message{
-			Kind: byte(rapid.IntRange(kindBeat, kindMore).Draw(t, "kind")), From: ID(rapid.Uint64Range(0, MostID).Draw(t, "from")), Inc: 7, Seq: 9, Records: 11,
+			Kind: byte(rapid.IntRange(kindBeat, kindMore).Draw(t, "kind")), From: ID(rapid.Uint64Range(0, MostID).Draw(t, "from")), Inc: 7, Seq: 9, Records: 11, Knows: rapid.Uint32Range(0, mostMembers).Draw(t, "knows"),
 			View: View{Number: rapid.Uint32().Draw(t, "number"), Digest: 13}, About: rapid.Uint64Range(0, MostID).Draw(t, "about"),
 		}
 		switch d.Kind {
-		case kindSync, kindMore:
-			d.Sums = rapid.SliceOfN(rapid.Uint16(), buckets, buckets).Draw(t, "sums")
-		case kindList:
-			for i, id := range rapid.SliceOfNDistinct(rapid.Uint32Range(1, 9000), 0, 40, rapid.ID).Draw(t, "list") {
-				d.Lists = append(d.Lists, listed{ID(id), uint8(i)})
-			}
-			slices.SortFunc(d.Lists, func(a, b listed) int { return int(a.ID) - int(b.ID) })
+		case kindHave, kindMore:
+			d.Has = rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "filter")
+			d.Carries = []record{drawRecord(t, 5)}
 		case kindTalk:
 			for i := range rapid.IntRange(0, 3).Draw(t, "rumours") {
 				d.Talk = append(d.Talk, Rumour{Topic: 3, Key: rapid.Uint32().Draw(t, "key"), Owner: ID(i), Inc: 1, Version: 9, Body: rapid.SliceOfN(rapid.Byte(), 0, MostBody).Draw(t, "body")})
@@ -55,8 +51,8 @@
 
 func FuzzRead(f *testing.F) {
 	f.Add(message{Kind: kindBeat, From: 300, Carries: []record{{Author: 3, Words: []entry{{4, 1, deaf}}}}}.append(nil))
-	f.Add(message{Kind: kindSync, Sums: make([]uint16, buckets)}.append(nil))
-	f.Add(message{Kind: kindList, Lists: []listed{{4, 1}, {9, 2}}}.append(nil))
+	f.Add(message{Kind: kindHave, About: 2, Has: filter{1, 2, 3}, Carries: []record{{Author: 3}}}.append(nil))
+	f.Add(message{Kind: kindMore, Has: filter{7}}.append(nil))
 	f.Add(message{Kind: kindTalk, Talk: []Rumour{{Topic: 1, Key: 300, Owner: 4, Version: 2, Body: []byte("x")}}}.append(nil))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		d, err := read(b)
@@ -102,12 +98,12 @@
 		}
 		a, b := newMachine(1, 1), newMachine(1, 1)
 		for _, r := range rs {
-			a.merge(r)
+			a.merge(r, false)
 		}
 		for _, i := range rapid.Permutation(append(rs, rs...)).Draw(t, "order") {
-			b.merge(i)
+			b.merge(i, false)
 		}
-		if a.digest() != b.digest() {
+		if a.digest != b.digest {
 			t.Fatal("the order counts")
 		}
 		for id, p := range a.peers {
