--- a/internal/decide/members/gossip.go
+++ b/internal/decide/members/gossip.go
@@ -156,7 +156,7 @@
 // is passed on only where others wait for it.
 func (m *Machine) merge(r record, answer bool) {
 	if r.Author == m.self.id {
-		if own := m.self.record; r.Inc > own.Inc || r.Inc == own.Inc && r.Seq > own.Seq || r.Left && r.Inc == own.Inc && !m.leaving {
+		if own := m.self.record; r.Inc > own.Inc || r.Inc == own.Inc && (r.Seq > own.Seq || r.Seq == own.Seq && r.hash() != own.hash() || r.Left && !m.leaving) {
 			m.renew(r.Inc + 1)
 		}
 		return
--- a/internal/decide/members/record.go
+++ b/internal/decide/members/record.go
@@ -50,8 +50,21 @@
 // of its author. Guards against disputes that go on because nobody hears that they are over.
 func (r record) presses(was record) bool { return r.pressing() || was.pressing() || r.Inc != was.Inc }
 
-// hash is the same for the same record, whoever has it.
-func (r record) hash() uint32 { return mix(mix(r.Author.key()*2654435761, r.Inc), uint32(r.Seq)) }
+// hash is the same for the same record, whoever has it. What it says counts: a process that starts in the second up to which the one
+// before had answered may write another record under the same numbers, which else nobody would see.
+func (r record) hash() uint32 {
+	h := mix(mix(r.Author.key()*2654435761, r.Inc), uint32(r.Seq))
+	if r.Left {
+		h = mix(h, flagLeft)
+	}
+	if r.Doubts {
+		h = mix(h, flagDoubts)
+	}
+	for _, w := range r.Words {
+		h = mix(mix(h, w.About.key()), uint32(w.Tag)<<8|uint32(w.Says))
+	}
+	return h
+}
 
 // mix spreads two words over one (the finalizer of MurmurHash3, which is in the public domain).
 func mix(a, b uint32) uint32 {
--- a/internal/decide/members/sync.go
+++ b/internal/decide/members/sync.go
@@ -83,7 +83,7 @@
 	}
 	var have []thing
 	for _, o := range m.all {
-		if o.known && o != m.self {
+		if o.known {
 			have = append(have, thing{o.id.key(), o.record.hash()})
 		}
 	}
@@ -138,7 +138,7 @@
 func (m *Machine) supply(p *peer, d message) {
 	var rs []record
 	for _, o := range m.all {
-		if o.known && o != p && !d.covers(o.id.key(), o.record.hash()) {
+		if o.known && !d.covers(o.id.key(), o.record.hash()) {
 			rs = append(rs, o.record)
 		}
 	}
--- a/internal/decide/members/wire_test.go
+++ b/internal/decide/members/wire_test.go
@@ -146,3 +146,29 @@
 		}
 	})
 }
+
+// A process that starts under the incarnation up to which the one before it had answered, and writes as often, is told so by those who
+// remember that one, and takes up the next. Else its record and theirs would differ for good under one number, as the model check found.
+func TestTwoRecordsUnderOneNumber(t *testing.T) {
+	f := fewOf(5)
+	m, other := f.all[0], f.all[1]
+	own := m.self.record
+	remembered := own
+	remembered.Words = []entry{{4, 1, deaf}}
+	if own.hash() == remembered.hash() {
+		t.Error("what a record says does not count")
+	}
+	p := other.peers[1]
+	other.sum(p.record)
+	p.record = remembered
+	other.sum(p.record)
+	f.run(f.now+20*time.Second, nil)
+	if m.self.record.Inc == own.Inc {
+		t.Error("it goes on under the same number")
+	}
+	for _, o := range f.all {
+		if o.digest != m.digest {
+			t.Errorf("member %d has other records", o.self.id)
+		}
+	}
+}
