Keep signed datagrams of members within 256 bytes, and a record within one datagram

What signing adds, 25 bytes, came on top of the 256 that words among front ends may have. And a record may have 60 words, which with ids that are addresses take some 300 bytes: it fitted no datagram, and nobody would have heard of it. Datagrams leave room for their signature now, and a record leaves out the last words that don't fit. Each has a test that fails without it.

--- a/internal/decide/members/record.go
+++ b/internal/decide/members/record.go
@@ -34,7 +34,7 @@
 	Words  []entry
 }
 
-// mostWords bounds the words of a record, so that it fits a datagram. Who has more to say should doubt itself.
+// mostWords bounds the words of a record; that it fits a datagram bounds them too. Who has more to say should doubt itself.
 const mostWords = 60
 
 // after tells whether a record is later than another of the same author.
--- a/internal/decide/members/watch.go
+++ b/internal/decide/members/watch.go
@@ -252,6 +252,9 @@
 			words = append(words, entry{p.id, uint8(p.record.Inc), p.mine})
 		}
 	}
+	for longest := m.cfg.Limit - sumBytes - mostHead; len((record{Author: m.self.id, Inc: m.self.record.Inc, Seq: 1<<16 - 1, Words: words}).append(nil, place{})) > longest; {
+		words = words[:len(words)-1] // what does not fit a datagram nobody would hear of
+	}
 	if slices.Equal(words, m.self.record.Words) && doubts == m.self.record.Doubts {
 		return
 	}
--- a/internal/decide/members/wire_test.go
+++ b/internal/decide/members/wire_test.go
@@ -172,3 +172,28 @@
 		}
 	}
 }
+
+// Whatever a member has to say of members whose ids are addresses, its record fits a datagram, beside a head.
+func TestRecordFitsADatagram(t *testing.T) {
+	cfg := Defaults()
+	cfg.Limit -= 25
+	address := func(host int) ID { return ID(10<<40 | host<<16 | 7946) }
+	var named []ID
+	for host := range 300 {
+		named = append(named, address(host))
+	}
+	m := New(cfg, address(0), 1_800_000_000, named, time.Hour, rand.New(rand.NewPCG(1, 1)))
+	for _, id := range named[1:] {
+		m.merge(record{Author: id, Inc: 1_800_000_000}, true)
+		m.peers[id].mine = deaf
+	}
+	m.voided, m.now = true, m.now+time.Minute
+	m.revise()
+	if n := len(m.self.record.Words); n < 30 {
+		t.Errorf("only %d words", n)
+	}
+	d := message{Kind: kindTell, From: address(0), Inc: 1, Seq: 1<<16 - 1, Records: 1<<32 - 1, Knows: mostMembers, View: View{Number: 1<<32 - 1, Digest: 1<<32 - 1}, Carries: []record{m.self.record}}
+	if n := len(seal(d.append(nil))); n > cfg.Limit {
+		t.Errorf("%d bytes", n)
+	}
+}
--- a/internal/members/keys_test.go
+++ b/internal/members/keys_test.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"testing"
 	"time"
+
+	decide "gannetspur/internal/decide/members"
 )
 
 func TestKeys(t *testing.T) {
@@ -60,3 +62,13 @@
 		}
 	}
 }
+
+// A datagram is no longer for being signed.
+func TestSignedIsNoLonger(t *testing.T) {
+	cfg := signed(decide.Defaults())
+	self := netip.MustParseAddrPort("127.0.0.1:7946")
+	k := NewKeys(self, []Key{{1, []byte("a secret of the two of them")}})
+	if n := len(k.seal(1000*time.Hour, self, make([]byte, cfg.Limit))); n > decide.Defaults().Limit {
+		t.Errorf("%d bytes, %d at most", n, decide.Defaults().Limit)
+	}
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -46,7 +46,7 @@
 func Start(loop *netio.Loop, opts Options, counters *stats.Counters, log *slog.Logger) (*Service, error) {
 	s := &Service{loop: loop, opts: opts, stats: counters, log: log}
 	if opts.Keys != nil {
-		opts.Config.Frame += overhead
+		opts.Config = signed(opts.Config)
 	}
 	var err error
 	if s.socket, err = loop.Datagrams(opts.Listen, s.take); err != nil {
@@ -65,6 +65,13 @@
 	return s, nil
 }
 
+// signed is a configuration whose datagrams, with what signing adds, are as long as without. Guards the bound of 256 bytes.
+func signed(cfg decide.Config) decide.Config {
+	cfg.Frame += overhead
+	cfg.Limit -= overhead
+	return cfg
+}
+
 func (s *Service) resume(now time.Duration) (*decide.Machine, error) {
 	var c decide.Carried
 	if err := carriedMode.Unmarshal(s.opts.Carried, &c); err != nil {
