Settle an engine's voters once, and read over the rest of the change

All members were sorted anew for each claim and each promise of a lent part, though an engine's voters never change. Questions for what differs gathered all records before they looked whether there were bytes to ask; when one is asked had grown into one long condition, which is a function of its own now. A comment and the design note told shares of a filter and of an answer that were no longer so.

--- a/internal/decide/lend/lend.go
+++ b/internal/decide/lend/lend.go
@@ -77,8 +77,9 @@
 
 // cold is what a member knows of one engine.
 type cold struct {
-	need  int
-	asked time.Duration // by others, for a part: while they do, this member claims where it is the first
+	need   int
+	asked  time.Duration // by others, for a part: while they do, this member claims where it is the first
+	voters []ID
 
 	// As a voter.
 	promised   ID
@@ -179,7 +180,7 @@
 			m.Refused++
 			return nil
 		}
-		c = &cold{}
+		c = &cold{voters: m.voters(e)}
 		m.engines[e] = c
 	}
 	return c
@@ -237,7 +238,7 @@
 	m.count++
 	c.claimed, c.yes = m.now, nil
 	c.claim = word{kind: kindClaim, engine: e, run: m.run, count: m.count}
-	for _, v := range m.voters(e) {
+	for _, v := range c.voters {
 		m.say(v, c.claim)
 	}
 }
@@ -268,7 +269,7 @@
 	}
 	switch w.kind {
 	case kindClaim:
-		if m.now-m.began < m.cfg.Term || m.now < c.promisedTo && (c.promised != from || c.promisedIn != w.run) || !slices.Contains(m.voters(w.engine), m.self) {
+		if m.now-m.began < m.cfg.Term || m.now < c.promisedTo && (c.promised != from || c.promisedIn != w.run) || !slices.Contains(c.voters, m.self) {
 			return
 		}
 		c.promised, c.promisedIn, c.promisedTo = from, w.run, m.now+m.cfg.Term
@@ -279,7 +280,7 @@
 			return // of an earlier claim, or of a process before this one
 		}
 		c.yes = append(c.yes, from)
-		if 2*len(c.yes) > len(m.voters(w.engine)) {
+		if 2*len(c.yes) > len(c.voters) {
 			c.holds = max(c.holds, c.claimed+m.hold(m.cfg.Term))
 		}
 	case kindAsk:
@@ -323,7 +324,7 @@
 
 // voters of an engine are the first of all members in an order of its own, whether they live or not: the same at all members.
 func (m *Machine) voters(e Engine) []ID {
-	return order(e, m.cfg.Members)[:min(m.cfg.Voters, len(m.cfg.Members))]
+	return slices.SortedFunc(slices.Values(m.cfg.Members), rank(e))[:min(m.cfg.Voters, len(m.cfg.Members))]
 }
 
 // first is the member that lends an engine where all have the same view; where they have not, the voters decide.
@@ -334,8 +335,6 @@
 	return slices.MinFunc(m.live, rank(e)), true
 }
 
-func order(e Engine, ids []ID) []ID { return slices.SortedFunc(slices.Values(ids), rank(e)) }
-
 // rank orders members for an engine by rendezvous (Thaler and Ravishankar 1998).
 func rank(e Engine) func(a, b ID) int {
 	weight := func(id ID) uint32 { return mix(mix(0, uint64(e)), uint64(id)) }
--- a/internal/decide/lend/lend_test.go
+++ b/internal/decide/lend/lend_test.go
@@ -222,7 +222,7 @@
 // In peace most of the whole is lent soon, and again once a lender has died; what is not needed any more goes to others at once.
 func TestLent(t *testing.T) {
 	f := newFleet(5, 1, 0.005)
-	first := int(order(0, f.cfg.Members)[0]) - 1
+	first := int(slices.MinFunc(f.cfg.Members, rank(0))) - 1
 	a, b := (first+1)%5, (first+2)%5
 	f.need(a, 0, Whole)
 	part := func(i int) int { return f.all[i].m.Part(0, f.clock(i)) }
--- a/internal/decide/members/gossip.go
+++ b/internal/decide/members/gossip.go
@@ -144,7 +144,7 @@
 			rs = append(rs, m.peers[id].record)
 		}
 		m.say(kindTell, p, 0, rs)
-	case (!p.known || p.differs > 0 && p.knows+leads >= m.knows && (m.now-p.differs >= m.pace(p) || m.lacks(p))) && m.now-m.synced >= m.pace(p):
+	case m.misses(p) && m.now-m.synced >= m.pace(p):
 		m.inquire(p)
 	}
 	if p.unlike > 0 && m.now-p.unlike > 3*m.cfg.Beat && m.now-m.talk.asked > 3*m.cfg.Beat && len(m.talk.news) == 0 && !m.leaving {
--- a/internal/decide/members/sync.go
+++ b/internal/decide/members/sync.go
@@ -10,8 +10,8 @@
 // records it has, and the other answers with those that it has besides. So what comes back is new, whether much differs (a start
 // of hundreds) or one record of a thousand.
 
-// filter is a Bloom filter (Bloom 1970) of two bits for each thing in it. What is not in it is sure not to be; one in ten
-// of the others seems to be, another one in each question, as they are salted.
+// filter is a Bloom filter (Bloom 1970) of two bits for each thing in it. What is in it is always found; of what is not, up
+// to one in four seems to be, other things in each question, as they are salted.
 type filter []byte
 
 const (
@@ -55,9 +55,6 @@
 
 // ask sends a question for what is not in a filter of the things that this member has, or in so many parts of them.
 func (m *Machine) ask(kind byte, p *peer, have []thing, parts int, rs []record) {
-	if m.asks < float64(m.cfg.Limit+m.cfg.Frame) {
-		return
-	}
 	room := m.cfg.Limit - sumBytes - mostHead - 1 - 24 // the last for this member's own record
 	parts = min(max(len(have)*tight/(8*room)+1, parts), 255)
 	d := message{Kind: kind, Carries: rs, About: uint64(m.rng.IntN(parts))<<8 | uint64(parts)}
@@ -74,6 +71,9 @@
 	}
 }
 
+// mayAsk tells whether there are bytes for one more question.
+func (m *Machine) mayAsk() bool { return m.asks >= float64(m.cfg.Limit+m.cfg.Frame) }
+
 // inquire asks another what it has that is not here.
 func (m *Machine) inquire(p *peer) {
 	p.synced, m.synced, m.brought, m.gained = m.now, m.now, m.gained, 0
@@ -81,6 +81,9 @@
 	if p.heard == 0 || !p.known { // it may not know this one
 		own = []record{m.self.record}
 	}
+	if !m.mayAsk() {
+		return
+	}
 	var have []thing
 	for _, o := range m.all {
 		if o.known {
@@ -97,6 +100,9 @@
 // inquireRumours asks another what rumours it has that are not here.
 func (m *Machine) inquireRumours(p *peer) {
 	m.talk.asked = m.now
+	if !m.mayAsk() {
+		return
+	}
 	var have []thing
 	for a, r := range m.talk.all {
 		have = append(have, thing{a.hash(), r.hash()})
@@ -107,6 +113,15 @@
 // lacks tells whether another knows of many more members than this one.
 func (m *Machine) lacks(p *peer) bool { return p.knows > m.knows+leads }
 
+// misses tells whether another is to be asked for what differs: one that is not known, or has had other records for a while, and not so
+// many fewer that it will rather ask itself.
+func (m *Machine) misses(p *peer) bool {
+	if !p.known {
+		return true
+	}
+	return p.differs > 0 && p.knows+leads >= m.knows && (m.now-p.differs >= m.pace(p) || m.lacks(p))
+}
+
 // pace is how long one question for what differs waits after another: much that is missing is asked for at once, as long as something
 // comes of it.
 func (m *Machine) pace(p *peer) time.Duration {
@@ -123,7 +138,7 @@
 	// asking is the part of what is saved up that may go to questions for what differs; of what is sent in the long run it is half of
 	// that. Guards against members that ask so much that none can answer.
 	asking = 3
-	// shares is into how many parts what is saved up is divided: an answer takes one, so that what is left serves others too.
+	// shares is into how many parts what is saved up is divided: an answer takes one, or a datagram where that is more, so that what is left serves others too.
 	// Guards against a start in which the first few who ask take all that a seed may send.
 	shares = 8
 	// answered is how many records an answer has at most, about: where more are missing, a part of them is asked for, by a smaller
