--- /dev/null
+++ b/review/rig/pg.go
@@ -0,0 +1,287 @@
+package main
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// pgMessage appends a message of the PostgreSQL wire protocol.
+func pgMessage(b []byte, kind byte, parts ...[]byte) []byte {
+	n := 4
+	for _, p := range parts {
+		n += len(p)
+	}
+	b = binary.BigEndian.AppendUint32(append(b, kind), uint32(n))
+	for _, p := range parts {
+		b = append(b, p...)
+	}
+	return b
+}
+
+func cstring(s string) []byte { return append([]byte(s), 0) }
+
+func readPG(r *bufio.Reader) (kind byte, body []byte, err error) {
+	head := make([]byte, 5)
+	if _, err = io.ReadFull(r, head); err != nil {
+		return 0, nil, err
+	}
+	body = make([]byte, binary.BigEndian.Uint32(head[1:])-4)
+	_, err = io.ReadFull(r, body)
+	return head[0], body, err
+}
+
+// pgStore is the data of the stand-in engines: how often the work of each statement text was made durable, and where.
+type pgStore struct {
+	mu      sync.Mutex
+	applied map[string][]string // engine names, by statement text
+}
+
+func (s *pgStore) apply(engine string, texts []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range texts {
+		s.applied[t] = append(s.applied[t], engine)
+	}
+}
+
+// pgEngine is a stand-in for a sound PostgreSQL server: a statement outside of a transaction is durable when it is
+// answered, those of a transaction at its COMMIT, and a connection that ends before rolls back. A COMMIT or write that
+// has begun is completed also if its client has gone.
+type pgEngine struct {
+	name   string
+	store  *pgStore
+	rec    *recorder
+	commit time.Duration // time that a COMMIT takes, a half before and a half after it is durable
+	write  time.Duration // time that a write takes
+}
+
+func (e *pgEngine) listen() string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must(err, "engine")
+	go func() {
+		for n := 1; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c, fmt.Sprintf("%s/%d", e.name, n))
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func (e *pgEngine) serve(c net.Conn, conn string) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		head := make([]byte, 8)
+		if _, err := io.ReadFull(r, head); err != nil {
+			return
+		}
+		rest := make([]byte, binary.BigEndian.Uint32(head)-8)
+		if _, err := io.ReadFull(r, rest); err != nil {
+			return
+		}
+		switch binary.BigEndian.Uint32(head[4:]) {
+		case 80877103, 80877104: // SSLRequest, GSSENCRequest
+			_, _ = c.Write([]byte("N"))
+			continue
+		case 80877102: // CancelRequest: comes too late to a COMMIT that has begun
+			return
+		}
+		break
+	}
+	out := pgMessage(nil, 'R', []byte{0, 0, 0, 0})
+	out = pgMessage(out, 'K', []byte{0, 0, 0, 1, 0, 0, 0, 1})
+	out = pgMessage(out, 'Z', []byte("I"))
+	status := byte('I')
+	var pending []string
+	statements, portals := map[string]string{}, map[string]string{}
+	execute := func(q string) string {
+		words := strings.Fields(strings.ToUpper(strings.TrimRight(q, "; ")) + " .")
+		switch words[0] {
+		case "BEGIN", "START":
+			status, pending = 'T', nil
+			e.rec.log("%s runs %s", conn, q)
+			return "BEGIN"
+		case "COMMIT", "END":
+			e.rec.log("%s begins %s of %q", conn, q, pending)
+			time.Sleep(e.commit / 2)
+			e.store.apply(e.name, pending)
+			e.rec.log("%s COMMITTED %q", conn, pending)
+			time.Sleep(e.commit / 2)
+			status, pending = 'I', nil
+			return "COMMIT"
+		case "ROLLBACK", "ABORT":
+			status, pending = 'I', nil
+			return "ROLLBACK"
+		case "INSERT", "UPDATE":
+			time.Sleep(e.write)
+			if status == 'T' {
+				pending = append(pending, q)
+				e.rec.log("%s runs in its transaction %s", conn, q)
+			} else {
+				e.store.apply(e.name, []string{q})
+				e.rec.log("%s COMMITTED %s", conn, q)
+			}
+			if words[0] == "UPDATE" {
+				return "UPDATE 1"
+			}
+			return "INSERT 0 1"
+		case "SELECT":
+			return "SELECT 1"
+		}
+		return words[0]
+	}
+	row := pgMessage(nil, 'D', []byte{0, 1, 0, 0, 0, 1}, []byte("1"))
+	rowDescription := append([]byte{0, 1}, append(cstring("n"), 0, 0, 0, 0, 0, 0, 0, 0, 0, 25, 255, 255, 255, 255, 255, 255, 0, 0)...)
+	for {
+		if r.Buffered() == 0 && len(out) > 0 {
+			if _, err := c.Write(out); err != nil && len(pending) > 0 {
+				e.rec.log("%s ended: rolls back %q", conn, pending)
+				return
+			}
+			out = nil
+		}
+		kind, body, err := readPG(r)
+		if err != nil {
+			if len(pending) > 0 {
+				e.rec.log("%s ended: rolls back %q", conn, pending)
+			}
+			return
+		}
+		parts := strings.SplitN(string(body), "\x00", 3)
+		switch kind {
+		case 'P':
+			statements[parts[0]] = parts[1]
+			out = pgMessage(out, '1')
+		case 'B':
+			portals[parts[0]] = statements[parts[1]]
+			out = pgMessage(out, '2')
+		case 'D':
+			q := portals[parts[0][1:]]
+			if body[0] == 'S' {
+				q = statements[parts[0][1:]]
+				out = pgMessage(out, 't', []byte{0, 0})
+			}
+			if strings.HasPrefix(strings.ToUpper(q), "SELECT") {
+				out = pgMessage(out, 'T', rowDescription)
+			} else {
+				out = pgMessage(out, 'n')
+			}
+		case 'E':
+			tag := execute(portals[parts[0]])
+			if tag == "SELECT 1" {
+				out = append(out, row...)
+			}
+			out = pgMessage(out, 'C', cstring(tag))
+		case 'Q':
+			out = pgMessage(out, 'C', cstring(execute(parts[0])))
+			out = pgMessage(out, 'Z', []byte{status})
+		case 'S':
+			out = pgMessage(out, 'Z', []byte{status})
+		case 'X':
+			return
+		}
+	}
+}
+
+// consulStandIn serves Consul's catalogue and health API for one service; the list does not change.
+func consulStandIn(service string, engines map[string]string) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must(err, "consul")
+	answer := func(item func(id, host, port string) string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Query().Get("index") == "7" { // a blocking query: nothing changes
+				select {
+				case <-r.Context().Done():
+				case <-time.After(30 * time.Second):
+				}
+			}
+			var items []string
+			for id, addr := range engines {
+				host, port, _ := net.SplitHostPort(addr)
+				items = append(items, item(id, host, port))
+			}
+			w.Header().Set("X-Consul-Index", "7")
+			fmt.Fprintf(w, "[%s]", strings.Join(items, ","))
+		}
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/v1/catalog/service/"+service, answer(func(id, host, port string) string {
+		return fmt.Sprintf(`{"Node":"n1","Address":%q,"Datacenter":"dc1","ServiceID":%q,"ServiceAddress":%q,"ServicePort":%s,"ServiceMeta":{}}`, host, id, host, port)
+	}))
+	mux.HandleFunc("/v1/health/service/"+service, answer(func(id, host, port string) string {
+		return fmt.Sprintf(`{"Node":{"Node":"n1"},"Service":{"ID":%q,"Meta":{}},"Checks":[{"CheckID":"c","Status":"passing"}]}`, id)
+	}))
+	go func() { _ = http.Serve(ln, mux) }()
+	return ln.Addr().String()
+}
+
+// pgClient is a client that sends one Query at a time and waits for its ReadyForQuery.
+type pgClient struct {
+	c net.Conn
+	r *bufio.Reader
+}
+
+var errUnexpected = errors.New("messages that belong to no query of this client")
+
+func dialPG(addr string) (*pgClient, error) {
+	c, err := net.DialTimeout("tcp", addr, 2*time.Second)
+	if err != nil {
+		return nil, err
+	}
+	p := &pgClient{c: c, r: bufio.NewReader(c)}
+	body := append([]byte{0, 3, 0, 0}, append(append(cstring("user"), cstring("office")...), append(cstring("database"), append(cstring("register"), 0)...)...)...)
+	_, _ = c.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(body)+4)), body...))
+	_, err = p.answer(10 * time.Second)
+	return p, err
+}
+
+// answer reads up to the next ReadyForQuery and returns the tags and SQLSTATEs in between.
+func (p *pgClient) answer(within time.Duration) (words []string, err error) {
+	_ = p.c.SetReadDeadline(time.Now().Add(within))
+	for {
+		kind, body, err := readPG(p.r)
+		if err != nil {
+			return words, err
+		}
+		switch kind {
+		case 'C':
+			words = append(words, strings.TrimRight(string(body), "\x00"))
+		case 'E':
+			for _, field := range strings.Split(string(body), "\x00") {
+				if strings.HasPrefix(field, "C") {
+					words = append(words, "error "+field[1:])
+				}
+			}
+		case 'Z':
+			return words, nil
+		}
+	}
+}
+
+func (p *pgClient) query(text string, within time.Duration) ([]string, error) {
+	if _, err := p.c.Write(pgMessage(nil, 'Q', cstring(text))); err != nil {
+		return nil, err
+	}
+	return p.answer(within)
+}
+
+// leftOver returns what has come although no query is open.
+func (p *pgClient) leftOver(wait time.Duration) ([]string, error) {
+	words, err := p.answer(wait)
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return words, nil
+	}
+	return words, err
+}
