Review cases 1 and 3: a drain splits transactions; a replacement breaks a key's order

Case 1: a drain mark has the next statement of an open transaction run at another engine outside of it, and its client hears COMMIT. Case 3: a replaced process and its successor both run loads of one key.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,6 +22,10 @@
 	switch os.Args[1] {
 	case "transactions":
 		transactions(rec, trouble)
+	case "drain":
+		drain(rec, trouble)
+	case "order":
+		order(rec, trouble)
 	default:
 		giveUp("unknown case %q", os.Args[1])
 	}
--- a/review/rig/pg.go
+++ b/review/rig/pg.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -184,6 +185,12 @@
 			}
 			out = pgMessage(out, 'C', cstring(tag))
 		case 'Q':
+			if status == 'T' && strings.HasPrefix(parts[0], "DISCARD") {
+				status = 'E'
+				out = pgMessage(out, 'E', []byte("SERROR\x00C25001\x00MDISCARD ALL cannot run inside a transaction block\x00\x00"))
+				out = pgMessage(out, 'Z', []byte{status})
+				continue
+			}
 			out = pgMessage(out, 'C', cstring(execute(parts[0])))
 			out = pgMessage(out, 'Z', []byte{status})
 		case 'S':
@@ -194,36 +201,68 @@
 	}
 }
 
-// consulStandIn serves Consul's catalogue and health API for one service; the list does not change.
-func consulStandIn(service string, engines map[string]string) string {
+// consul is a stand-in for Consul's catalogue and health API of one service, with blocking queries.
+type consul struct {
+	addr string
+
+	mu          sync.Mutex
+	index       int
+	changed     chan struct{}     // closed at the next change
+	engines     map[string]string // addresses by service ID
+	maintenance map[string]bool   // service IDs in maintenance
+}
+
+func newConsul(service string, engines map[string]string) *consul {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err, "consul")
-	answer := func(item func(id, host, port string) string) http.HandlerFunc {
-		return func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Query().Get("index") == "7" { // a blocking query: nothing changes
-				select {
-				case <-r.Context().Done():
-				case <-time.After(30 * time.Second):
-				}
-			}
-			var items []string
-			for id, addr := range engines {
-				host, port, _ := net.SplitHostPort(addr)
-				items = append(items, item(id, host, port))
-			}
-			w.Header().Set("X-Consul-Index", "7")
-			fmt.Fprintf(w, "[%s]", strings.Join(items, ","))
-		}
-	}
+	s := &consul{addr: ln.Addr().String(), index: 7, changed: make(chan struct{}), engines: engines, maintenance: map[string]bool{}}
 	mux := http.NewServeMux()
-	mux.HandleFunc("/v1/catalog/service/"+service, answer(func(id, host, port string) string {
+	mux.HandleFunc("/v1/catalog/service/"+service, s.answer(func(id, host, port string) string {
 		return fmt.Sprintf(`{"Node":"n1","Address":%q,"Datacenter":"dc1","ServiceID":%q,"ServiceAddress":%q,"ServicePort":%s,"ServiceMeta":{}}`, host, id, host, port)
 	}))
-	mux.HandleFunc("/v1/health/service/"+service, answer(func(id, host, port string) string {
-		return fmt.Sprintf(`{"Node":{"Node":"n1"},"Service":{"ID":%q,"Meta":{}},"Checks":[{"CheckID":"c","Status":"passing"}]}`, id)
+	mux.HandleFunc("/v1/health/service/"+service, s.answer(func(id, host, port string) string {
+		checks := `{"CheckID":"c","Status":"passing"}`
+		if s.maintenance[id] {
+			checks += fmt.Sprintf(`,{"CheckID":"_service_maintenance:%s","Status":"critical"}`, id)
+		}
+		return fmt.Sprintf(`{"Node":{"Node":"n1"},"Service":{"ID":%q,"Meta":{}},"Checks":[%s]}`, id, checks)
 	}))
 	go func() { _ = http.Serve(ln, mux) }()
-	return ln.Addr().String()
+	return s
+}
+
+// setMaintenance puts an engine into maintenance, which means that it drains, or ends that.
+func (s *consul) setMaintenance(id string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maintenance[id] = on
+	s.index++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *consul) answer(item func(id, host, port string) string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		changed, current := s.changed, strconv.Itoa(s.index)
+		s.mu.Unlock()
+		if r.URL.Query().Get("index") == current {
+			select {
+			case <-r.Context().Done():
+			case <-changed:
+			case <-time.After(30 * time.Second):
+			}
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		var items []string
+		for id, addr := range s.engines {
+			host, port, _ := net.SplitHostPort(addr)
+			items = append(items, item(id, host, port))
+		}
+		w.Header().Set("X-Consul-Index", strconv.Itoa(s.index))
+		fmt.Fprintf(w, "[%s]", strings.Join(items, ","))
+	}
 }
 
 // pgClient is a client that sends one Query at a time and waits for its ReadyForQuery.
--- a/review/rig/transactions.go
+++ b/review/rig/transactions.go
@@ -23,7 +23,7 @@
 	listen, admin := freeAddress(), filepath.Join(dir, "admin")
 	copyWith("deploy/postgres-settings.json", filepath.Join(dir, "postgres-settings.json"))
 	copyWith("deploy/postgres.toml", filepath.Join(dir, "postgres.toml"),
-		"listen = ", fmt.Sprintf("listen = %q", listen), "address = ", fmt.Sprintf("address = %q", consulStandIn("stock-engine", engines)))
+		"listen = ", fmt.Sprintf("listen = %q", listen), "address = ", fmt.Sprintf("address = %q", newConsul("stock-engine", engines).addr))
 	copyWith("deploy/upgrade.toml", filepath.Join(dir, "upgrade.toml"), "admin = ", fmt.Sprintf("admin = %q", admin))
 	g := startGateway(fmt.Sprintf("exec bin/gateway serve --postgres %s/postgres.toml --upgrade %s/upgrade.toml", dir, dir), nil)
 	g.await("serving", 10*time.Second, nil)
