--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x review/bin/rig ] && [ -x bin/gateway ] || { echo "build first: the deploy file's build line, then review/build.sh" >&2; exit 2; }
-exec review/bin/rig order "$here/record.txt"
+exec review/bin/rig settings "$here/record.txt"
--- a/review/rig/pg.go
+++ b/review/rig/pg.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -105,10 +107,46 @@
 	out = pgMessage(out, 'Z', []byte("I"))
 	status := byte('I')
 	var pending []string
+	// Settings of the session. As in PostgreSQL, a SET or RESET is undone if the transaction that it belongs to is rolled
+	// back, and all messages up to a Sync are one transaction unless BEGIN and COMMIT say otherwise.
+	settings, before := map[string]string{}, map[string]string(nil) // before: as they were before the open transaction; nil: none is open
+	begin := func() {
+		if before == nil {
+			before = maps.Clone(settings)
+		}
+	}
+	rollBack := func() {
+		if before != nil {
+			settings, before = before, nil
+		}
+	}
+	skip := false // after an error, messages up to the next Sync are skipped
+	fail := func(code, text string) {
+		if status == 'T' {
+			status = 'E'
+		} else {
+			rollBack()
+		}
+		skip = true
+		out = pgMessage(out, 'E', []byte("SERROR\x00C"+code+"\x00M"+text+"\x00\x00"))
+	}
 	statements, portals := map[string]string{}, map[string]string{}
 	execute := func(q string) string {
+		begin()
 		words := strings.Fields(strings.ToUpper(strings.TrimRight(q, "; ")) + " .")
 		switch words[0] {
+		case "SET", "RESET":
+			name, value, _ := strings.Cut(strings.ReplaceAll(q, "=", " TO "), " TO ")
+			name = strings.ToLower(strings.Fields(name)[1])
+			delete(settings, name)
+			if words[0] == "SET" {
+				settings[name] = strings.Trim(value, " ';")
+			}
+			e.rec.log("%s runs %s", conn, q)
+			return words[0]
+		case "DISCARD":
+			settings, before = map[string]string{}, nil
+			return "DISCARD ALL"
 		case "BEGIN", "START":
 			status, pending = 'T', nil
 			e.rec.log("%s runs %s", conn, q)
@@ -119,10 +157,11 @@
 			e.store.apply(e.name, pending)
 			e.rec.log("%s COMMITTED %q", conn, pending)
 			time.Sleep(e.commit / 2)
-			status, pending = 'I', nil
+			status, pending, before = 'I', nil, nil
 			return "COMMIT"
 		case "ROLLBACK", "ABORT":
 			status, pending = 'I', nil
+			rollBack()
 			return "ROLLBACK"
 		case "INSERT", "UPDATE":
 			time.Sleep(e.write)
@@ -142,7 +181,10 @@
 		}
 		return words[0]
 	}
-	row := pgMessage(nil, 'D', []byte{0, 1, 0, 0, 0, 1}, []byte("1"))
+	row := func() []byte { // the rows of a SELECT come from the schema that search_path names
+		schema := cmp.Or(settings["search_path"], "public")
+		return pgMessage(nil, 'D', []byte{0, 1, 0, 0, 0, byte(len(schema))}, []byte(schema))
+	}
 	rowDescription := append([]byte{0, 1}, append(cstring("n"), 0, 0, 0, 0, 0, 0, 0, 0, 0, 25, 255, 255, 255, 255, 255, 255, 0, 0)...)
 	for {
 		if r.Buffered() == 0 && len(out) > 0 {
@@ -160,8 +202,17 @@
 			return
 		}
 		parts := strings.SplitN(string(body), "\x00", 3)
+		if skip && kind != 'S' && kind != 'X' {
+			continue
+		}
 		switch kind {
 		case 'P':
+			begin()
+			if strings.Contains(parts[1], "no_such_column") {
+				e.rec.log("%s answers %s with an error", conn, parts[1])
+				fail("42703", "column no_such_column does not exist")
+				continue
+			}
 			statements[parts[0]] = parts[1]
 			out = pgMessage(out, '1')
 		case 'B':
@@ -181,7 +232,8 @@
 		case 'E':
 			tag := execute(portals[parts[0]])
 			if tag == "SELECT 1" {
-				out = append(out, row...)
+				out = append(out, row()...)
+				e.rec.log("%s answers %s with rows of %s", conn, portals[parts[0]], cmp.Or(settings["search_path"], "public"))
 			}
 			out = pgMessage(out, 'C', cstring(tag))
 		case 'Q':
@@ -192,8 +244,14 @@
 				continue
 			}
 			out = pgMessage(out, 'C', cstring(execute(parts[0])))
+			if status == 'I' {
+				before = nil
+			}
 			out = pgMessage(out, 'Z', []byte{status})
 		case 'S':
+			if skip = false; status == 'I' {
+				before = nil // the transaction that the messages since the last Sync were is committed
+			}
 			out = pgMessage(out, 'Z', []byte{status})
 		case 'X':
 			return
@@ -294,6 +352,8 @@
 			return words, err
 		}
 		switch kind {
+		case 'D':
+			words = append(words, "row "+string(body[6:])) // of one column
 		case 'C':
 			words = append(words, strings.TrimRight(string(body), "\x00"))
 		case 'E':
