--- a/review/rig/common.go
+++ b/review/rig/common.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -163,10 +164,11 @@
 func copyWith(from, to string, pairs ...string) {
 	b, err := os.ReadFile(from)
 	must(err, "read "+from)
-	lines := strings.Split(string(b), "\n")
+	original := strings.Split(string(b), "\n")
+	lines := slices.Clone(original)
 	for i := 0; i < len(pairs); i += 2 {
 		found := false
-		for n, line := range lines {
+		for n, line := range original {
 			if strings.HasPrefix(line, pairs[i]) {
 				lines[n], found = pairs[i+1], true
 			}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,6 +22,8 @@
 	switch os.Args[1] {
 	case "transactions":
 		transactions(rec, trouble)
+	case "sites":
+		sites(rec, trouble)
 	case "settings":
 		settings(rec, trouble)
 	case "drain":
--- a/review/rig/pg.go
+++ b/review/rig/pg.go
@@ -64,6 +64,7 @@
 	rec    *recorder
 	commit time.Duration // time that a COMMIT takes, a half before and a half after it is durable
 	write  time.Duration // time that a write takes
+	slow   time.Duration // time that a SELECT slow takes
 }
 
 func (e *pgEngine) listen() string {
@@ -131,8 +132,12 @@
 		out = pgMessage(out, 'E', []byte("SERROR\x00C"+code+"\x00M"+text+"\x00\x00"))
 	}
 	statements, portals := map[string]string{}, map[string]string{}
+	key := "" // first bound value
 	execute := func(q string) string {
 		begin()
+		if comment, rest, ok := strings.Cut(q, "*/"); ok && strings.HasPrefix(comment, "/*") {
+			q = strings.TrimSpace(rest)
+		}
 		words := strings.Fields(strings.ToUpper(strings.TrimRight(q, "; ")) + " .")
 		switch words[0] {
 		case "SET", "RESET":
@@ -165,6 +170,16 @@
 			return "ROLLBACK"
 		case "INSERT", "UPDATE":
 			time.Sleep(e.write)
+			if key != "" { // repeats of a key are dropped
+				e.store.mu.Lock()
+				known := len(e.store.applied[key]) > 0
+				if !known {
+					e.store.applied[key] = []string{e.name}
+				}
+				e.store.mu.Unlock()
+				e.rec.log("%s COMMITTED load %s (dropped as a repeat: %t)", conn, key, known)
+				return "INSERT 0 1"
+			}
 			if status == 'T' {
 				pending = append(pending, q)
 				e.rec.log("%s runs in its transaction %s", conn, q)
@@ -177,6 +192,10 @@
 			}
 			return "INSERT 0 1"
 		case "SELECT":
+			if words[1] == "SLOW" {
+				e.rec.log("%s runs %s", conn, q)
+				time.Sleep(e.slow)
+			}
 			return "SELECT 1"
 		}
 		return words[0]
@@ -216,7 +235,10 @@
 			statements[parts[0]] = parts[1]
 			out = pgMessage(out, '1')
 		case 'B':
-			portals[parts[0]] = statements[parts[1]]
+			portals[parts[0]], key = statements[parts[1]], ""
+			if v := body[len(parts[0])+len(parts[1])+2:]; binary.BigEndian.Uint16(v[2:]) == 1 && v[0]+v[1] == 0 {
+				key = string(v[8 : 8+binary.BigEndian.Uint32(v[4:])])
+			}
 			out = pgMessage(out, '2')
 		case 'D':
 			q := portals[parts[0][1:]]
