Review case 3: a failing engine leaves foreign settings in its sessions

Change: review/3 plays that; review/rig gets a search for faults of transactions under resets, cancels and leaving clients.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,6 +22,8 @@
 	switch os.Args[1] {
 	case "transactions":
 		transactions(rec, trouble)
+	case "chaos":
+		chaos(rec, trouble)
 	case "sites":
 		sites(rec, trouble)
 	case "settings":
--- a/review/rig/pg.go
+++ b/review/rig/pg.go
@@ -65,6 +65,8 @@
 	commit time.Duration // time that a COMMIT takes, a half before and a half after it is durable
 	write  time.Duration // time that a write takes
 	slow   time.Duration // time that a SELECT slow takes
+	fails  func() bool   // whether it answers this SELECT with an error of its own; nil: never
+	breaks func() bool   // whether the connection breaks before this message; nil: never
 }
 
 func (e *pgEngine) listen() string {
@@ -134,6 +136,7 @@
 	statements, portals := map[string]string{}, map[string]string{}
 	key := "" // first bound value
 	execute := func(q string) string {
+		q = strings.TrimRight(strings.TrimSpace(q), ";")
 		begin()
 		if comment, rest, ok := strings.Cut(q, "*/"); ok && strings.HasPrefix(comment, "/*") {
 			q = strings.TrimSpace(rest)
@@ -220,6 +223,11 @@
 			}
 			return
 		}
+		if e.breaks != nil && e.breaks() {
+			e.rec.log("%s RESET: rolls back %q", conn, pending)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		}
 		parts := strings.SplitN(string(body), "\x00", 3)
 		if skip && kind != 'S' && kind != 'X' {
 			continue
@@ -252,6 +260,11 @@
 				out = pgMessage(out, 'n')
 			}
 		case 'E':
+			if e.fails != nil && strings.HasPrefix(strings.ToUpper(portals[parts[0]]), "SELECT") && e.fails() {
+				e.rec.log("%s answers %s with an error of its own", conn, portals[parts[0]])
+				fail("53200", "out of memory")
+				continue
+			}
 			tag := execute(portals[parts[0]])
 			if tag == "SELECT 1" {
 				out = append(out, row()...)
@@ -347,8 +360,9 @@
 
 // pgClient is a client that sends one Query at a time and waits for its ReadyForQuery.
 type pgClient struct {
-	c net.Conn
-	r *bufio.Reader
+	c   net.Conn
+	r   *bufio.Reader
+	key []byte // for a CancelRequest
 }
 
 var errUnexpected = errors.New("messages that belong to no query of this client")
@@ -374,6 +388,8 @@
 			return words, err
 		}
 		switch kind {
+		case 'K':
+			p.key = body
 		case 'D':
 			words = append(words, "row "+string(body[6:])) // of one column
 		case 'C':
--- a/review/rig/settings.go
+++ b/review/rig/settings.go
@@ -5,17 +5,24 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
-// settings runs clients with a search_path of their own and clients without one, beside a client whose statements the engine
-// answers with errors.
+// settings runs clients with a search_path of their own and clients without one, while one engine of eight fails: it answers
+// every third SELECT with an error of its own.
 func settings(rec *recorder, trouble bool) {
 	dir := tempDir()
 	store := &pgStore{applied: map[string][]string{}}
 	engines := map[string]string{}
-	for _, name := range []string{"e1", "e2"} {
+	start := time.Now()
+	var selects atomic.Int64
+	for i := range 8 {
+		name := fmt.Sprintf("e%d", i+1)
 		e := &pgEngine{name: name, store: store, rec: rec}
+		if i == 0 && trouble {
+			e.fails = func() bool { return time.Since(start) > 3*time.Second && selects.Add(1)%3 == 0 }
+		}
 		engines[name] = e.listen()
 	}
 	listen := freeAddress()
@@ -69,24 +76,6 @@
 			}
 		})
 	}
-	all.Go(func() { // without a search_path of its own
-		p, err := dialPG(listen)
-		must(err, "client")
-		defer p.c.Close()
-		time.Sleep(2 * time.Second)
-		for time.Now().Before(stop) {
-			time.Sleep(100 * time.Millisecond)
-			text := "SELECT part FROM prices"
-			if trouble {
-				text = "SELECT no_such_column FROM prices"
-			}
-			words, err := p.query(text, 10*time.Second)
-			rec.log("the other client sent %s and heard %q %v", text, words, err)
-			if err != nil {
-				giveUp("the other client: %v", err)
-			}
-		}
-	})
 	all.Wait()
 	verdict(rec, broken, fmt.Sprintf("%d answers had the right rows", right), right > 100)
 }
