--- a/review/rig/settings.go
+++ b/review/rig/settings.go
@@ -42,9 +42,9 @@
 		rec.log("FAULT "+format, args...)
 	}
 	right := 0
-	stop := time.Now().Add(8 * time.Second)
+	stop := time.Now().Add(30 * time.Second)
 	var all sync.WaitGroup
-	for i, schema := range []string{"stock_17", "stock_18", "", ""} {
+	for i, schema := range []string{"stock_17", "stock_18", "stock_19", "stock_20", "", "", "", ""} {
 		all.Go(func() {
 			p, err := dialPG(listen)
 			must(err, "client")
@@ -59,7 +59,7 @@
 				want = schema
 			}
 			for n := 0; time.Now().Before(stop); n++ {
-				time.Sleep(time.Duration(37+11*i) * time.Millisecond)
+				time.Sleep(time.Duration(37+7*i) * time.Millisecond)
 				words, err := p.query(fmt.Sprintf("SELECT part FROM prices WHERE n = %d", n), 10*time.Second)
 				rec.log("client %d (search_path %s) heard %q %v", i, want, words, err)
 				switch {
