Tell a client with 40000 that its transaction was lost between two statements

The connection to an engine broke while a transaction was open and idle. The client's next statement heard 25P02, and its COMMIT the tag ROLLBACK without an error, where README promises 40000.

Cause: connection.endStreaming marked the transaction as failed, as after an error that the client knows. Now the transaction remembers that its loss was not told; the first statement after it hears 40000, a COMMIT included, which ends the transaction. ROLLBACK is answered as before.

TestTransactionEnds expected 25P02 as the first word of the loss; that was the fault, and the step now expects 40000, then 25P02. The step and three new cases (SAVEPOINT, COMMIT, several statements first after the loss) failed before.

--- a/internal/frontend/postgres/errors.go
+++ b/internal/frontend/postgres/errors.go
@@ -96,6 +96,12 @@
 	return newError(codeStatementCompletionUnknown, "the statement failed on its way or at its engine; it may have run")
 }
 
+// errTransactionLost is the answer to a statement of a transaction whose engine connection was lost before a
+// COMMIT was sent.
+func errTransactionLost() *pgproto.Error {
+	return newError(codeTransactionRollback, "the connection to the engine was lost; the transaction is rolled back")
+}
+
 // errRejected is the answer to a statement that was rejected under load and did not run. A retryAfter
 // of 0 gives no hint when to retry.
 func errRejected(retryAfter time.Duration) *pgproto.Error {
@@ -140,5 +146,5 @@
 	case a.DeadlinePassed:
 		return errStatementTimeout()
 	}
-	return newError(codeTransactionRollback, "the connection to the engine was lost; the transaction is rolled back")
+	return errTransactionLost()
 }
--- a/internal/frontend/postgres/transaction.go
+++ b/internal/frontend/postgres/transaction.go
@@ -17,6 +17,7 @@
 	request    *core.Request     // nil if no statement was sent yet or the engine connection is lost
 	onAnswer   func(core.Answer) // receives the answer to the statement in flight; nil if none is
 	failed     bool              // only its end or a rollback to a savepoint is accepted
+	lost       bool              // the engine connection is lost, and the client has not been told yet
 	committing bool              // its COMMIT is in flight
 	implicit   bool              // begun for a Query with several statements, and ended with it
 	idleTimer  *timerqueue.Timer // limits the time between two statements
@@ -63,6 +64,26 @@
 	return nil
 }
 
+// reportLoss returns the error that tells the client that the transaction's engine connection was lost, or nil if
+// it was not lost or the client knows.
+func (c *connection) reportLoss() *pgproto.Error {
+	tx := c.transaction
+	if tx == nil || !tx.lost {
+		return nil
+	}
+	tx.lost = false
+	return errTransactionLost()
+}
+
+// commitLost is reportLoss for a COMMIT, which ends the transaction.
+func (c *connection) commitLost() *pgproto.Error {
+	e := c.reportLoss()
+	if e != nil {
+		c.closeTransaction()
+	}
+	return e
+}
+
 // startIdleTimer limits the time until the transaction's next statement, because the transaction
 // holds locks that others may wait for.
 func (c *connection) startIdleTimer() {
@@ -120,6 +141,10 @@
 // executeInTransaction runs a statement in the open transaction, or rejects it if the transaction has
 // failed.
 func (c *connection) executeInTransaction(message *pgproto.Statement, onResult func(*pgproto.Result)) {
+	if e := c.reportLoss(); e != nil {
+		c.fail(e)
+		return
+	}
 	if c.transaction.failed {
 		c.fail(errInFailedTransaction())
 		return
@@ -212,6 +237,7 @@
 	// The engine connection was lost between two statements, or this process is stopping.
 	c.inFlight.request = nil
 	tx.failed = true
+	tx.lost = true
 	if c.frontend.draining {
 		c.fatal(errShutdown())
 	}
--- a/internal/frontend/postgres/transaction_control.go
+++ b/internal/frontend/postgres/transaction_control.go
@@ -37,6 +37,9 @@
 	return false
 }
 
+// commits reports whether the statement commits its transaction.
+func (s *statement) commits() bool { return s.endsTransaction() && s.endTag() == tagCommit }
+
 // endTag returns the command tag of a successful statement that ends a transaction.
 func (s *statement) endTag() string {
 	if s.controlWord == "COMMIT" || s.controlWord == "END" {
@@ -70,6 +73,9 @@
 	if e := unsupportedControlError(s); e != nil {
 		return e
 	}
+	if e := c.reportLossTo(s); e != nil {
+		return e
+	}
 	switch {
 	case s.beginsTransaction():
 		return c.executeBegin(s, done)
@@ -80,6 +86,18 @@
 	return c.runSavepoint(s, done)
 }
 
+// reportLossTo returns the error with which a statement learns that its transaction was lost, or nil. A ROLLBACK
+// succeeds, as the transaction is rolled back.
+func (c *connection) reportLossTo(s *statement) *pgproto.Error {
+	switch {
+	case s.commits():
+		return c.commitLost()
+	case s.endsTransaction():
+		return nil
+	}
+	return c.reportLoss()
+}
+
 // unsupportedControlError returns an error for chained and prepared transactions, which are not supported,
 // else nil.
 func unsupportedControlError(s *statement) *pgproto.Error {
--- a/internal/frontend/postgres/transaction_test.go
+++ b/internal/frontend/postgres/transaction_test.go
@@ -10,7 +10,8 @@
 	"gannetspur/internal/pgproto"
 )
 
-// TestTransactionEnds ends transactions in ways that the seeded streams of TestReplay don't reach.
+// TestTransactionEnds ends transactions in ways that the seeded streams of TestReplay don't reach. It guards against
+// a client that is not told, or told something else than 40000, when its transaction was lost between statements.
 func TestTransactionEnds(t *testing.T) {
 	const shortTimeout = 300 * time.Millisecond
 	type step struct {
@@ -28,11 +29,30 @@
 	}{
 		"engine lost between statements": {steps: []step{
 			begin, update,
-			{beforeQuery: lose, query: "update t set a = 2", want: "E(25P02) Z(E)"},
+			{beforeQuery: lose, query: "update t set a = 2", want: "E(40000) Z(E)"},
+			{query: "update t set a = 3", want: "E(25P02) Z(E)"},
 			{query: "savepoint a", want: "E(25P02) Z(E)"},
 			{query: "rollback to a", want: "E(25P02) Z(E)"},
 			{query: "commit", want: "C(ROLLBACK) Z(I)"},
 		}},
+		"engine lost before commit": {steps: []step{
+			begin, update,
+			{beforeQuery: lose, query: "commit", want: "E(40000) Z(I)"},
+			{query: "commit", want: "N C(COMMIT) Z(I)"},
+		}},
+		"engine lost before rollback": {steps: []step{
+			begin, update,
+			{beforeQuery: lose, query: "rollback", want: "C(ROLLBACK) Z(I)"},
+		}},
+		"engine lost before savepoint": {steps: []step{
+			begin, update,
+			{beforeQuery: lose, query: "savepoint a", want: "E(40000) Z(E)"},
+			{query: "commit", want: "C(ROLLBACK) Z(I)"},
+		}},
+		"engine lost before several statements": {steps: []step{
+			begin, update,
+			{beforeQuery: lose, query: "commit; begin; update t set a = 2", want: "E(40000) Z(I)"},
+		}},
 		"engine lost within a statement": {steps: []step{
 			begin, update,
 			{query: "update t set lose = 1", want: "E(40000) Z(E)"},
