Never run a transaction again after the new process of an upgrade has died

Clients with a transaction open at a new process that died in its probation heard BEGIN for COMMIT and further answers; their transactions ran again from BEGIN and were committed twice.

Cause: the old process dropped recorded input only behind an answer after which the connection could be handed over, which is never so in a transaction, and handled all input since BEGIN again. That the request must not be repeated was looked at only for single statements.

Now the state is recorded after every answer, also within a transaction, with whether a statement was sent to an engine. Taken back, such a transaction is lost: the next statement hears 40000, a COMMIT or a Query with one that the dead process had read 40003, and nothing runs again. Parts of answers are held back while records are written; a message answered in part ends its connection. An old process of protocol 1.0 closes connections that had a transaction; the protocol is 1.1 now.

--- a/internal/core/lifecycle.go
+++ b/internal/core/lifecycle.go
@@ -14,6 +14,9 @@
 	ReceivedAt  time.Duration // when its last byte was received, or slightly later
 	FirstSentAt time.Duration // when it was first sent to an engine; 0 if it never was
 	MustFail    bool          // it must not be sent again
+	// PartlyAnswered means that its client has received a part of the answer, or is about to. Only
+	// frontends read it.
+	PartlyAnswered bool
 }
 
 // Accept starts processing a request that was received completely. Unless it disconnects, the client
--- a/internal/frontend/httpapi/handover.go
+++ b/internal/frontend/httpapi/handover.go
@@ -112,6 +112,9 @@
 // Idle reports whether the connection has no unanswered request.
 func (c *conn) Idle() bool { return c.request == nil }
 
+// Settled reports whether EncodeState covers all requests that were read.
+func (c *conn) Settled() bool { return c.Idle() }
+
 // Closing reports whether the connection is closing or will close after its next response.
 func (c *conn) Closing() bool { return c.closeAfterResponse || c.ended }
 
--- a/internal/frontend/postgres/connection.go
+++ b/internal/frontend/postgres/connection.go
@@ -74,6 +74,10 @@
 
 // Data processes messages until one has to wait for an answer.
 func (c *connection) Data(_ *netio.Conn, in *netio.Buffer) {
+	if orphan := c.inFlight.orphan; orphan != nil && orphan.PartlyAnswered {
+		c.fatal(errPartlyAnswered(orphan)) // handling the message again would repeat a part of its answer
+		return
+	}
 	if err := c.readMessages(in); err != nil {
 		c.frontend.counters.Inc("pgwire.malformed")
 		c.fatal(asProtocolError(err))
@@ -245,8 +249,11 @@
 	c.socket.Close()
 }
 
-// flush writes the buffered messages to the socket.
+// flush writes the buffered messages to the socket, unless they are held back.
 func (c *connection) flush() {
+	if c.holdsPartialAnswer() {
+		return
+	}
 	if len(c.out.buffer) > 0 && !c.ended {
 		c.socket.Write(c.out.buffer)
 	}
@@ -256,6 +263,14 @@
 	}
 }
 
+// holdsPartialAnswer reports whether the buffered messages are a part of an answer that is held back until the
+// rest follows. This is so while another process records the connection, as that process could not continue a
+// partial answer, and up to the number of bytes that a connection may have pending.
+func (c *connection) holdsPartialAnswer() bool {
+	inFlight := c.inFlight.request != nil && !c.closing
+	return inFlight && len(c.out.buffer) <= maxPendingWrite && c.socket.HasJournal()
+}
+
 // resume continues with messages that arrived while a request was in flight.
 func (c *connection) resume() {
 	c.flush()
--- a/internal/frontend/postgres/errors.go
+++ b/internal/frontend/postgres/errors.go
@@ -102,6 +102,19 @@
 	return newError(codeTransactionRollback, "the connection to the engine was lost; the transaction is rolled back")
 }
 
+// errCommitInDoubt is the answer to a COMMIT that was sent, or may have been, and whose answer was lost.
+func errCommitInDoubt() *pgproto.Error {
+	return newError(codeStatementCompletionUnknown, "the connection to the engine was lost during COMMIT; the transaction may have been committed")
+}
+
+// errPartlyAnswered ends a connection whose latest message was answered in part by a process that died.
+func errPartlyAnswered(orphan *core.Orphan) *pgproto.Error {
+	if orphan.MustFail {
+		return errCommitInDoubt()
+	}
+	return newError(codeAdminShutdown, "the process that served this connection has ended")
+}
+
 // errRejected is the answer to a statement that was rejected under load and did not run. A retryAfter
 // of 0 gives no hint when to retry.
 func errRejected(retryAfter time.Duration) *pgproto.Error {
--- a/internal/frontend/postgres/handover.go
+++ b/internal/frontend/postgres/handover.go
@@ -33,6 +33,16 @@
 	Portals          []portalState     `cbor:"9,keyasint,omitempty"`
 	User             string            `cbor:"10,keyasint,omitempty"`
 	Settings         []pgproto.Setting `cbor:"11,keyasint,omitempty"`
+	Transaction      *transactionState `cbor:"12,keyasint,omitempty"` // nil if none is open
+}
+
+// transactionState is an open transaction in a connectionState. Its engine connection is never handed over. So if
+// a statement was sent to an engine, the transaction is lost for the other process.
+type transactionState struct {
+	BeginQuery string `cbor:"1,keyasint"`
+	AtEngine   bool   `cbor:"2,keyasint,omitempty"` // a statement was sent to an engine
+	Failed     bool   `cbor:"3,keyasint,omitempty"`
+	Lost       bool   `cbor:"4,keyasint,omitempty"`
 }
 
 // statementState is a prepared statement in a connectionState.
@@ -108,10 +118,16 @@
 	return c.quiescent() && c.login.exchange == nil && !c.socket.UsesTLS()
 }
 
+// Settled reports whether EncodeState covers all messages that were read: no request is in flight, though a
+// transaction may be open, and no login is in progress.
+func (c *connection) Settled() bool {
+	return c.inFlight.request == nil && c.login.exchange == nil && !c.socket.UsesTLS()
+}
+
 // Closing reports whether the connection is about to end.
 func (c *connection) Closing() bool { return c.ended || c.closing }
 
-// EncodeState returns the encoded connectionState of an idle connection.
+// EncodeState returns the encoded connectionState of a settled connection.
 func (c *connection) EncodeState() []byte {
 	state := connectionState{
 		ProcessID:        c.processID,
@@ -123,6 +139,7 @@
 		DescribedPortal:  c.describedPortal,
 		User:             c.user,
 		Settings:         c.session.settings,
+		Transaction:      c.transaction.encode(),
 	}
 	positions := map[*statement]int{}
 	addStatement := func(s *statement, encoded statementState) int {
@@ -147,6 +164,26 @@
 	return b
 }
 
+// encode returns the state of an open transaction, or nil if t is nil.
+func (t *transaction) encode() *transactionState {
+	if t == nil {
+		return nil
+	}
+	return &transactionState{BeginQuery: t.beginQuery, AtEngine: t.request != nil, Failed: t.failed, Lost: t.lost}
+}
+
+// restoreTransaction opens a decoded transaction. If an engine ran a part of it, that part is rolled back.
+func (c *connection) restoreTransaction(state *transactionState) {
+	if state == nil {
+		return
+	}
+	c.openTransaction(&transaction{
+		beginQuery: state.BeginQuery,
+		failed:     state.Failed || state.AtEngine,
+		lost:       state.Lost || state.AtEngine && !state.Failed,
+	})
+}
+
 func (s *statement) encode() statementState {
 	return statementState{Query: s.query, ParameterTypes: s.parameterTypes, Description: s.description}
 }
@@ -207,6 +244,7 @@
 	}
 	c.describedPortal = state.DescribedPortal
 	c.describePending = state.DescribePending && c.portals[state.DescribedPortal] != nil
+	c.restoreTransaction(state.Transaction)
 }
 
 // restoreStatements prepares the statements again. One that this process rejects is dropped and nil in
--- a/internal/frontend/postgres/simple_query.go
+++ b/internal/frontend/postgres/simple_query.go
@@ -77,6 +77,9 @@
 	if e != nil {
 		return e
 	}
+	if e := c.failOrphanedStatements(statements, implicit); e != nil {
+		return e
+	}
 	if implicit {
 		if e := c.beginTransaction("BEGIN"); e != nil {
 			return e
@@ -87,6 +90,33 @@
 	return nil
 }
 
+// failOrphanedStatements returns the error for a Query with several statements that a process that died has begun
+// to run at an engine, or nil if it has not. How many of them have run is unknown, so none may be run again. If
+// the last effect can't have been a COMMIT, everything was rolled back.
+func (c *connection) failOrphanedStatements(statements []*statement, implicit bool) *pgproto.Error {
+	orphan := c.inFlight.orphan
+	if orphan == nil {
+		return nil
+	}
+	commits := implicit || slices.ContainsFunc(statements, (*statement).commits)
+	if tx := c.transaction; tx != nil {
+		tx.lost = tx.lost || orphan.MustFail
+		tx.failed = tx.failed || orphan.MustFail
+		if commits {
+			return c.commitLost()
+		}
+		return c.reportLoss()
+	}
+	if !orphan.MustFail {
+		return nil
+	}
+	c.inFlight.orphan = nil
+	if commits {
+		return errCommitInDoubt()
+	}
+	return errTransactionLost()
+}
+
 // controlsTransaction reports whether a statement begins, ends or divides a transaction.
 func controlsTransaction(query string) bool {
 	word, _ := sqltext.FirstWord(query)
--- a/internal/frontend/postgres/transaction.go
+++ b/internal/frontend/postgres/transaction.go
@@ -56,12 +56,18 @@
 	if e := c.authorize(class.Name); e != nil {
 		return e
 	}
-	c.transaction = &transaction{beginQuery: query}
-	c.transaction.limitTimer = f.loop.Timers.Add(f.loop.Now()+f.opts.transactionTimeout(), func() {
+	c.openTransaction(&transaction{beginQuery: query})
+	return nil
+}
+
+// openTransaction makes a transaction the open one and starts its timers.
+func (c *connection) openTransaction(tx *transaction) {
+	f := c.frontend
+	c.transaction = tx
+	tx.limitTimer = f.loop.Timers.Add(f.loop.Now()+f.opts.transactionTimeout(), func() {
 		c.expireTransaction(errTransactionTimeout())
 	})
 	c.startIdleTimer()
-	return nil
 }
 
 // reportLoss returns the error that tells the client that the transaction's engine connection was lost, or nil if
@@ -72,14 +78,21 @@
 		return nil
 	}
 	tx.lost = false
+	c.inFlight.orphan = nil
 	return errTransactionLost()
 }
 
-// commitLost is reportLoss for a COMMIT, which ends the transaction.
+// commitLost is reportLoss for a message that commits the transaction, which ends with it. If a process that died
+// had read the message, it may have sent the COMMIT.
 func (c *connection) commitLost() *pgproto.Error {
+	orphan := c.inFlight.orphan
 	e := c.reportLoss()
-	if e != nil {
-		c.closeTransaction()
+	if e == nil {
+		return nil
+	}
+	c.closeTransaction()
+	if orphan != nil {
+		return errCommitInDoubt()
 	}
 	return e
 }
@@ -197,8 +210,10 @@
 		Streaming: true,
 	}
 	tx.request = r
+	orphan := c.inFlight.orphan
+	c.inFlight.orphan = nil
 	c.inFlight.request = r
-	c.frontend.core.Accept(r)
+	c.frontend.core.AcceptOrphan(r, orphan)
 }
 
 // continueStreaming sends the next statement to the transaction's engine.
--- a/internal/frontend/postgres/transaction_control.go
+++ b/internal/frontend/postgres/transaction_control.go
@@ -166,7 +166,7 @@
 		case engineError != nil: // the engine has rolled back, for example because of a deferred constraint
 			c.fail(engineError)
 		case wasCommitting:
-			c.fail(newError(codeStatementCompletionUnknown, "the connection to the engine was lost during COMMIT; the transaction may have been committed"))
+			c.fail(errCommitInDoubt())
 		default: // closing the engine connection also rolls back
 			done(tagRollback)
 		}
--- a/internal/frontend/postgres/transaction_test.go
+++ b/internal/frontend/postgres/transaction_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"gannetspur/internal/core"
 	"gannetspur/internal/metrics"
 	"gannetspur/internal/pgproto"
 )
@@ -23,6 +24,13 @@
 	update := step{query: "update t set a = 1", want: "C(UPDATE) Z(T)"}
 	lose := func(r *replayClient) { r.backend.loseLatest() }
 	drain := func(r *replayClient) { r.frontend.Drain() }
+	recoverRequest := func(orphan core.Orphan) func(r *replayClient) {
+		return func(r *replayClient) {
+			for _, c := range r.frontend.connections {
+				c.RecoverRequest(orphan)
+			}
+		}
+	}
 	for name, test := range map[string]struct {
 		opts  Options
 		steps []step
@@ -53,6 +61,12 @@
 			begin, update,
 			{beforeQuery: lose, query: "commit; begin; update t set a = 2", want: "E(40000) Z(I)"},
 		}},
+		"partly answered by a process that died": {steps: []step{
+			{beforeQuery: recoverRequest(core.Orphan{PartlyAnswered: true}), query: "select 1", want: "E(57P01) end"},
+		}},
+		"sent and partly answered by a process that died": {steps: []step{
+			{beforeQuery: recoverRequest(core.Orphan{PartlyAnswered: true, MustFail: true}), query: "select 1", want: "E(40003) end"},
+		}},
 		"engine lost within a statement": {steps: []step{
 			begin, update,
 			{query: "update t set lose = 1", want: "E(40000) Z(E)"},
--- a/internal/gateway/upgrade_harness_test.go
+++ b/internal/gateway/upgrade_harness_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -30,12 +31,15 @@
 	admin  string // path of the admin socket
 	file   string // path of the upgrade file
 	ledger *emulator.Ledger
+	store  *emulator.Store     // what the engines committed
 	old    *exec.Cmd           // the first process
 	ended  chan error          // how the first process exited
 	events chan map[string]any // log events of all processes; closed once all have exited
 
 	mu   sync.Mutex
 	held map[string]chan struct{} // by mark; a statement waits until its channel is closed
+
+	waiting atomic.Int64 // number of statements that have waited for a held mark
 }
 
 // newTestGateway starts the engines and the gateway, and waits until a client is served. change lists pairs of old and new
@@ -47,9 +51,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &testGateway{t: t, addr: addr, admin: filepath.Join(dir, "a"), ledger: emulator.NewLedger(12 * time.Second), held: map[string]chan struct{}{}, ended: make(chan error, 1), events: make(chan map[string]any, 4096)}
+	g := &testGateway{t: t, addr: addr, admin: filepath.Join(dir, "a"), ledger: emulator.NewLedger(12 * time.Second), store: emulator.NewStore(), held: map[string]chan struct{}{}, ended: make(chan error, 1), events: make(chan map[string]any, 4096)}
 	cluster, err := harness.New(harness.Options{
 		Root: "../..", Dir: dir, Engines: 2, HTTP: addr, Postgres: addr, Ledger: g.ledger, Log: slog.New(slog.DiscardHandler), Work: g.work,
+		Store: g.store, Heard: g.heard,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -148,6 +153,20 @@
 
 // work is called by the engines for each statement. It waits if the text contains a held mark.
 func (g *testGateway) work(text string) (time.Duration, float64) {
+	g.waitWhileHeld(text)
+	return 0, 1
+}
+
+// heard is called by the engines for each statement before it is begun. The end of a transaction, for which
+// work is not called, waits if its text contains a held mark.
+func (g *testGateway) heard(_, text string) {
+	if strings.HasPrefix(text, "COMMIT") || strings.HasPrefix(text, "ROLLBACK") {
+		g.waitWhileHeld(text)
+	}
+}
+
+// waitWhileHeld waits if the text contains a held mark.
+func (g *testGateway) waitWhileHeld(text string) {
 	g.mu.Lock()
 	var wait chan struct{}
 	for mark, c := range g.held {
@@ -157,9 +176,9 @@
 	}
 	g.mu.Unlock()
 	if wait != nil {
+		g.waiting.Add(1)
 		<-wait
 	}
-	return 0, 1
 }
 
 // hold makes engines hold statements with the mark until the returned channel is closed.
--- a/internal/handover/frontend.go
+++ b/internal/handover/frontend.go
@@ -39,12 +39,16 @@
 // Transferable is the handler of a client connection that can be transferred to another process.
 type Transferable interface {
 	netio.Handler
-	// Idle reports whether no request is in flight.
+	// Idle reports whether the connection can be transferred: no request is in flight, and no transaction
+	// is open.
 	Idle() bool
+	// Settled reports whether no request is in flight, so that EncodeState covers all input that was
+	// consumed. An idle connection is settled.
+	Settled() bool
 	// Closing reports whether the connection is about to end.
 	Closing() bool
 	// EncodeState encodes the handler's state for Frontend.RestoreConnection. The connection must be
-	// idle.
+	// settled. A transaction that it has open at an engine counts as lost once the state is restored.
 	EncodeState() []byte
 	// Transferred tells the handler that the connection now belongs to another process.
 	Transferred()
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -25,7 +25,7 @@
 
 // Version is the version of the handover protocol in this program. A change that the previous
 // version can ignore increments Minor, any other change increments Major.
-var Version = decide.Version{Major: 1, Minor: 0}
+var Version = decide.Version{Major: 1, Minor: 1}
 
 // AnswerTotals returns the number of successful answers counted so far, and the number of
 // failures: rejected requests, failed requests and requests that the frontend itself refused. The
--- a/internal/handover/messages.go
+++ b/internal/handover/messages.go
@@ -54,15 +54,18 @@
 	// OutputRecord holds the bytes, starting at Offset, that the target is about to write to a
 	// connection. If Idle is set, no request is in flight after them, and State is the encoded state
 	// of the handler, which covers all input before the position Consumed. State is nil if Closing is
-	// set, because no more input will be read then.
+	// set, because no more input will be read then. InTransaction means that a transaction is open: the
+	// connection goes on, and State is set. Closing is set as well then, for sources of protocol 1.0: they
+	// don't know InTransaction, and must close the connection instead of handling its input again.
 	OutputRecord struct {
-		Conn     uint32 `cbor:"1,keyasint"`
-		Offset   int64  `cbor:"2,keyasint"`
-		Data     []byte `cbor:"3,keyasint"`
-		Idle     bool   `cbor:"4,keyasint,omitempty"`
-		Closing  bool   `cbor:"5,keyasint,omitempty"` // the connection is closed after Data
-		Consumed int64  `cbor:"6,keyasint,omitempty"`
-		State    []byte `cbor:"7,keyasint,omitempty"`
+		Conn          uint32 `cbor:"1,keyasint"`
+		Offset        int64  `cbor:"2,keyasint"`
+		Data          []byte `cbor:"3,keyasint"`
+		Idle          bool   `cbor:"4,keyasint,omitempty"`
+		Closing       bool   `cbor:"5,keyasint,omitempty"` // the connection is closed after Data, unless InTransaction is set
+		Consumed      int64  `cbor:"6,keyasint,omitempty"`
+		State         []byte `cbor:"7,keyasint,omitempty"`
+		InTransaction bool   `cbor:"8,keyasint,omitempty"`
 	}
 	// ConnectionClosed reports that a connection has ended.
 	ConnectionClosed struct {
@@ -132,6 +135,9 @@
 	kindForwardedCall
 )
 
+// endsConnection reports whether the connection is closed after the output.
+func (m *OutputRecord) endsConnection() bool { return m.Closing && !m.InTransaction }
+
 func (*Hello) kind() byte              { return kindHello }
 func (*Ready) kind() byte              { return kindReady }
 func (*Heartbeat) kind() byte          { return kindHeartbeat }
--- a/internal/handover/recorder.go
+++ b/internal/handover/recorder.go
@@ -58,14 +58,15 @@
 }
 
 // Output reports bytes that are about to be written, with the handler's state if no request is in
-// flight after them.
+// flight after them, also within a transaction.
 func (r *recorder) Output(c *netio.Conn, offset int64, b []byte) {
 	m := &OutputRecord{Conn: r.conn, Offset: offset, Data: b}
-	if h := r.handler; h != nil && (h.Idle() || h.Closing()) {
+	if h := r.handler; h != nil && (h.Settled() || h.Closing()) {
 		m.Idle = true
-		m.Closing = h.Closing()
+		m.InTransaction = !h.Idle() && !h.Closing()
+		m.Closing = h.Closing() || m.InTransaction
 		m.Consumed = c.ConsumedPosition()
-		if !m.Closing {
+		if !m.endsConnection() {
 			m.State = h.EncodeState()
 		}
 	}
--- a/internal/handover/retained.go
+++ b/internal/handover/retained.go
@@ -21,6 +21,7 @@
 type retainedConnection struct {
 	fd           int
 	state        []byte         // from Transferable.EncodeState
+	partOutput   bool           // output was recorded since state: a part of the answer to input
 	input        []byte         // input that was read and that state does not cover
 	inputOffset  int64          // position of the start of input in the received stream
 	receivedAt   time.Duration  // when the target received the last input, on the loop's clock; 0 if it received none
@@ -64,13 +65,15 @@
 	r.output = append(r.output, m.Data...)
 	switch {
 	case !m.Idle:
+		r.partOutput = true
 		return
-	case m.Closing: // no more input will be read
+	case m.endsConnection(): // no more input will be read
 		r.closing = true
 		r.request = nil
 		r.input = nil
 	default:
 		r.state = m.State
+		r.partOutput = false
 		r.request = nil
 		r.dropInputBefore(m.Consumed)
 	}
@@ -128,7 +131,7 @@
 // orphanedRequest describes the request that was in flight in the target when the target died. The
 // request must fail if it was sent to an engine and may not be sent again.
 func (r *retainedConnection) orphanedRequest(now time.Duration) core.Orphan {
-	orphan := core.Orphan{ReceivedAt: r.receivedAt}
+	orphan := core.Orphan{ReceivedAt: r.receivedAt, PartlyAnswered: r.partOutput}
 	if r.request != nil {
 		orphan.FirstSentAt = r.request.FirstSentAt
 		orphan.MustFail = decide.Recover(r.request.request(), 0, now) != decide.Resend
--- a/internal/handover/retained_test.go
+++ b/internal/handover/retained_test.go
@@ -10,8 +10,8 @@
 )
 
 // Input is retained until an output record without a request in flight brings a new state, which
-// replaces the old one and covers the input before it. Output is retained. A closing connection retains
-// no input.
+// replaces the old one and covers the input before it, also within a transaction. Output is retained. A
+// closing connection retains no input.
 func TestRetainedConnection(t *testing.T) {
 	r := &retainedConnection{fd: -1, state: []byte("0"), input: []byte("abc"), inputOffset: 97}
 	r.recordInput(&InputRecord{Offset: 100, Data: []byte("defgh"), ReceivedAt: time.Second})
@@ -24,9 +24,18 @@
 	if string(r.input) != "fgh" || r.inputOffset != 102 || r.request != nil || string(r.state) != "1" || string(r.output) != "partanswer" || r.outputOffset != 50 {
 		t.Errorf("after the answer: got %+v, want input fgh at 102, no request, state 1 and output partanswer at 50", r)
 	}
-	r.recordOutput(&OutputRecord{Offset: 60, Data: []byte("bye"), Idle: true, Closing: true})
-	if !r.closing || len(r.input) > 0 || string(r.state) != "1" {
-		t.Errorf("on closing: got %+v, want closing, no input and state 1", r)
+	r.recordInput(&InputRecord{Offset: 105, Data: []byte("ij")})
+	r.recordOutput(&OutputRecord{Offset: 60, Data: []byte("half"), Idle: false})
+	if orphan := r.orphanedRequest(0); !orphan.PartlyAnswered {
+		t.Errorf("after a part of an answer: orphaned request %+v, want it partly answered", orphan)
+	}
+	r.recordOutput(&OutputRecord{Offset: 64, Data: []byte("rest"), Idle: true, Closing: true, InTransaction: true, Consumed: 106, State: []byte("2")})
+	if orphan := r.orphanedRequest(0); orphan.PartlyAnswered || string(r.input) != "j" || string(r.state) != "2" {
+		t.Errorf("after an answer within a transaction: got %+v, orphaned request %+v, want input j, state 2 and nothing answered in part", r, orphan)
+	}
+	r.recordOutput(&OutputRecord{Offset: 68, Data: []byte("bye"), Idle: true, Closing: true})
+	if !r.closing || len(r.input) > 0 || string(r.state) != "2" {
+		t.Errorf("on closing: got %+v, want closing, no input and state 2", r)
 	}
 }
 
--- a/internal/handover/stored_test.go
+++ b/internal/handover/stored_test.go
@@ -18,7 +18,8 @@
 )
 
 // storedFrames has at least one message of each kind. testdata/frames holds their frames as version
-// c18a9bd sent them. Processes of different versions must be able to read each other's frames.
+// c18a9bd sent them, and output-in-transaction as protocol 1.1 sends it. Processes of different versions must be able
+// to read each other's frames.
 var storedFrames = []struct {
 	file        string
 	message     Message
@@ -32,6 +33,7 @@
 	{"sending", &RequestRecord{Conn: 7, Idempotency: 1, FirstSentAt: 3 * time.Second, KeyWindow: 12 * time.Second, Deadline: time.Minute}, 0},
 	{"output", &OutputRecord{Conn: 7, Offset: 99, Data: []byte("HTTP/1.1 200 OK"), Idle: true, Closing: true, Consumed: 1 << 33, State: []byte{0xa1, 1, 0xf5}}, 0},
 	{"output-unsettled", &OutputRecord{Conn: 7, Offset: 99, Data: []byte("part")}, 0},
+	{"output-in-transaction", &OutputRecord{Conn: 7, Offset: 99, Data: []byte("part"), Idle: true, Closing: true, Consumed: 1 << 33, State: []byte{0xa1, 1, 0xf5}, InTransaction: true}, 0},
 	{"closed", &ConnectionClosed{Conn: 1 << 31}, 0},
 	{"world", &State{Sections: map[string]cbor.RawMessage{"event": {0x18, 0x29}}}, 0},
 	{"go", &Serve{}, 0},
--- a/internal/testbed/harness/harness.go
+++ b/internal/testbed/harness/harness.go
@@ -18,17 +18,19 @@
 
 // Options configure a harness.
 type Options struct {
-	Root     string           // root of the repository, whose example and deploy files are the templates
-	Dir      string           // directory for the written files
-	Engines  int              // number of engines of each wire protocol
-	Work     emulator.Work    // how engines execute statements
-	HTTP     string           // listen address of the HTTP frontend
-	Postgres string           // listen address of the PostgreSQL frontend
-	Shapes   bool             // whether the PostgreSQL frontend's configuration enables query shapes
-	User     string           // user that PostgreSQL engines accept; "": any
-	Clients  int              // client connections to size the frontends for; 0: keep the templates' limits
-	Ledger   *emulator.Ledger // records what engines executed
-	Name     string           // prefix of the engines' names in the ledger
+	Root     string                          // root of the repository, whose example and deploy files are the templates
+	Dir      string                          // directory for the written files
+	Engines  int                             // number of engines of each wire protocol
+	Work     emulator.Work                   // how engines execute statements
+	HTTP     string                          // listen address of the HTTP frontend
+	Postgres string                          // listen address of the PostgreSQL frontend
+	Shapes   bool                            // whether the PostgreSQL frontend's configuration enables query shapes
+	User     string                          // user that PostgreSQL engines accept; "": any
+	Clients  int                             // client connections to size the frontends for; 0: keep the templates' limits
+	Ledger   *emulator.Ledger                // records what engines executed
+	Store    *emulator.Store                 // records what PostgreSQL engines committed; nil: nothing is recorded
+	Heard    func(session, statement string) // called with each statement at a PostgreSQL engine; may be nil
+	Name     string                          // prefix of the engines' names in the ledger
 	// Machine and QueryFor, if set, make engines whose statements compete for resources.
 	Machine  func(i int) *emulator.Machine
 	QueryFor func(statement string) enginemodel.Query
@@ -92,6 +94,8 @@
 			return err
 		}
 		engine.User = opts.User
+		engine.Store = opts.Store
+		engine.Heard = opts.Heard
 		postgres := engineSpec{id: fmt.Sprintf("engine-%d", i+1), options: engine, serve: emulator.Postgres, start: start}
 		if err := h.startEngine(h.Postgres, opts, postgres); err != nil {
 			return err
