Reset a session whose settings a failed statement has left unknown

Clients of the PostgreSQL front end got rows by another client's search_path after a statement failed, by an engine's error or a client's own.

Cause: SET and RESET that the gateway sends ahead of a statement are one transaction with it. They were noted as done when they were sent; a failure undid them at the engine and not in the note, so later statements went to the session without them.

Now they count once the engine has committed them with the statement. In any other end the settings are unknown, and the session is reset before another statement has it.

--- a/internal/backend/postgres/query.go
+++ b/internal/backend/postgres/query.go
@@ -85,15 +85,15 @@
 	if c.query.cancelled && outcome != core.OutcomeServed {
 		outcome = core.OutcomeCancelled
 	}
-	if statement != nil && statement.ChangedSetting != "" && outcome == core.OutcomeServed {
-		c.session.settings[statement.ChangedSetting] = statement.Query
+	if statement != nil && outcome == core.OutcomeServed {
+		c.session.commitSettings(statement)
 	}
 	c.clearQuery()
 	c.lastUsed = c.backend.core.Now()
 	switch {
 	case c.retired:
 		c.close(core.OutcomeIdleClosed)
-	case a.Request.Streaming || statement != nil && statement.TaintsSession:
+	case a.Request.Streaming || c.session.unknown() || statement != nil && statement.TaintsSession:
 		c.resetSession()
 	default:
 		c.becomeIdle()
--- a/internal/backend/postgres/replay_test.go
+++ b/internal/backend/postgres/replay_test.go
@@ -133,9 +133,10 @@
 	return c.prepare(nil, c.statement())
 }
 
-// applySettings returns the messages that apply the settings to the session.
+// applySettings returns the messages that apply the settings to the session, and commits them.
 func (c replaySession) applySettings(settings []pgproto.Setting) (messages []byte) {
 	messages, c.response.precedingStatements = c.session.appendSettings(nil, settings)
+	c.session.commitSettings(&pgproto.Statement{})
 	return messages
 }
 
--- a/internal/backend/postgres/session.go
+++ b/internal/backend/postgres/session.go
@@ -10,38 +10,63 @@
 
 // session is the state that the engine keeps for a connection between statements.
 type session struct {
-	settings  map[string]string // text of the SET statement that applied each setting, by the setting's name
-	resetting bool              // DISCARD ALL is running: no statement may use the session yet
+	// settings are the settings that the engine has committed: the text of the SET statement that applied
+	// each, by the setting's name.
+	settings map[string]string
+	// pending are the settings that the session will have if the statement in flight succeeds, because SET
+	// or RESET statements were sent ahead of it. They are one transaction with it, so the engine undoes them
+	// if it fails. It is nil if none were sent.
+	pending   map[string]string
+	resetting bool // DISCARD ALL is running: no statement may use the session yet
 }
 
 // newSession returns the state of a new session, which has no settings of clients.
 func newSession() session { return session{settings: map[string]string{}} }
 
 // appendSettings appends the messages that change the session's settings to those that a statement needs: RESET for
-// the others, SET for those that differ. It appends nothing if the settings already match. count is the number of
-// statements in the appended messages.
+// the others, SET for those that differ. It appends nothing if the settings already match. The changes are pending
+// until commitSettings. count is the number of statements in the appended messages.
 func (s *session) appendSettings(messages []byte, settings []pgproto.Setting) (appended []byte, count int) {
 	if len(settings) == 0 && len(s.settings) == 0 { // the case of nearly all statements
 		return messages, 0
 	}
+	changed := maps.Clone(s.settings)
 	for _, name := range slices.Sorted(maps.Keys(s.settings)) {
 		wanted := slices.ContainsFunc(settings, func(setting pgproto.Setting) bool { return setting.Name == name })
 		if !wanted {
 			messages = appendPrecedingStatement(messages, "RESET "+name)
-			delete(s.settings, name)
+			delete(changed, name)
 			count++
 		}
 	}
 	for _, setting := range settings {
-		if s.settings[setting.Name] != setting.Text {
+		if changed[setting.Name] != setting.Text {
 			messages = appendPrecedingStatement(messages, setting.Text)
-			s.settings[setting.Name] = setting.Text
+			changed[setting.Name] = setting.Text
 			count++
 		}
 	}
+	if count > 0 {
+		s.pending = changed
+	}
 	return messages, count
 }
 
+// commitSettings records that the engine has committed the statement in flight, and the settings sent ahead of it.
+func (s *session) commitSettings(statement *pgproto.Statement) {
+	if s.pending != nil {
+		s.settings = s.pending
+		s.pending = nil
+	}
+	if statement.ChangedSetting != "" {
+		s.settings[statement.ChangedSetting] = statement.Query
+	}
+}
+
+// unknown reports whether the settings of the session are not known: the statement that they were sent ahead of
+// has ended in another way than by a commit.
+func (s *session) unknown() bool { return s.pending != nil }
+
 // resetSession makes the engine discard the state that a transaction or statement has left in the session.
 // Otherwise another client could see this client's settings and temporary tables. If the reset takes longer than the
 // connect timeout, the connection is closed.
@@ -50,7 +75,7 @@
 		return
 	}
 	c.prepared.clear()
-	clear(c.session.settings)
+	c.session = newSession()
 	c.session.resetting = true
 	c.socket.Write(pgproto.AppendMessage(nil, pgproto.MessageQuery, pgproto.CString("DISCARD ALL")))
 	c.backend.loop.Timers.Add(c.backend.core.Now()+c.backend.options.ConnectTimeout, func() {
