Answer a cancelled ROLLBACK with ROLLBACK, as cancelling rolls back

A CancelRequest during a ROLLBACK, or during the COMMIT of a failed transaction, left the client with 57014 and a transaction that was still open, as failed.

Cause: connection.cancelTransaction knew only a COMMIT under way and statements that fail the transaction. Cancelling closes the engine connection, which rolls back, so the ROLLBACK is complete: it is answered so, and the transaction is over.

--- a/internal/frontend/postgres/cancel.go
+++ b/internal/frontend/postgres/cancel.go
@@ -38,6 +38,9 @@
 func (c *connection) cancelInFlight() {
 	r := c.inFlight.request
 	c.inFlight.take()
+	if c.cancelRollback(r) {
+		return
+	}
 	e := c.cancelTransaction(r)
 	switch {
 	case e != nil:
@@ -51,6 +54,21 @@
 	c.resume()
 }
 
+// cancelRollback completes the ROLLBACK of the open transaction if r is its request and a ROLLBACK is in flight, and
+// reports whether it did. Ending the request closes the engine connection, which also rolls back.
+func (c *connection) cancelRollback(r *core.Request) bool {
+	tx := c.transaction
+	if tx == nil || tx.request != r || !tx.rollingBack {
+		return false
+	}
+	onAnswer := tx.onAnswer
+	tx.detach()
+	c.frontend.core.ClientDisconnected(r)
+	onAnswer(core.Answer{Verdict: core.Failed})
+	c.resume()
+	return true
+}
+
 // cancelTransaction cancels the open transaction if r is its request, and returns the error to send to
 // the client. It returns nil if r does not belong to a transaction. The engine connection is closed when
 // the caller ends the request, which rolls back the whole transaction; until the client ends it, the
--- a/internal/frontend/postgres/transaction.go
+++ b/internal/frontend/postgres/transaction.go
@@ -19,9 +19,12 @@
 	failed     bool              // only its end or a rollback to a savepoint is accepted
 	lost       bool              // the engine connection is lost, and the client has not been told yet
 	committing bool              // its COMMIT is in flight
-	implicit   bool              // begun for a Query with several statements, and ended with it
-	idleTimer  *timerqueue.Timer // limits the time between two statements
-	limitTimer *timerqueue.Timer // limits the whole transaction
+	// rollingBack is set while a ROLLBACK of the whole transaction is in flight, which a COMMIT of a failed
+	// transaction becomes.
+	rollingBack bool
+	implicit    bool              // begun for a Query with several statements, and ended with it
+	idleTimer   *timerqueue.Timer // limits the time between two statements
+	limitTimer  *timerqueue.Timer // limits the whole transaction
 }
 
 // detach separates a transaction from its request, whose answer is then ignored.
--- a/internal/frontend/postgres/transaction_control.go
+++ b/internal/frontend/postgres/transaction_control.go
@@ -149,6 +149,7 @@
 func (c *connection) endTransactionAtEngine(s *statement, done func(tag string)) {
 	tx := c.transaction
 	tx.committing = s.endTag() == tagCommit && !tx.failed
+	tx.rollingBack = !tx.committing
 	query := s.query
 	if tx.failed { // the engine may be unaware, because the failed statement may never have reached it
 		query = tagRollback
--- a/internal/integration/transactions_test.go
+++ b/internal/integration/transactions_test.go
@@ -320,6 +320,38 @@
 	}
 }
 
+// TestEndOfTransactionCancelled guards against a transaction that stays open, as failed, because its ROLLBACK was
+// cancelled: it is rolled back, and answered so. A cancelled COMMIT ends the transaction in doubt.
+func TestEndOfTransactionCancelled(t *testing.T) {
+	const update = "UPDATE a SET b = 1"
+	for name, tt := range map[string]struct{ before, end, atEngine, want string }{
+		"rollback":             {"SELECT 1", "ROLLBACK", "ROLLBACK", "C(ROLLBACK) ZI"},
+		"commit after failure": {"SELECT 1/0", "COMMIT", "ROLLBACK", "C(ROLLBACK) ZI"},
+		"commit":               {"SELECT 1", "COMMIT", "COMMIT", "E(40003) ZI"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			engines := newStoreEngines(t, 1, nil)
+			g := newTransactionGateway(t, engines)
+			k := connect(t, g.addr)
+			for _, text := range []string{"BEGIN", update, tt.before} {
+				k.queryWithStatus(text)
+			}
+			release := engines.hold(tt.atEngine)
+			defer close(release)
+			k.send(query(tt.end))
+			engines.await(t, tt.atEngine)
+			c := dial(t, g.addr)
+			_, _ = c.Write(pgproto.AppendStartup(nil, pgproto.CancelRequest, k.key))
+			if w := k.until('Z') + string(k.last); w != tt.want {
+				t.Errorf("%s: got %s, want %s", tt.end, w, tt.want)
+			}
+			if w := k.queryWithStatus("COMMIT"); w != "N C(COMMIT) ZI" {
+				t.Errorf("COMMIT outside of a transaction: got %s, want N C(COMMIT) ZI", w)
+			}
+		})
+	}
+}
+
 // TestSeveralStatements guards against partial effects of several statements in one Query message. They are one
 // transaction, or belong to those that they begin themselves; the first error ends the message and the
 // transaction it began.
