--- a/internal/gateway/upgrade_harness_test.go
+++ b/internal/gateway/upgrade_harness_test.go
@@ -26,15 +26,16 @@
 // such as "q-1-3" that identifies it in the engines' ledger; its first letter is the load.Kind: q for a lookup, k for a load
 // with an idempotency key, w for a write. A test can have the engines hold the statement of a mark.
 type testGateway struct {
-	t      *testing.T
-	addr   string // that clients connect to
-	admin  string // path of the admin socket
-	file   string // path of the upgrade file
-	ledger *emulator.Ledger
-	store  *emulator.Store     // what the engines committed
-	old    *exec.Cmd           // the first process
-	ended  chan error          // how the first process exited
-	events chan map[string]any // log events of all processes; closed once all have exited
+	t       *testing.T
+	addr    string           // that clients connect to
+	admin   string           // path of the admin socket
+	file    string           // path of the upgrade file
+	cluster *harness.Harness // the engines and their discovery
+	ledger  *emulator.Ledger
+	store   *emulator.Store     // what the engines committed
+	old     *exec.Cmd           // the first process
+	ended   chan error          // how the first process exited
+	events  chan map[string]any // log events of all processes; closed once all have exited
 
 	mu   sync.Mutex
 	held map[string]chan struct{} // by mark; a statement waits until its channel is closed
@@ -59,6 +60,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	g.cluster = cluster
 	t.Cleanup(cluster.Close)
 	replace := func(path string, pairs ...string) {
 		raw, err := os.ReadFile(path)
--- /dev/null
+++ b/internal/gateway/upgrade_soak_test.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gannetspur/internal/admin"
+	"gannetspur/internal/testbed/emulator"
+	"gannetspur/internal/testbed/transactions"
+)
+
+// upgradeSoakRounds is an environment variable with the number of upgrades of each seed, for a long run by hand.
+const upgradeSoakRounds = "RINGWOOD_UPGRADE_SOAK_ROUNDS"
+
+// TestUpgradeSoak guards against transactions that are split, doubled or reported wrongly, and against settings that
+// leak, when upgrades succeed, and when the new process dies at any moment, while an engine drains, dies and returns.
+func TestUpgradeSoak(t *testing.T) {
+	const clients = 6
+	rounds := 12
+	if n, err := strconv.Atoi(os.Getenv(upgradeSoakRounds)); err == nil {
+		rounds = n
+	}
+	for seed := range uint64(2) {
+		t.Run("seed "+strconv.FormatUint(seed, 10), func(t *testing.T) {
+			g := newTestGateway(t)
+			random := rand.New(rand.NewPCG(seed, 6))
+			history := &transactions.History{}
+			stop := make(chan struct{})
+			var running sync.WaitGroup
+			for i := range clients {
+				running.Go(func() {
+					client := transactions.NewClient(g.addr, i, seed, history)
+					for {
+						select {
+						case <-stop:
+							return
+						default:
+							client.Run(time.Now().Add(time.Second))
+						}
+					}
+				})
+			}
+			running.Go(func() { g.disturbEngine(stop, seed) })
+			for range rounds {
+				g.upgradeOnce(random)
+			}
+			close(stop)
+			running.Wait()
+			time.Sleep(200 * time.Millisecond) // what is at the engines ends
+			faults := history.Faults(g.store.Commits())
+			outcomes, rows := history.Counts()
+			t.Logf("outcomes %v, %d rows, %d faults", outcomes, rows, len(faults))
+			for i, fault := range faults {
+				if i < 10 {
+					t.Error(fault)
+				}
+			}
+			if outcomes[transactions.Committed] < clients*rounds {
+				t.Errorf("%d transactions were committed, want at least %d: one for each client and upgrade", outcomes[transactions.Committed], clients*rounds)
+			}
+		})
+	}
+}
+
+// upgradeOnce makes an upgrade, whose new process dies in two of three cases.
+func (g *testGateway) upgradeOnce(random *rand.Rand) {
+	g.t.Helper()
+	const maxLife = 280 * time.Millisecond // of a new process that dies; the probation takes at least 300 ms
+	pid, result := g.startNextProbation()
+	if random.IntN(3) > 0 {
+		time.Sleep(time.Duration(random.Int64N(int64(maxLife))))
+		_ = syscall.Kill(pid, syscall.SIGKILL)
+	}
+	<-result
+}
+
+// startNextProbation is startProbation, again and again while the upgrade before is not through: its old process still
+// completes what is open there.
+func (g *testGateway) startNextProbation() (pid int, result <-chan admin.Reply) {
+	g.t.Helper()
+	const maxAttempts = 500
+	for range maxAttempts {
+		result = g.sendCommand("upgrade")
+		if pid = g.awaitProbationOrReply(result); pid > 0 {
+			return pid, result
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	g.t.Fatalf("no upgrade was begun in %d attempts", maxAttempts)
+	return 0, nil
+}
+
+// awaitProbationOrReply waits until the new process is on probation and returns its id, or 0 if the upgrade is answered
+// before.
+func (g *testGateway) awaitProbationOrReply(result <-chan admin.Reply) (pid int) {
+	g.t.Helper()
+	timeout := time.After(30 * time.Second)
+	for {
+		select {
+		case e := <-g.events:
+			if started, ok := e["pid"].(float64); ok && e["msg"] == "upgrade.started" {
+				pid = int(started)
+			}
+			if pid > 0 && e["msg"] == "upgrade.phase" && e["phase"] == "probation" {
+				return pid
+			}
+		case <-result:
+			return 0
+		case <-timeout:
+			g.t.Fatal("neither a probation nor a reply to the upgrade within 30 s")
+		}
+	}
+}
+
+// disturbEngine lets the second engine drain, die and return until stop is closed.
+func (g *testGateway) disturbEngine(stop <-chan struct{}, seed uint64) {
+	const maxPause = 400 * time.Millisecond
+	random := rand.New(rand.NewPCG(seed, 7))
+	for {
+		for _, kind := range []string{emulator.Drain, emulator.Die, emulator.Return} {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Duration(random.Int64N(int64(maxPause)))):
+			}
+			if err := g.cluster.Apply(kind, 2); err != nil {
+				g.t.Errorf("%s of engine 2: %v", kind, err)
+				return
+			}
+		}
+	}
+}
