Reset DateStyle before another client's SET of it, which may name only a half

A client that sets only the order of dates could get another client's style.

Cause: a session's setting was replaced by the next client's SET, but DateStyle has two values, and a SET of one leaves the other.

Now a session's DateStyle is reset first. The emulated engine keeps the style as PostgreSQL's manual says. Failed before: TestPartOfASettingDoesNotLeak.

--- a/internal/backend/postgres/session.go
+++ b/internal/backend/postgres/session.go
@@ -20,6 +20,10 @@
 	resetting bool // DISCARD ALL is running: no statement may use the session yet
 }
 
+// compositeSettings are the settings of which a SET may assign a part and leave the rest as it is. They are reset
+// before another SET, as the rest may be another client's.
+var compositeSettings = map[string]bool{"datestyle": true}
+
 // newSession returns the state of a new session, which has no settings of clients.
 func newSession() session { return session{settings: map[string]string{}} }
 
@@ -40,11 +44,17 @@
 		}
 	}
 	for _, setting := range settings {
-		if changed[setting.Name] != setting.Text {
-			messages = appendPrecedingStatement(messages, setting.Text)
-			changed[setting.Name] = setting.Text
+		applied, isApplied := changed[setting.Name]
+		if applied == setting.Text {
+			continue
+		}
+		if isApplied && compositeSettings[setting.Name] {
+			messages = appendPrecedingStatement(messages, "RESET "+setting.Name)
 			count++
 		}
+		messages = appendPrecedingStatement(messages, setting.Text)
+		changed[setting.Name] = setting.Text
+		count++
 	}
 	if count > 0 {
 		s.pending = changed
--- a/internal/integration/session_settings_test.go
+++ b/internal/integration/session_settings_test.go
@@ -162,6 +162,21 @@
 	}
 }
 
+// TestPartOfASettingDoesNotLeak guards against dates in another client's style: a SET of the order of dates leaves the
+// style as the session has it, which may be another client's.
+func TestPartOfASettingDoesNotLeak(t *testing.T) {
+	engines := newStoreEngines(t, 1, nil)
+	g := newTransactionGateway(t, engines)
+	a := &settingsClient{pgClient: connect(t, g.addr), settings: map[string]string{"datestyle": "German"}}
+	b := &settingsClient{pgClient: connect(t, g.addr), settings: map[string]string{"datestyle": "YMD"}}
+	a.run(query("SET datestyle = 'German'"))
+	b.run(query("SET datestyle = 'YMD'"))
+	for range 3 {
+		a.check("datestyle", query)
+		b.check("datestyle", query)
+	}
+}
+
 // TestFailedStatementLeavesNoSetting guards against the same in the fewest steps: one engine, one session, two
 // clients.
 func TestFailedStatementLeavesNoSetting(t *testing.T) {
--- a/internal/testbed/emulator/pg_session.go
+++ b/internal/testbed/emulator/pg_session.go
@@ -108,6 +108,18 @@
 	s.settings[name] = value
 }
 
+// dateOrders are the values of DateStyle that set only the order of day, month and year.
+var dateOrders = map[string]bool{"DMY": true, "MDY": true, "YMD": true}
+
+// set executes the assignment of a SET. As in PostgreSQL, an order of the date leaves the style of DateStyle as it is.
+func (s *pgSession) set(name, value string) {
+	style, _, _ := strings.Cut(s.settings[name], ", ")
+	if name == "datestyle" && dateOrders[value] && style != "" && !dateOrders[style] {
+		value = style + ", " + value
+	}
+	s.assign(name, value)
+}
+
 // setting returns the value of a setting, "default" if none was set.
 func (s *pgSession) setting(name string) string {
 	if value, ok := s.settings[name]; ok {
@@ -196,12 +208,12 @@
 	case words[1] == "LOCAL" && len(words) > setLocal:
 		name := strings.ToLower(words[2])
 		s.transaction.local[name] = true
-		s.assign(name, settingValue(statement))
+		s.set(name, settingValue(statement))
 		return "", nil
 	case words[1] == "LOCAL":
 		return "", nil
 	}
-	s.assign(strings.ToLower(words[1]), settingValue(statement))
+	s.set(strings.ToLower(words[1]), settingValue(statement))
 	return "SET", nil
 }
 
