Divide the emulated PostgreSQL engine by concern; the linter covers its package

One function of 170 lines served a connection. Startup, messages, session, store and the watch of a closed connection have files of their own, a message a function, and the statuses and message types are pgproto's. internal/testbed/emulator leaves the linter's exclusions (five unchecked Close in its test). The upgrade test uses the messages of internal/testbed/transactions, whose checker has a test.

Nothing that serves changed: the testbed's, the integration and the gateway's tests pass as before.

--- a/internal/gateway/upgrade_transaction_test.go
+++ b/internal/gateway/upgrade_transaction_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gannetspur/internal/pgproto"
+	"gannetspur/internal/testbed/transactions"
 )
 
 // answer reads messages up to ReadyForQuery. It returns their types, with the tag of a CommandComplete, the SQLSTATE
@@ -46,22 +47,6 @@
 	}
 }
 
-// simple returns a Query.
-func simple(text string) []byte {
-	return pgproto.AppendMessage(nil, pgproto.MessageQuery, pgproto.CString(text))
-}
-
-// extended returns the messages that run statements by the extended protocol, with one Sync.
-func extended(texts ...string) (messages []byte) {
-	for _, text := range texts {
-		messages = pgproto.AppendMessage(messages, pgproto.MessageParse, []byte{0}, pgproto.CString(text), []byte{0, 0})
-		messages = pgproto.AppendMessage(messages, pgproto.MessageBind, []byte{0, 0}, make([]byte, 6))
-		messages = pgproto.AppendMessage(messages, pgproto.MessageDescribe, []byte("P\x00"))
-		messages = pgproto.AppendMessage(messages, pgproto.MessageExecute, []byte{0}, pgproto.Int32(0))
-	}
-	return pgproto.AppendMessage(messages, pgproto.MessageSync)
-}
-
 // write returns the text of a write with a mark.
 func write(mark string) string { return "UPDATE stock_3.parts SET tag = '" + mark + "'" }
 
@@ -76,7 +61,7 @@
 // transaction at that moment.
 func TestUpgradeNewProcessDiesInTransactions(t *testing.T) {
 	const committed = "C(SELECT 2) Z(T)"
-	begin := exchange{simple("BEGIN"), "C(BEGIN) Z(T)"}
+	begin := exchange{transactions.Simple("BEGIN"), "C(BEGIN) Z(T)"}
 	cases := map[string]struct {
 		before   []exchange // answered by the new process
 		inFlight []byte     // held at an engine while the new process dies; nil if nothing is in flight
@@ -85,79 +70,79 @@
 		commits  []string   // writes that are committed once in the end; all others never are
 	}{
 		"between statements": {
-			before: []exchange{begin, {simple(write("w-1-1")), committed}},
-			after:  []exchange{{simple(write("w-1-2")), "E(40000) Z(E)"}, {simple(write("w-1-3")), "E(25P02) Z(E)"}, {simple("COMMIT"), "C(ROLLBACK) Z(I)"}},
+			before: []exchange{begin, {transactions.Simple(write("w-1-1")), committed}},
+			after:  []exchange{{transactions.Simple(write("w-1-2")), "E(40000) Z(E)"}, {transactions.Simple(write("w-1-3")), "E(25P02) Z(E)"}, {transactions.Simple("COMMIT"), "C(ROLLBACK) Z(I)"}},
 		},
-		"before commit":   {before: []exchange{begin, {simple(write("w-2-1")), committed}}, after: []exchange{{simple("COMMIT"), "E(40000) Z(I)"}}},
-		"before rollback": {before: []exchange{begin, {simple(write("w-3-1")), committed}}, after: []exchange{{simple("ROLLBACK"), "C(ROLLBACK) Z(I)"}}},
+		"before commit":   {before: []exchange{begin, {transactions.Simple(write("w-2-1")), committed}}, after: []exchange{{transactions.Simple("COMMIT"), "E(40000) Z(I)"}}},
+		"before rollback": {before: []exchange{begin, {transactions.Simple(write("w-3-1")), committed}}, after: []exchange{{transactions.Simple("ROLLBACK"), "C(ROLLBACK) Z(I)"}}},
 		"before the first statement": {
 			before:  []exchange{begin},
-			after:   []exchange{{simple(write("w-4-1")), committed}, {simple("COMMIT"), "C(COMMIT) Z(I)"}},
+			after:   []exchange{{transactions.Simple(write("w-4-1")), committed}, {transactions.Simple("COMMIT"), "C(COMMIT) Z(I)"}},
 			commits: []string{write("w-4-1")},
 		},
 		"in the first statement": {
-			before: []exchange{begin}, inFlight: simple(write("w-5-1")), held: "w-5-1",
-			after: []exchange{{nil, "E(40000) Z(E)"}, {simple("COMMIT"), "C(ROLLBACK) Z(I)"}},
+			before: []exchange{begin}, inFlight: transactions.Simple(write("w-5-1")), held: "w-5-1",
+			after: []exchange{{nil, "E(40000) Z(E)"}, {transactions.Simple("COMMIT"), "C(ROLLBACK) Z(I)"}},
 		},
 		"in a later statement": {
-			before: []exchange{begin, {simple(write("w-6-1")), committed}}, inFlight: simple(write("w-6-2")), held: "w-6-2",
-			after: []exchange{{nil, "E(40000) Z(E)"}, {simple("ROLLBACK"), "C(ROLLBACK) Z(I)"}},
+			before: []exchange{begin, {transactions.Simple(write("w-6-1")), committed}}, inFlight: transactions.Simple(write("w-6-2")), held: "w-6-2",
+			after: []exchange{{nil, "E(40000) Z(E)"}, {transactions.Simple("ROLLBACK"), "C(ROLLBACK) Z(I)"}},
 		},
 		"in commit": {
-			before: []exchange{begin, {simple(write("w-7-1")), committed}}, inFlight: simple("COMMIT /* w-7-2 */"), held: "w-7-2",
+			before: []exchange{begin, {transactions.Simple(write("w-7-1")), committed}}, inFlight: transactions.Simple("COMMIT /* w-7-2 */"), held: "w-7-2",
 			after: []exchange{{nil, "E(40003) Z(I)"}}, commits: []string{write("w-7-1")},
 		},
 		"in rollback": {
-			before: []exchange{begin, {simple(write("w-8-1")), committed}}, inFlight: simple("ROLLBACK /* w-8-2 */"), held: "w-8-2",
+			before: []exchange{begin, {transactions.Simple(write("w-8-1")), committed}}, inFlight: transactions.Simple("ROLLBACK /* w-8-2 */"), held: "w-8-2",
 			after: []exchange{{nil, "C(ROLLBACK) Z(I)"}},
 		},
 		"in rollback to a savepoint": {
-			before:   []exchange{begin, {simple("SAVEPOINT a"), "C(SAVEPOINT) Z(T)"}, {simple(write("w-9-1")), committed}},
-			inFlight: simple("ROLLBACK /* w-9-2 */ TO a"), held: "w-9-2",
-			after: []exchange{{nil, "E(40000) Z(E)"}, {simple("COMMIT"), "C(ROLLBACK) Z(I)"}},
+			before:   []exchange{begin, {transactions.Simple("SAVEPOINT a"), "C(SAVEPOINT) Z(T)"}, {transactions.Simple(write("w-9-1")), committed}},
+			inFlight: transactions.Simple("ROLLBACK /* w-9-2 */ TO a"), held: "w-9-2",
+			after: []exchange{{nil, "E(40000) Z(E)"}, {transactions.Simple("COMMIT"), "C(ROLLBACK) Z(I)"}},
 		},
 		"after a failed statement": {
-			before: []exchange{begin, {simple("UPDATE stock_3.parts SET tag = 1/0"), "E(22012) Z(E)"}},
-			after:  []exchange{{simple(write("w-10-1")), "E(25P02) Z(E)"}, {simple("COMMIT"), "C(ROLLBACK) Z(I)"}},
+			before: []exchange{begin, {transactions.Simple("UPDATE stock_3.parts SET tag = 1/0"), "E(22012) Z(E)"}},
+			after:  []exchange{{transactions.Simple(write("w-10-1")), "E(25P02) Z(E)"}, {transactions.Simple("COMMIT"), "C(ROLLBACK) Z(I)"}},
 		},
 		"in a pipeline of simple queries": {
-			before: []exchange{begin}, inFlight: slices.Concat(simple(write("w-11-1")), simple("COMMIT"), simple("BEGIN")), held: "w-11-1",
+			before: []exchange{begin}, inFlight: slices.Concat(transactions.Simple(write("w-11-1")), transactions.Simple("COMMIT"), transactions.Simple("BEGIN")), held: "w-11-1",
 			after: []exchange{{nil, "E(40000) Z(E)"}, {nil, "C(ROLLBACK) Z(I)"}, {nil, "C(BEGIN) Z(T)"}},
 		},
 		"in commit of a pipeline": {
-			before: []exchange{begin, {simple(write("w-12-1")), committed}}, inFlight: slices.Concat(simple("COMMIT /* w-12-2 */"), simple("BEGIN")), held: "w-12-2",
+			before: []exchange{begin, {transactions.Simple(write("w-12-1")), committed}}, inFlight: slices.Concat(transactions.Simple("COMMIT /* w-12-2 */"), transactions.Simple("BEGIN")), held: "w-12-2",
 			after: []exchange{{nil, "E(40003) Z(I)"}, {nil, "C(BEGIN) Z(T)"}}, commits: []string{write("w-12-1")},
 		},
 		"in an extended batch": {
-			inFlight: extended("BEGIN", write("w-13-1"), "COMMIT"), held: "w-13-1",
-			after: []exchange{{nil, "1 2 n C(BEGIN) 1 2 E(40000) Z(E)"}, {simple("ROLLBACK"), "C(ROLLBACK) Z(I)"}},
+			inFlight: transactions.Extended("BEGIN", write("w-13-1"), "COMMIT"), held: "w-13-1",
+			after: []exchange{{nil, "1 2 n C(BEGIN) 1 2 E(40000) Z(E)"}, {transactions.Simple("ROLLBACK"), "C(ROLLBACK) Z(I)"}},
 		},
 		"in commit of an extended batch": {
-			inFlight: extended("BEGIN", write("w-14-1"), "COMMIT /* w-14-2 */"), held: "w-14-2",
+			inFlight: transactions.Extended("BEGIN", write("w-14-1"), "COMMIT /* w-14-2 */"), held: "w-14-2",
 			after:   []exchange{{nil, "1 2 n C(BEGIN) 1 2 C(SELECT 2) 1 2 n E(40003) Z(I)"}},
 			commits: []string{write("w-14-1")},
 		},
 		"between extended batches": {
-			before: []exchange{{extended("BEGIN", write("w-15-1")), "1 2 n C(BEGIN) 1 2 C(SELECT 2) Z(T)"}},
-			after:  []exchange{{extended("COMMIT"), "1 2 n E(40000) Z(I)"}},
+			before: []exchange{{transactions.Extended("BEGIN", write("w-15-1")), "1 2 n C(BEGIN) 1 2 C(SELECT 2) Z(T)"}},
+			after:  []exchange{{transactions.Extended("COMMIT"), "1 2 n E(40000) Z(I)"}},
 		},
 		"in several statements": {
-			inFlight: simple(write("w-16-1") + ";" + write("w-16-2")), held: "w-16-2", after: []exchange{{nil, "E(40003) Z(I)"}},
+			inFlight: transactions.Simple(write("w-16-1") + ";" + write("w-16-2")), held: "w-16-2", after: []exchange{{nil, "E(40003) Z(I)"}},
 		},
 		"in several statements with commit": {
-			inFlight: simple("BEGIN;" + write("w-17-1") + ";COMMIT /* w-17-2 */"), held: "w-17-2", after: []exchange{{nil, "E(40003) Z(I)"}},
+			inFlight: transactions.Simple("BEGIN;" + write("w-17-1") + ";COMMIT /* w-17-2 */"), held: "w-17-2", after: []exchange{{nil, "E(40003) Z(I)"}},
 			commits: []string{write("w-17-1")},
 		},
 		"in several statements that begin": {
-			inFlight: simple("BEGIN;" + write("w-18-1") + ";" + write("w-18-2")), held: "w-18-2", after: []exchange{{nil, "E(40000) Z(I)"}},
+			inFlight: transactions.Simple("BEGIN;" + write("w-18-1") + ";" + write("w-18-2")), held: "w-18-2", after: []exchange{{nil, "E(40000) Z(I)"}},
 		},
 		"in several statements that commit": {
-			before: []exchange{begin, {simple(write("w-19-1")), committed}}, inFlight: simple(write("w-19-2") + ";COMMIT /* w-19-3 */"), held: "w-19-3",
+			before: []exchange{begin, {transactions.Simple(write("w-19-1")), committed}}, inFlight: transactions.Simple(write("w-19-2") + ";COMMIT /* w-19-3 */"), held: "w-19-3",
 			after: []exchange{{nil, "E(40003) Z(I)"}}, commits: []string{write("w-19-1"), write("w-19-2")},
 		},
 		"in several statements of a transaction": {
-			before: []exchange{begin, {simple(write("w-20-1")), committed}}, inFlight: simple(write("w-20-2") + ";" + write("w-20-3")), held: "w-20-3",
-			after: []exchange{{nil, "E(40000) Z(E)"}, {simple("COMMIT"), "C(ROLLBACK) Z(I)"}},
+			before: []exchange{begin, {transactions.Simple(write("w-20-1")), committed}}, inFlight: transactions.Simple(write("w-20-2") + ";" + write("w-20-3")), held: "w-20-3",
+			after: []exchange{{nil, "E(40000) Z(E)"}, {transactions.Simple("COMMIT"), "C(ROLLBACK) Z(I)"}},
 		},
 	}
 	g := newTestGateway(t)
--- a/internal/testbed/emulator/fleet_test.go
+++ b/internal/testbed/emulator/fleet_test.go
@@ -40,13 +40,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
+	defer func() { _ = ln.Close() }()
 	go f.Bus(ln)
 	c, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
 	_, _ = c.Write(binary.BigEndian.AppendUint64(nil, 1))
 	in := bufio.NewReader(c)
@@ -102,7 +102,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer resp.Body.Close()
+		defer func() { _ = resp.Body.Close() }()
 		_ = json.NewDecoder(resp.Body).Decode(&list)
 		return resp.StatusCode, resp.Header.Get("X-Consul-Index"), list
 	}
@@ -115,7 +115,7 @@
 		t.Errorf("after Die: index %s, engines %v, want index 2, second engine critical", now, list)
 	}
 	if c, err := net.Dial("tcp", addr); err == nil {
-		c.Close()
+		_ = c.Close()
 		t.Error("a connection to a dead engine succeeded, want an error")
 	}
 	go func() { _ = f.Apply(Return, 2) }()
@@ -125,7 +125,7 @@
 	if c, err := net.Dial("tcp", addr); err != nil {
 		t.Errorf("connection to a returned engine: error %v, want none", err)
 	} else {
-		c.Close()
+		_ = c.Close()
 	}
 	if err := f.Apply(ConsulAway, 0); err != nil {
 		t.Fatal(err)
--- a/internal/testbed/emulator/pg.go
+++ b/internal/testbed/emulator/pg.go
@@ -1,20 +1,27 @@
 package emulator
 
 import (
-	"crypto/tls"
 	"encoding/binary"
+	"errors"
 	"net"
 	"regexp"
 	"strconv"
 	"strings"
-	"syscall"
-	"time"
 
 	"gannetspur/internal/pgproto"
-	"gannetspur/internal/scramauth"
 	"gannetspur/internal/testbed/enginemodel"
 )
 
+const (
+	// readBytes is how much is read from a connection at a time.
+	readBytes = 8192
+	// maxMessageBytes is the maximum length of a message.
+	maxMessageBytes = 1 << 20
+)
+
+// errConnectionOver ends a connection that the gateway has closed or terminated.
+var errConnectionOver = errors.New("the connection is over")
+
 // columns is the body of a RowDescription of one text column.
 var columns = append([]byte{0, 1}, append([]byte("asked\x00"), 0, 0, 0, 0, 0, 0, 0, 0, 0, 25, 255, 255, 255, 255, 255, 255, 0, 0)...)
 
@@ -24,7 +31,7 @@
 // are one transaction, and a rollback undoes writes and settings.
 func Postgres(ln net.Listener, opts Options) {
 	serveEach(ln, func(c net.Conn) {
-		if err := serve(c, opts); err != nil {
+		if err := servePostgres(c, opts); err != nil && !errors.Is(err, errConnectionOver) {
 			opts.Log.Warn("connection ended", "error", err)
 		}
 	})
@@ -44,300 +51,269 @@
 		n = min(n, limit)
 	}
 	for _, row := range p.rows[:n] {
-		out = pgproto.AppendMessage(out, 'D', []byte{0, 1}, pgproto.Int32(len(row)), []byte(row))
+		out = pgproto.AppendMessage(out, pgproto.MessageDataRow, []byte{0, 1}, pgproto.Int32(len(row)), []byte(row))
 	}
 	if p.rows = p.rows[n:]; limit > 0 && n == limit { // as PostgreSQL does, even if no rows are left
-		return pgproto.AppendMessage(out, 's')
+		return pgproto.AppendMessage(out, pgproto.MessagePortalSuspended)
 	}
-	return pgproto.AppendMessage(out, 'C', pgproto.CString("SELECT "+strconv.Itoa(n)))
+	return pgproto.AppendMessage(out, pgproto.MessageCommandComplete, pgproto.CString("SELECT "+strconv.Itoa(n)))
+}
+
+// pgConnection is one connection of the gateway to an engine.
+type pgConnection struct {
+	opts       Options
+	id         string // remote address, which names the session
+	conn       net.Conn
+	in         []byte // received bytes that are not handled yet
+	out        []byte // messages that are not written yet
+	session    *pgSession
+	statements map[string]string // texts of prepared statements, by name
+	portals    map[string]*portal
 }
 
-// serve serves one connection of the gateway, message by message, until it ends.
-func serve(c net.Conn, opts Options) error {
-	log := opts.Log
-	in, p := []byte{}, make([]byte, 8192)
-	receive := func() error {
-		n, err := c.Read(p)
-		in = append(in, p[:n]...)
+// servePostgres serves one connection, message by message, until it ends.
+func servePostgres(conn net.Conn, opts Options) error {
+	id := conn.RemoteAddr().String()
+	c := &pgConnection{
+		opts: opts, id: id, conn: conn, session: newPGSession(&opts, id),
+		statements: map[string]string{}, portals: map[string]*portal{},
+	}
+	if ok, err := c.startUp(); !ok || err != nil {
 		return err
 	}
+	c.greet()
 	for {
-		code, body, n, err := pgproto.ReadStartup(in)
+		if err := c.flush(); err != nil {
+			return err
+		}
+		kind, body, err := c.nextMessage()
 		if err != nil {
 			return err
 		}
-		if in = in[n:]; n > 0 {
-			switch code {
-			case pgproto.CancelRequest:
-				log.Info("given up")
-				return nil
-			case pgproto.SSLRequest:
-				if opts.TLS == nil {
-					_, _ = c.Write([]byte("N"))
-					continue
-				}
-				_, _ = c.Write([]byte("S"))
-				c = tls.Server(c, opts.TLS)
-				continue
-			}
-			if opts.Logins != nil {
-				if in, err = authenticate(c, string(body), in, opts.Logins); err != nil {
-					return err
-				}
-				break
-			}
-			if opts.User != "" && !strings.Contains(string(body), "user\x00"+opts.User+"\x00") {
-				e := pgproto.Error{Severity: "FATAL", Code: "28000", Message: "this user is not trusted here"}
-				_, err := c.Write(pgproto.AppendMessage(nil, 'E', e.Body()))
-				return err
-			}
-			break
+		isEnd := kind == pgproto.MessageSync || kind == pgproto.MessageTerminate
+		if c.session.skip && !isEnd {
+			continue
 		}
-		if err := receive(); err != nil {
+		if err := c.handle(kind, pgproto.Reader{Rest: body}); err != nil {
 			return err
 		}
 	}
-	out := pgproto.AppendMessage(nil, 'R', pgproto.Int32(0))
-	out = pgproto.AppendMessage(out, 'K', pgproto.Int32(1), pgproto.Int32(1))
-	out = pgproto.AppendMessage(out, 'Z', []byte("I"))
-	named, portals := map[string]string{}, map[string]*portal{}
-	id := c.RemoteAddr().String()
-	s := newPGSession(&opts, id)
-	fail := func(code, text string) {
-		out = pgproto.AppendMessage(out, 'E', newEngineError(code, text).Body())
-		s.fail()
+}
+
+// receive reads what has arrived.
+func (c *pgConnection) receive() error {
+	b := make([]byte, readBytes)
+	n, err := c.conn.Read(b)
+	c.in = append(c.in, b[:n]...)
+	return err
+}
+
+// flush writes the messages that were replied.
+func (c *pgConnection) flush() error {
+	if len(c.out) == 0 {
+		return nil
 	}
+	_, err := c.conn.Write(c.out)
+	c.out = c.out[:0]
+	return err
+}
+
+// nextMessage returns the type and the body of the next message.
+func (c *pgConnection) nextMessage() (kind byte, body []byte, err error) {
 	for {
-		if len(out) > 0 {
-			if _, err := c.Write(out); err != nil {
-				return err
-			}
-			out = out[:0]
-		}
-		kind, body, n, err := pgproto.ReadMessage(in, 1<<20)
+		kind, body, n, err := pgproto.ReadMessage(c.in, maxMessageBytes)
 		if err != nil {
-			return err
-		}
-		if n == 0 {
-			if err := receive(); err != nil {
-				return nil // the gateway has disconnected
-			}
-			continue
+			return 0, nil, err
 		}
-		r := pgproto.Reader{Rest: body}
-		if s.skip && kind != 'S' && kind != 'X' {
-			in = in[n:]
-			continue
+		if n > 0 {
+			c.in = c.in[n:]
+			return kind, body, nil
 		}
-		switch kind {
-		case 'Q': // the gateway's own commands; statements of clients use the extended protocol
-			text := r.CString()
-			if opts.Heard != nil {
-				opts.Heard(id, text)
-			}
-			clear(named)
-			if tag, e := s.query(text); e != nil {
-				out = pgproto.AppendMessage(out, 'E', e.Body())
-			} else {
-				out = pgproto.AppendMessage(out, 'C', pgproto.CString(tag))
-			}
-			out = pgproto.AppendMessage(out, 'Z', []byte{s.status})
-		case 'P':
-			name := r.CString()
-			if _, exists := named[name]; exists && name != "" {
-				fail("42P05", "prepared statement already exists")
-				break
-			}
-			named[name] = r.CString()
-			log.Info("asked", "statement", short(named[name]))
-			out = pgproto.AppendMessage(out, '1')
-		case 'B':
-			name := r.CString()
-			text, exists := named[r.CString()]
-			if !exists {
-				fail("26000", "prepared statement does not exist")
-				break
-			}
-			if portals[name] != nil && name != "" {
-				fail("42P03", "cursor already exists")
-				break
-			}
-			p := &portal{query: text}
-			for range r.Count() {
-				r.Int16()
-			}
-			if r.Count() > 0 {
-				if n := r.Int32(); n > 0 {
-					p.key = string(r.Bytes(n))
-				}
-			}
-			portals[name] = p
-			out = pgproto.AppendMessage(out, '2')
-		case 'C':
-			if target, name := r.Byte(), r.CString(); target == 'S' {
-				delete(named, name)
-			} else {
-				delete(portals, name)
-			}
-			out = pgproto.AppendMessage(out, '3')
-		case 'D':
-			if r.Byte() == 'S' {
-				out = pgproto.AppendMessage(out, 't', parameters(named[r.CString()]))
-			}
-			out = pgproto.AppendMessage(out, 'T', columns)
-		case 'E':
-			p := portals[r.CString()]
-			if p == nil {
-				fail("34000", "portal does not exist")
-				break
-			}
-			limit := r.Int32()
-			if p.begun {
-				out = p.fetch(out, limit)
-				break
-			}
-			query, key := p.query, p.key
-			if opts.Heard != nil {
-				opts.Heard(id, query)
-			}
-			if tag, e := s.control(query); e != nil {
-				fail(e.Code, e.Message)
-				break
-			} else if tag != "" {
-				if words := strings.Fields(query); tag == "SET" && len(words) > 3 {
-					out = pgproto.AppendMessage(out, 'S', pgproto.CString(words[1]), pgproto.CString(strings.Trim(words[3], "'")))
-				}
-				out = pgproto.AppendMessage(out, 'C', pgproto.CString(tag))
-				break
-			}
-			if opts.Fail != nil {
-				if e := opts.Fail(query); e != nil {
-					fail(e.Code, e.Message)
-					break
-				}
-			}
-			if opts.Ledger.Begin(opts.Name, query, key) {
-				connection := watchClose(c)
-				end, _, ok := opts.execute(query+" "+key, func(*enginemodel.Query) {}, nil, connection.closed)
-				connection.end()
-				if !ok {
-					return nil // the gateway has closed the connection to cancel the statement
-				}
-				if end.Full {
-					fail("53300", "too many sessions")
-					break
-				}
-			}
-			p.begun, p.rows = true, []string{query, key}
-			if words := statementWords(query); words[0] == "SHOW" && len(words) > 1 {
-				p.rows = []string{s.setting(strings.ToLower(words[1]))}
-			}
-			s.recordWrite(query)
-			out = p.fetch(out, limit)
-		case 'X':
-			return nil
-		case 'S':
-			s.sync()
-			if s.status == statusIdle {
-				clear(portals)
-			}
-			out = pgproto.AppendMessage(out, 'Z', []byte{s.status})
+		if c.receive() != nil {
+			return 0, nil, errConnectionOver
 		}
-		in = in[n:]
 	}
 }
 
-// authenticate performs a SCRAM login and returns the input that the client sent beyond it.
-func authenticate(c net.Conn, startup string, in []byte, users *scramauth.Users) (rest []byte, err error) {
-	_, user, _ := strings.Cut("\x00"+startup, "\x00user\x00")
-	user, _, _ = strings.Cut(user, "\x00")
-	l, err := users.StartLogin(user)
-	if err != nil {
-		return nil, err
+// reply appends a message to those that flush writes.
+func (c *pgConnection) reply(kind byte, parts ...[]byte) {
+	c.out = pgproto.AppendMessage(c.out, kind, parts...)
+}
+
+func (c *pgConnection) readyForQuery() {
+	c.reply(pgproto.MessageReadyForQuery, []byte{c.session.status})
+}
+
+// fail replies an error, which fails the transaction.
+func (c *pgConnection) fail(e *pgproto.Error) {
+	c.reply(pgproto.MessageErrorResponse, e.Body())
+	c.session.fail()
+}
+
+// handle handles one message. An error ends the connection.
+func (c *pgConnection) handle(kind byte, r pgproto.Reader) error {
+	switch kind {
+	case pgproto.MessageQuery:
+		c.handleQuery(r.CString())
+	case pgproto.MessageParse:
+		c.handleParse(r.CString(), r.CString())
+	case pgproto.MessageBind:
+		c.handleBind(&r)
+	case pgproto.MessageClose:
+		c.handleClose(r.Byte(), r.CString())
+	case pgproto.MessageDescribe:
+		c.handleDescribe(r.Byte(), r.CString())
+	case pgproto.MessageExecute:
+		return c.handleExecute(r.CString(), r.Int32())
+	case pgproto.MessageTerminate:
+		return errConnectionOver
+	case pgproto.MessageSync:
+		c.handleSync()
 	}
-	out := pgproto.AppendMessage(nil, 'R', pgproto.Int32(pgproto.AuthSASL), pgproto.CString(scramauth.Mechanism), []byte{0})
-	p := make([]byte, 4096)
-	for step := 0; ; step++ {
-		if _, err := c.Write(out); err != nil {
-			return nil, err
-		}
-		var body []byte
-		for n := 0; n == 0; {
-			if _, body, n, err = pgproto.ReadMessage(in, 1<<16); err != nil {
-				return nil, err
-			} else if n > 0 {
-				in = in[n:]
-				break
-			}
-			m, err := c.Read(p)
-			if err != nil {
-				return nil, err
-			}
-			in = append(in, p[:m]...)
-		}
-		if step == 0 {
-			r := pgproto.Reader{Rest: body}
-			r.CString()
-			body = r.Bytes(r.Int32())
-		}
-		answer, done, err := l.Step(string(body))
-		if err != nil {
-			e := pgproto.Error{Severity: "FATAL", Code: "28P01", Message: "password authentication failed"}
-			_, _ = c.Write(pgproto.AppendMessage(nil, 'E', e.Body()))
-			return nil, err
-		}
-		if done {
-			_, err = c.Write(pgproto.AppendMessage(nil, 'R', pgproto.Int32(pgproto.AuthSASLFinal), []byte(answer)))
-			return in, err
+	return nil
+}
+
+// handleQuery executes a command of the gateway's own: statements of clients use the extended protocol.
+func (c *pgConnection) handleQuery(text string) {
+	c.hear(text)
+	clear(c.statements)
+	if tag, e := c.session.query(text); e != nil {
+		c.reply(pgproto.MessageErrorResponse, e.Body())
+	} else {
+		c.reply(pgproto.MessageCommandComplete, pgproto.CString(tag))
+	}
+	c.readyForQuery()
+}
+
+// hear tells Options.Heard of a statement.
+func (c *pgConnection) hear(text string) {
+	if c.opts.Heard != nil {
+		c.opts.Heard(c.id, text)
+	}
+}
+
+func (c *pgConnection) handleParse(name, text string) {
+	if _, exists := c.statements[name]; exists && name != "" {
+		c.fail(newEngineError("42P05", "prepared statement already exists"))
+		return
+	}
+	c.statements[name] = text
+	c.opts.Log.Info("asked", "statement", short(text))
+	c.reply(pgproto.MessageParseComplete)
+}
+
+func (c *pgConnection) handleBind(r *pgproto.Reader) {
+	name := r.CString()
+	text, exists := c.statements[r.CString()]
+	switch {
+	case !exists:
+		c.fail(newEngineError("26000", "prepared statement does not exist"))
+		return
+	case c.portals[name] != nil && name != "":
+		c.fail(newEngineError("42P03", "cursor already exists"))
+		return
+	}
+	p := &portal{query: text}
+	for range r.Count() {
+		r.Int16()
+	}
+	if r.Count() > 0 {
+		if n := r.Int32(); n > 0 {
+			p.key = string(r.Bytes(n))
 		}
-		out = pgproto.AppendMessage(nil, 'R', pgproto.Int32(pgproto.AuthSASLContinue), []byte(answer))
 	}
+	c.portals[name] = p
+	c.reply(pgproto.MessageBindComplete)
+}
+
+func (c *pgConnection) handleClose(target byte, name string) {
+	if target == pgproto.TargetStatement {
+		delete(c.statements, name)
+	} else {
+		delete(c.portals, name)
+	}
+	c.reply(pgproto.MessageCloseComplete)
 }
 
-// watch observes whether a connection ends while nothing reads from it.
-type watch struct {
-	closed  chan struct{} // closed when the connection has ended
-	conn    net.Conn
-	stopped chan struct{} // closed when the watch has stopped
+func (c *pgConnection) handleDescribe(target byte, name string) {
+	if target == pgproto.TargetStatement {
+		c.reply(pgproto.MessageParameterDescription, parameters(c.statements[name]))
+	}
+	c.reply(pgproto.MessageRowDescription, columns)
 }
 
-// watchClose watches a connection until end is called. It only peeks at the input, so that input that the
-// gateway sends ahead stays unread, and it stops at such input: the gateway sends nothing more until it
-// has its answer. Connections without a file descriptor, such as TLS, are not watched.
-func watchClose(c net.Conn) *watch {
-	w := &watch{make(chan struct{}), c, make(chan struct{})}
-	tcp, ok := c.(syscall.Conn)
-	if !ok {
-		close(w.stopped)
-		return w
+func (c *pgConnection) handleSync() {
+	c.session.sync()
+	if c.session.status == pgproto.TransactionIdle {
+		clear(c.portals)
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		close(w.stopped)
-		return w
+	c.readyForQuery()
+}
+
+// handleExecute executes a portal, or fetches more of its rows, at most limit (0: all).
+func (c *pgConnection) handleExecute(name string, limit int) error {
+	p := c.portals[name]
+	switch {
+	case p == nil:
+		c.fail(newEngineError("34000", "portal does not exist"))
+		return nil
+	case p.begun:
+		c.out = p.fetch(c.out, limit)
+		return nil
 	}
-	go func() {
-		defer close(w.stopped)
-		ended := false
-		err := raw.Read(func(fd uintptr) bool {
-			n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-			if ended = n == 0 && err == nil || err != nil && err != syscall.EAGAIN; ended {
-				return true
-			}
-			return n > 0 // input is pending: the connection is open
-		})
-		if err == nil && ended {
-			close(w.closed)
+	c.hear(p.query)
+	tag, e := c.session.control(p.query)
+	if e == nil && tag == "" {
+		var err error
+		if e, err = c.run(p); err != nil {
+			return err
 		}
-	}()
-	return w
+	}
+	switch {
+	case e != nil:
+		c.fail(e)
+	case tag == "":
+		c.out = p.fetch(c.out, limit)
+	default:
+		c.replyTag(p.query, tag)
+	}
+	return nil
 }
 
-// end stops the watch by a read deadline in the past, and returns once it has stopped.
-func (w *watch) end() {
-	_ = w.conn.SetReadDeadline(time.Unix(1, 0))
-	<-w.stopped
-	_ = w.conn.SetReadDeadline(time.Time{})
+// replyTag replies the command tag of a statement, after the value that a SET assigns.
+func (c *pgConnection) replyTag(query, tag string) {
+	if words := strings.Fields(query); tag == "SET" && len(words) > 3 {
+		c.reply(pgproto.MessageParameterStatus, pgproto.CString(words[1]), pgproto.CString(strings.Trim(words[3], "'")))
+	}
+	c.reply(pgproto.MessageCommandComplete, pgproto.CString(tag))
+}
+
+// run runs the statement of a portal, and stores its rows. e is the error of the statement. err is errConnectionOver
+// if the gateway closed the connection meanwhile, to cancel the statement.
+func (c *pgConnection) run(p *portal) (e *pgproto.Error, err error) {
+	if c.opts.Fail != nil {
+		if e := c.opts.Fail(p.query); e != nil {
+			return e, nil
+		}
+	}
+	if c.opts.Ledger.Begin(c.opts.Name, p.query, p.key) {
+		connection := watchClose(c.conn)
+		end, _, ok := c.opts.execute(p.query+" "+p.key, func(*enginemodel.Query) {}, nil, connection.closed)
+		connection.end()
+		switch {
+		case !ok:
+			return nil, errConnectionOver
+		case end.Full:
+			return newEngineError("53300", "too many sessions"), nil
+		}
+	}
+	p.begun = true
+	p.rows = []string{p.query, p.key}
+	if words := statementWords(p.query); words[0] == "SHOW" && len(words) > 1 {
+		p.rows = []string{c.session.setting(strings.ToLower(words[1]))}
+	}
+	c.session.recordWrite(p.query)
+	return nil, nil
 }
 
 // parameter matches a reference to a parameter in a statement.
--- a/internal/testbed/emulator/pg_session.go
+++ b/internal/testbed/emulator/pg_session.go
@@ -8,19 +8,12 @@
 	"gannetspur/internal/sqltext"
 )
 
-// Transaction statuses, as in ReadyForQuery.
-const (
-	statusIdle   = 'I' // no transaction block is open
-	statusOpen   = 'T' // a transaction block is open
-	statusFailed = 'E' // a statement of the open transaction block has failed
-)
-
 // pgSession is the state that an engine keeps for one connection between statements: its transaction and its
 // settings.
 type pgSession struct {
 	engine, name string // names of the engine and of the session in the store
 	store        *Store
-	status       byte              // statusIdle, statusOpen or statusFailed
+	status       byte              // transaction status, as in ReadyForQuery
 	skip         bool              // whether messages are skipped up to the next Sync, after an error
 	settings     map[string]string // values that SET assigned, by the setting's name
 	transaction  *pgTransaction    // nil if no transaction is open
@@ -47,7 +40,7 @@
 }
 
 func newPGSession(opts *Options, name string) *pgSession {
-	return &pgSession{engine: opts.Name, name: name, store: opts.Store, status: statusIdle, settings: map[string]string{}}
+	return &pgSession{engine: opts.Name, name: name, store: opts.Store, status: pgproto.TransactionIdle, settings: map[string]string{}}
 }
 
 // begin opens a transaction unless one is open.
@@ -59,7 +52,7 @@
 
 // commit makes the writes and settings of the open transaction, if any, permanent.
 func (s *pgSession) commit() {
-	s.status = statusIdle
+	s.status = pgproto.TransactionIdle
 	if s.transaction == nil {
 		return
 	}
@@ -72,7 +65,7 @@
 
 // rollback undoes the writes and settings of the open transaction, if any.
 func (s *pgSession) rollback() {
-	s.status = statusIdle
+	s.status = pgproto.TransactionIdle
 	if s.transaction == nil {
 		return
 	}
@@ -84,17 +77,17 @@
 // failed, and skips the messages up to the next Sync.
 func (s *pgSession) fail() {
 	s.skip = true
-	if s.status == statusIdle {
+	if s.status == pgproto.TransactionIdle {
 		s.rollback()
 		return
 	}
-	s.status = statusFailed
+	s.status = pgproto.TransactionFailed
 }
 
 // sync ends an implicit transaction.
 func (s *pgSession) sync() {
 	s.skip = false
-	if s.status == statusIdle {
+	if s.status == pgproto.TransactionIdle {
 		s.commit()
 	}
 }
@@ -138,7 +131,7 @@
 		s.transaction.writes = s.transaction.writes[:candidate.writes]
 		s.transaction.savepoints = s.transaction.savepoints[:i+1]
 	}
-	s.status = statusOpen
+	s.status = pgproto.TransactionOpen
 }
 
 // recordWrite adds a statement that was executed to the writes of its transaction, if it is one.
@@ -159,11 +152,11 @@
 	words := statementWords(statement)
 	first := words[0]
 	switch {
-	case first == "ROLLBACK" && rollsBackToSavepoint(words) && s.status != statusIdle:
+	case first == "ROLLBACK" && rollsBackToSavepoint(words) && s.status != pgproto.TransactionIdle:
 		s.rollbackTo(words[len(words)-1])
 		return "ROLLBACK", nil
 	case first == "COMMIT" || first == "END":
-		if s.status == statusFailed {
+		if s.status == pgproto.TransactionFailed {
 			s.rollback()
 			return "ROLLBACK", nil
 		}
@@ -172,15 +165,15 @@
 	case first == "ROLLBACK" || first == "ABORT":
 		s.rollback()
 		return "ROLLBACK", nil
-	case s.status == statusFailed:
+	case s.status == pgproto.TransactionFailed:
 		return "", newEngineError("25P02", "current transaction is aborted, commands ignored until end of transaction block")
 	case first == "BEGIN" || first == "START":
-		s.status = statusOpen
+		s.status = pgproto.TransactionOpen
 		return "BEGIN", nil
 	case first == "SET" || first == "RESET":
 		return s.changeSetting(statement, words)
 	case first == "SAVEPOINT" || first == "RELEASE":
-		if s.status == statusIdle {
+		if s.status == pgproto.TransactionIdle {
 			return "", newEngineError("25P01", first+" can only be used in transaction blocks")
 		}
 		if first == "SAVEPOINT" {
@@ -220,7 +213,7 @@
 // query executes a statement that the gateway itself sends as a Query: DISCARD ALL, which can't run in a
 // transaction block.
 func (s *pgSession) query(statement string) (tag string, e *pgproto.Error) {
-	if s.status != statusIdle {
+	if s.status != pgproto.TransactionIdle {
 		return "", newEngineError("25001", statement+" cannot run inside a transaction block")
 	}
 	clear(s.settings)
--- a/internal/testbed/transactions/client.go
+++ b/internal/testbed/transactions/client.go
@@ -98,9 +98,9 @@
 	if c.oneIn(rare) {
 		c.conn.cancel(time.Duration(c.random.Int64N(int64(maxCancelDelay))))
 	}
-	message := simple(text)
+	message := Simple(text)
 	if c.oneIn(2) {
-		message = extended(text)
+		message = Extended(text)
 	}
 	return c.received(text, c.conn.exchange(message), 1)
 }
@@ -220,7 +220,7 @@
 		return
 	}
 	if c.oneIn(2 * rare) { // it leaves while the COMMIT runs
-		_, _ = c.conn.conn.Write(simple("COMMIT"))
+		_, _ = c.conn.conn.Write(Simple("COMMIT"))
 		c.disconnect()
 		tx.Outcome = InDoubt
 		tx.Heard = "the client left behind COMMIT"
@@ -263,9 +263,9 @@
 		texts[len(texts)-1] = "SELECT 1/0"
 	}
 	text := strings.Join(texts, ";")
-	message := simple(text)
+	message := Simple(text)
 	if isBatch {
-		message = extended(texts...)
+		message = Extended(texts...)
 	}
 	if c.oneIn(rare) {
 		c.conn.cancel(time.Duration(c.random.Int64N(int64(maxCancelDelay))))
--- a/internal/testbed/transactions/connection.go
+++ b/internal/testbed/transactions/connection.go
@@ -116,13 +116,13 @@
 	})
 }
 
-// simple returns a Query.
-func simple(text string) []byte {
+// Simple returns a Query.
+func Simple(text string) []byte {
 	return pgproto.AppendMessage(nil, pgproto.MessageQuery, pgproto.CString(text))
 }
 
-// extended returns one batch of the extended protocol that runs statements.
-func extended(texts ...string) (messages []byte) {
+// Extended returns one batch of the extended protocol that runs statements.
+func Extended(texts ...string) (messages []byte) {
 	for _, text := range texts {
 		messages = pgproto.AppendMessage(messages, pgproto.MessageParse, []byte{0}, pgproto.CString(text), []byte{0, 0})
 		messages = pgproto.AppendMessage(messages, pgproto.MessageBind, []byte{0, 0}, make([]byte, 6))
