Let either process of an upgrade die in the soak of transactions

In the second case of TestUpgradeSoak the old process may die as well; the new one becomes the owner then. Errors never end its upgrades, as the old process must not die after one has returned; the first case keeps those returns.

--- a/internal/gateway/upgrade_harness_test.go
+++ b/internal/gateway/upgrade_harness_test.go
@@ -44,7 +44,7 @@
 }
 
 // newTestGateway starts the engines and the gateway, and waits until a client is served. change lists pairs of old and new
-// text to replace in the settings file.
+// text to replace in the settings file and in the upgrade file.
 func newTestGateway(t *testing.T, change ...string) *testGateway {
 	t.Helper()
 	dir := t.TempDir()
@@ -84,6 +84,9 @@
 	}
 	// Without client requests, the probation lasts until the test ends it.
 	replace(g.file, `"/tmp/ringwood-admin.sock"`, fmt.Sprintf("%q", g.admin), "prove_for_s = 3 ", "prove_for_s = 0.3 ", "prove_within_s = 15 ", "prove_within_s = 60 ", "good_answers = 20", "good_answers = 8", "greet_within_s = 5", "greet_within_s = 20", "silent_for_s = 1 ", "silent_for_s = 10 ")
+	if len(change) > 0 {
+		replace(g.file, change...)
+	}
 	g.old = exec.Command(os.Args[0], "-test.run=^TestUpgradeChild$")
 	g.old.Env = append(os.Environ(), upgradeEnv+"="+cluster.Deploy+"|"+g.file)
 	out, w, err := os.Pipe()
--- a/internal/gateway/upgrade_soak_test.go
+++ b/internal/gateway/upgrade_soak_test.go
@@ -18,16 +18,29 @@
 const upgradeSoakRounds = "RINGWOOD_UPGRADE_SOAK_ROUNDS"
 
 // TestUpgradeSoak guards against transactions that are split, doubled or reported wrongly, and against settings that
-// leak, when upgrades succeed, and when the new process dies at any moment, while an engine drains, dies and returns.
+// leak, when upgrades succeed, and when a process dies at any moment, while an engine drains, dies and returns.
 func TestUpgradeSoak(t *testing.T) {
 	const clients = 6
 	rounds := 12
 	if n, err := strconv.Atoi(os.Getenv(upgradeSoakRounds)); err == nil {
 		rounds = n
 	}
-	for seed := range uint64(2) {
-		t.Run("seed "+strconv.FormatUint(seed, 10), func(t *testing.T) {
-			g := newTestGateway(t)
+	for seed, tt := range []struct {
+		name    string
+		change  []string // of the settings
+		oldDies bool     // the old process may die, too
+	}{
+		{"new process dies", nil, false},
+		// The old process must not die after the upgrade has returned for its errors: nobody would serve then.
+		{"either process dies", []string{"bad_share = 0.1 ", "bad_share = 1 "}, true},
+	} {
+		seed := uint64(seed)
+		t.Run(tt.name, func(t *testing.T) {
+			g := newTestGateway(t, tt.change...)
+			victims := []func(newPID int) int{noVictim, newVictim, newVictim}
+			if tt.oldDies {
+				victims = append(victims, g.ownerVictim)
+			}
 			random := rand.New(rand.NewPCG(seed, 6))
 			history := &transactions.History{}
 			stop := make(chan struct{})
@@ -47,7 +60,7 @@
 			}
 			running.Go(func() { g.disturbEngine(stop, seed) })
 			for range rounds {
-				g.upgradeOnce(random)
+				g.upgradeOnce(random, victims[random.IntN(len(victims))])
 			}
 			close(stop)
 			running.Wait()
@@ -67,12 +80,24 @@
 	}
 }
 
-// upgradeOnce makes an upgrade, whose new process dies in two of three cases.
-func (g *testGateway) upgradeOnce(random *rand.Rand) {
+// noVictim, newVictim and testGateway.ownerVictim return the id of the process that dies in an upgrade, 0 for none.
+func noVictim(int) int         { return 0 }
+func newVictim(newPID int) int { return newPID }
+
+// ownerVictim returns the process that answers on the admin socket: during a probation, the old one.
+func (g *testGateway) ownerVictim(int) int {
+	if status := g.status(); status != nil {
+		return status.PID
+	}
+	return 0
+}
+
+// upgradeOnce makes an upgrade, during whose probation the process that victim returns dies.
+func (g *testGateway) upgradeOnce(random *rand.Rand, victim func(newPID int) int) {
 	g.t.Helper()
-	const maxLife = 280 * time.Millisecond // of a new process that dies; the probation takes at least 300 ms
-	pid, result := g.startNextProbation()
-	if random.IntN(3) > 0 {
+	const maxLife = 280 * time.Millisecond // of a process that dies; the probation takes at least 300 ms
+	newPID, result := g.startNextProbation()
+	if pid := victim(newPID); pid > 0 {
 		time.Sleep(time.Duration(random.Int64N(int64(maxLife))))
 		_ = syscall.Kill(pid, syscall.SIGKILL)
 	}
