Compare a session's settings before they are copied

A statement of a client with settings copied the session's map although nothing differed; it is copied only where SET or RESET go ahead of the statement now.

--- a/internal/backend/postgres/session.go
+++ b/internal/backend/postgres/session.go
@@ -31,7 +31,7 @@
 // the others, SET for those that differ. It appends nothing if the settings already match. The changes are pending
 // until commitSettings. count is the number of statements in the appended messages.
 func (s *session) appendSettings(messages []byte, settings []pgproto.Setting) (appended []byte, count int) {
-	if len(settings) == 0 && len(s.settings) == 0 { // the case of nearly all statements
+	if s.has(settings) { // the case of nearly all statements
 		return messages, 0
 	}
 	changed := maps.Clone(s.settings)
@@ -56,12 +56,16 @@
 		changed[setting.Name] = setting.Text
 		count++
 	}
-	if count > 0 {
-		s.pending = changed
-	}
+	s.pending = changed
 	return messages, count
 }
 
+// has reports whether exactly these settings are applied.
+func (s *session) has(settings []pgproto.Setting) bool {
+	differs := func(setting pgproto.Setting) bool { return s.settings[setting.Name] != setting.Text }
+	return len(settings) == len(s.settings) && !slices.ContainsFunc(settings, differs)
+}
+
 // commitSettings records that the engine has committed the statement in flight, and the settings sent ahead of it.
 func (s *session) commitSettings(statement *pgproto.Statement) {
 	if s.pending != nil {
