Say once when a connection is settled, and once what a soak's history amounts to

Read over once more: connection.Idle repeated the conditions of Settled, and both soaks judged their history with the same lines, which are History.Verdict now, with a test of its own. The wait for a probation ends at once if all processes have exited; it span on the closed channel. The same is checked as before.

--- a/internal/frontend/postgres/handover.go
+++ b/internal/frontend/postgres/handover.go
@@ -114,12 +114,10 @@
 
 // Idle reports whether the connection can be handed over: no request and no transaction is open, no
 // login is in progress, and the connection does not use TLS, whose state can't be handed over.
-func (c *connection) Idle() bool {
-	return c.quiescent() && c.login.exchange == nil && !c.socket.UsesTLS()
-}
+func (c *connection) Idle() bool { return c.Settled() && c.transaction == nil }
 
 // Settled reports whether EncodeState covers all messages that were read: no request is in flight, though a
-// transaction may be open, and no login is in progress.
+// transaction may be open, no login is in progress, and the connection does not use TLS.
 func (c *connection) Settled() bool {
 	return c.inFlight.request == nil && c.login.exchange == nil && !c.socket.UsesTLS()
 }
--- a/internal/gateway/upgrade_soak_test.go
+++ b/internal/gateway/upgrade_soak_test.go
@@ -64,17 +64,11 @@
 			}
 			close(stop)
 			running.Wait()
-			time.Sleep(200 * time.Millisecond) // what is at the engines ends
-			faults := history.Faults(g.store.Commits())
-			outcomes, rows := history.Counts()
-			t.Logf("outcomes %v, %d rows, %d faults", outcomes, rows, len(faults))
-			for i, fault := range faults {
-				if i < 10 {
-					t.Error(fault)
-				}
-			}
-			if outcomes[transactions.Committed] < clients*rounds {
-				t.Errorf("%d transactions were committed, want at least %d: one for each client and upgrade", outcomes[transactions.Committed], clients*rounds)
+			time.Sleep(200 * time.Millisecond)                                      // what is at the engines ends
+			summary, problems := history.Verdict(g.store.Commits(), clients*rounds) // one for each client and upgrade
+			t.Log(summary)
+			for _, problem := range problems {
+				t.Error(problem)
 			}
 		})
 	}
@@ -127,7 +121,10 @@
 	timeout := time.After(30 * time.Second)
 	for {
 		select {
-		case e := <-g.events:
+		case e, ok := <-g.events:
+			if !ok {
+				g.t.Fatal("all processes exited")
+			}
 			if started, ok := e["pid"].(float64); ok && e["msg"] == "upgrade.started" {
 				pid = int(started)
 			}
--- a/internal/integration/transaction_soak_test.go
+++ b/internal/integration/transaction_soak_test.go
@@ -162,16 +162,10 @@
 			}
 			running.Wait()
 			time.Sleep(200 * time.Millisecond) // what is at the engines ends
-			faults := history.Faults(store.Commits())
-			outcomes, rows := history.Counts()
-			t.Logf("outcomes %v, %d rows, %d faults", outcomes, rows, len(faults))
-			for i, fault := range faults {
-				if i < 10 {
-					t.Error(fault)
-				}
-			}
-			if outcomes[transactions.Committed] < minTransactions*seconds {
-				t.Errorf("%d transactions were committed, want at least %d", outcomes[transactions.Committed], minTransactions*seconds)
+			summary, problems := history.Verdict(store.Commits(), minTransactions*seconds)
+			t.Log(summary)
+			for _, problem := range problems {
+				t.Error(problem)
 			}
 		})
 	}
--- a/internal/testbed/transactions/history.go
+++ b/internal/testbed/transactions/history.go
@@ -91,6 +91,22 @@
 	return faults
 }
 
+// maxReportedFaults is the number of faults that Verdict returns at most.
+const maxReportedFaults = 10
+
+// Verdict returns a summary of the history, and what is wrong with it: the first faults, and fewer committed
+// transactions than a run that shows something must have.
+func (h *History) Verdict(commits []emulator.Commit, minCommitted int) (summary string, problems []string) {
+	faults := h.Faults(commits)
+	outcomes, rows := h.Counts()
+	summary = fmt.Sprintf("outcomes %v, %d rows, %d faults", outcomes, rows, len(faults))
+	problems = faults[:min(len(faults), maxReportedFaults)]
+	if committed := outcomes[Committed]; committed < minCommitted {
+		problems = append(problems, fmt.Sprintf("%d transactions were committed, want at least %d", committed, minCommitted))
+	}
+	return summary, problems
+}
+
 // check returns what is wrong with the commits of the transaction's writes, or "".
 func (tx *Transaction) check(byWrite map[string][]emulator.Commit) string {
 	for _, w := range tx.Undone {
--- a/internal/testbed/transactions/history_test.go
+++ b/internal/testbed/transactions/history_test.go
@@ -44,3 +44,21 @@
 		})
 	}
 }
+
+// TestVerdict guards against a run that shows nothing and passes: too few committed transactions are a problem, as
+// each fault is, up to a limit.
+func TestVerdict(t *testing.T) {
+	h := &History{}
+	if _, problems := h.Verdict(nil, 1); len(problems) != 1 {
+		t.Errorf("no transaction where one is wanted: got problems %q, want one", problems)
+	}
+	if _, problems := h.Verdict(nil, 0); len(problems) != 0 {
+		t.Errorf("no transaction where none is wanted: got problems %q, want none", problems)
+	}
+	for range maxReportedFaults + 1 {
+		h.add(Transaction{Writes: []string{"a"}, Outcome: Committed})
+	}
+	if _, problems := h.Verdict(nil, 0); len(problems) != maxReportedFaults {
+		t.Errorf("%d lost transactions: got %d problems, want %d", maxReportedFaults+1, len(problems), maxReportedFaults)
+	}
+}
