Review case 10: prepared statements of four clients take a front end over its memory

Cause: the bytes of prepared statements are bounded neither for a client nor for all. Change: the case.

--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -16,6 +16,7 @@
 	"sites":    playSites,
 	"literals": playLiterals,
 	"drain":    playDrain,
+	"memory":   playMemory,
 }
 
 func main() {
