--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -17,6 +17,7 @@
 	"literals": playLiterals,
 	"drain":    playDrain,
 	"memory":   playMemory,
+	"crowd":    playCrowd,
 }
 
 func main() {
--- a/review/_rig2/memory.go
+++ b/review/_rig2/memory.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"os"
 	"strconv"
 	"strings"
@@ -9,8 +11,6 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"gannetspur/internal/pgproto"
 )
 
 // residentKB returns the resident memory of a process.
@@ -25,124 +25,143 @@
 	return 0
 }
 
-// playMemory: bad clients prepare statements that are long, 60 MB each in all, and keep them. The platform ends a front
-// end that goes over its memory.
+// playMemory: bad clients send the same well-formed request again and again, as soon as it is answered, and say that they
+// wait for ten minutes. The platform ends a front end that goes over its memory.
 func playMemory(r *rig) (broken []string) {
 	const (
-		limitMB    = 192 // memory_mb of deploy/postgres.toml
-		badClients = 4
-		statements = 60
+		limitMB    = 64
+		sockets    = 512
+		badClients = 200
+		most       = 105 * time.Second
+		usual      = 10
 	)
-	work := func(string, string) time.Duration { return 300 * time.Millisecond }
-	engines := []*engine{r.engine("e1", "hall-a", nil, work), r.engine("e2", "hall-b", nil, work), r.engine("e3", "hall-a", nil, work)}
-	catalogue := r.consul(engines...)
-	r.write("settings.json", r.settings(nil))
 	listen := r.freePort()
-	text := r.deployFile("postgres.toml", "listen =", `listen = "`+listen+`"`, "settings =", `settings = "settings.json"`, "address =", `address = "`+catalogue.addr+`"`)
-	if !strings.Contains(text, fmt.Sprintf("\nmemory_mb = %d\n", limitMB)) {
-		r.giveUp("deploy/postgres.toml has no memory_mb = %d", limitMB)
+	var engines []*lineEngine
+	for i, zone := range []string{"hall-a", "hall-b", "hall-a", "hall-b", "hall-a", "hall-b"} {
+		engines = append(engines, r.lineEngine(fmt.Sprintf("s-%08x", i+1), zone, time.Millisecond))
 	}
-	gateway := r.run("gateway", "serve", "--log-format", "json", "--postgres", r.write("postgres.toml", text))
+	config := r.write("config.json", r.platformConfig(listen, sockets, limitMB, engines...))
+	gateway := r.runPlatform("gateway", config, listen)
 	r.await(gateway, "serving", 10*time.Second, nil)
-	time.Sleep(500 * time.Millisecond)
 	pid := gateway.cmd.Process.Pid
+	r.logf("the front end holds %d MB", residentKB(pid)>>10)
 
-	// The platform.
 	var peak atomic.Int64
-	var killed atomic.Bool
-	end := make(chan struct{})
-	go func() {
+	killed := make(chan struct{})
+	stop := make(chan struct{})
+	go func() { // the platform
 		for {
 			select {
-			case <-end:
+			case <-stop:
 				return
-			case <-time.After(2 * time.Millisecond):
+			case <-time.After(5 * time.Millisecond):
 			}
 			kb := residentKB(pid)
 			peak.Store(max(peak.Load(), int64(kb)))
 			if kb > limitMB<<10 {
 				r.logf("the platform kills the front end: it holds %d MB, its limit is %d MB", kb>>10, limitMB)
-				killed.Store(true)
 				_ = syscall.Kill(pid, syscall.SIGKILL)
+				close(killed)
 				return
 			}
 		}
 	}()
 
-	// Usual clients.
-	var mu sync.Mutex
-	served, unanswered := 0, 0
-	stop := make(chan struct{})
+	const statement = "SELECT note FROM sales_17.orders WHERE tag = '3f9c'"
 	var wg sync.WaitGroup
-	for i := range 6 {
-		c := r.client(listen)
+	var served, unanswered atomic.Int64
+	for i := range usual {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			defer c.close()
+			c, err := net.Dial("tcp", listen)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			in := bufio.NewReader(c)
 			for n := 0; ; n++ {
 				select {
 				case <-stop:
 					return
-				default:
+				case <-time.After(100 * time.Millisecond):
 				}
-				mark := fmt.Sprintf("order-%d-%d", i+1, n)
-				a := c.execute("UPDATE stock_17.orders SET sent = true WHERE mark = $1", 20*time.Second, mark)
-				mu.Lock()
-				switch {
-				case a.err != nil:
-					unanswered++
-					r.logf("client %d gets no answer to %s: %v", i+1, mark, a.err)
-				case a.code == "":
-					served++
-				default:
-					r.logf("client %d is told of %s: %v", i+1, mark, a)
+				id := fmt.Sprintf("aa%02x%012x", i, n)
+				if _, err := c.Write([]byte(call("lookup", id, 6000, statement))); err != nil {
+					return
 				}
-				mu.Unlock()
+				_ = c.SetReadDeadline(time.Now().Add(6550 * time.Millisecond))
+				a := readHTTP(in)
 				if a.err != nil {
+					unanswered.Add(1)
+					r.logf("usual client %d gets no answer to %s: %v", i+1, id, a.err)
 					return
 				}
+				served.Add(1)
 			}
 		}()
 	}
-	time.Sleep(time.Second)
-	r.logf("the front end holds %d MB", residentKB(pid)>>10)
+	var sent atomic.Int64
 	if r.trouble {
-		var bad sync.WaitGroup
 		for i := range badClients {
-			bad.Add(1)
+			wg.Add(1)
 			go func() {
-				defer bad.Done()
-				c := r.client(listen)
-				filler := strings.Repeat("x", 1<<20-4096)
-				accepted := 0
-				for n := range statements {
-					query := fmt.Sprintf("SELECT %d -- %s", n, filler)
-					m := pgproto.AppendMessage(nil, pgproto.MessageParse, pgproto.CString(fmt.Sprintf("s%d", n)), pgproto.CString(query), []byte{0, 0})
-					m = pgproto.AppendMessage(m, pgproto.MessageSync)
-					if _, err := c.conn.Write(m); err != nil {
-						r.logf("bad client %d can't send any more: %v", i+1, err)
+				defer wg.Done()
+				for n := 0; ; {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					c, err := net.Dial("tcp", listen)
+					if err != nil {
 						return
 					}
-					a := c.read(10 * time.Second)
-					if a.err != nil || a.code != "" {
-						r.logf("bad client %d is told of its statement %d: %v", i+1, n+1, a)
-						break
+					in := bufio.NewReader(c)
+					for ; ; n++ {
+						select {
+						case <-stop:
+							c.Close()
+							return
+						default:
+						}
+						if _, err := c.Write([]byte(call("lookup", fmt.Sprintf("bb%04x%010x", i, n), 600000, statement))); err != nil {
+							break
+						}
+						_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+						if a := readHTTP(in); a.err != nil {
+							break
+						}
+						sent.Add(1)
 					}
-					accepted++
+					c.Close()
 				}
-				r.logf("bad client %d has prepared %d statements of 1 MB", i+1, accepted)
 			}()
 		}
-		bad.Wait()
 	}
-	time.Sleep(2 * time.Second)
+	length := most
+	if !r.trouble {
+		length = 20 * time.Second
+	}
+	end := time.After(length)
+	for waiting := true; waiting; {
+		select {
+		case <-killed:
+			waiting = false
+		case <-end:
+			waiting = false
+		case <-time.After(5 * time.Second):
+			r.logf("bad clients have had %d answers, usual ones %d; the front end holds %d MB", sent.Load(), served.Load(), residentKB(pid)>>10)
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
 	close(stop)
 	wg.Wait()
-	close(end)
-	r.logf("usual clients: %d writes served, %d with no answer; the front end held %d MB at most", served, unanswered, peak.Load()>>10)
-	if killed.Load() {
-		broken = append(broken, fmt.Sprintf("the front end went over its memory and was killed; %d writes that it had taken got no answer", unanswered))
+	r.logf("bad clients had %d answers, usual ones %d and %d times none; the front end held %d MB at most", sent.Load(), served.Load(), unanswered.Load(), peak.Load()>>10)
+	select {
+	case <-killed:
+		broken = append(broken, fmt.Sprintf("the front end went over its memory after %d requests of bad clients and was killed; %d requests of usual clients got no answer", sent.Load(), unanswered.Load()))
+	default:
 	}
 	return broken
 }
--- a/review/_rig2/rig.go
+++ b/review/_rig2/rig.go
@@ -69,11 +69,16 @@
 	done chan struct{}
 }
 
-// run starts one of the project's programs from the project's root and follows its log.
+// run starts the gateway's program from the project's root and follows its log.
 func (r *rig) run(name string, args ...string) *process {
 	cmd := exec.Command(filepath.Join(r.root, "bin", "gateway"), args...)
+	return r.follow(name, "bin/gateway "+strings.Join(args, " "), cmd, "LB_CONFIG=", "LB_LISTEN=", "LB_CONTROL=", "LB_ACCEPT_FD=")
+}
+
+// follow starts a process with additional environment variables and follows its log.
+func (r *rig) follow(name, command string, cmd *exec.Cmd, env ...string) *process {
 	cmd.Dir = r.root
-	cmd.Env = append(os.Environ(), "TMPDIR="+r.dir, "LB_CONFIG=", "LB_LISTEN=", "LB_CONTROL=", "LB_ACCEPT_FD=")
+	cmd.Env = append(append(os.Environ(), "TMPDIR="+r.dir), env...)
 	out, in, err := os.Pipe()
 	r.must(err)
 	cmd.Stdout, cmd.Stderr = in, in
@@ -83,7 +88,7 @@
 	r.mu.Lock()
 	r.processes = append(r.processes, p)
 	r.mu.Unlock()
-	r.logf("start %s: bin/gateway %s (pid %d)", name, strings.Join(args, " "), cmd.Process.Pid)
+	r.logf("start %s: %s (pid %d)", name, command, cmd.Process.Pid)
 	file, err := os.Create(filepath.Join(r.dir, name+".log"))
 	r.must(err)
 	go func() {
