Review case 8: also an UPDATE changes other rows after a client with a DateStyle has gone

Cause: as before, statements stay prepared on an engine's connection under their text alone. Change: the desk prepares, binds and disconnects in the middle of a batch; a write is played as well.

--- a/review/_rig2/engine.go
+++ b/review/_rig2/engine.go
@@ -298,7 +298,7 @@
 	}
 }
 
-var dateLiteral = regexp.MustCompile(`(?i)^SELECT DATE '(\d\d)/(\d\d)/(\d\d\d\d)'$`)
+var dateLiteral = regexp.MustCompile(`(?i)DATE '(\d\d)/(\d\d)/(\d\d\d\d)'`)
 
 // parse turns a date literal into a value, by the DateStyle of the session at this time.
 func (s *backend) parse(query string) parsed {
--- a/review/_rig2/literals.go
+++ b/review/_rig2/literals.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"time"
+
+	"gannetspur/internal/pgproto"
 )
 
-// playLiterals: two clients with settings of their own send the same text, and share an engine's connections.
+// playLiterals: a client with a setting of its own prepares a statement and goes; another client without that setting sends
+// the same text later.
 func playLiterals(r *rig) (broken []string) {
 	work := func(string, string) time.Duration { return 5 * time.Millisecond }
 	engines := []*engine{r.engine("e1", "hall-a", nil, work), r.engine("e2", "hall-b", nil, work)}
@@ -18,41 +21,59 @@
 	r.await(gateway, "serving", 10*time.Second, nil)
 	time.Sleep(500 * time.Millisecond) // the catalogue has been read
 
-	border, office := r.client(listen), r.client(listen)
+	// A border desk prepares a statement, binds it many times, and disconnects in the middle of a batch.
+	texts := []string{
+		"SELECT DATE '03/04/2026'",
+		"UPDATE stock_17.orders SET closed = true WHERE day = DATE '03/04/2026' RETURNING day",
+	}
+	const want = "2026-03-04" // by the default DateStyle, ISO, MDY
 	if r.trouble {
+		border := r.client(listen)
 		a := border.query("SET datestyle TO 'ISO, DMY'", 5*time.Second)
 		r.logf("the border desk sets DateStyle to ISO, DMY: %v", a)
 		if a.code != "" || a.err != nil {
 			r.giveUp("SET: %v", a)
 		}
-	} else {
-		r.logf("the border desk keeps the default DateStyle")
-	}
-	const text = "SELECT DATE '03/04/2026'"
-	want := map[string]string{"border": "2026-03-04", "office": "2026-03-04"}
-	if r.trouble {
-		want["border"] = "2026-04-03"
+		for i, text := range texts {
+			name := fmt.Sprintf("day%d", i)
+			batch := pgproto.AppendMessage(nil, pgproto.MessageParse, pgproto.CString(name), pgproto.CString(text), []byte{0, 0})
+			batch = pgproto.AppendMessage(batch, pgproto.MessageSync)
+			_, err := border.conn.Write(batch)
+			r.must(err)
+			r.must(border.read(5 * time.Second).err)
+			for range 4 {
+				batch = pgproto.AppendMessage(nil, pgproto.MessageBind, pgproto.CString(""), pgproto.CString(name), []byte{0, 0, 0, 0, 0, 0})
+				batch = pgproto.AppendMessage(batch, pgproto.MessageExecute, []byte{0}, pgproto.Int32(0))
+				batch = pgproto.AppendMessage(batch, pgproto.MessageSync)
+				_, err = border.conn.Write(batch)
+				r.must(err)
+				a = border.read(5 * time.Second)
+				r.logf("the border desk binds and executes %s: %v, %v", text, a.rows, a)
+			}
+		}
+		batch := pgproto.AppendMessage(nil, pgproto.MessageBind, pgproto.CString(""), pgproto.CString("day0"), []byte{0, 0, 0, 0, 0, 0})
+		_, _ = border.conn.Write(batch) // no Execute and no Sync: it goes in the middle of the batch
+		border.close()
+		r.logf("the border desk disconnects in the middle of a batch")
+		time.Sleep(200 * time.Millisecond)
 	}
-	ask := func(who string, c *client, how string) {
-		var a answer
-		if how == "Query" {
-			a = c.query(text, 5*time.Second)
+	office := r.client(listen)
+	for n := range 8 {
+		text := texts[n/2%2]
+		how, a := "Query", answer{}
+		if n%2 == 0 {
+			a = office.query(text, 5*time.Second)
 		} else {
-			a = c.execute(text, 5*time.Second)
+			how = "Parse, Bind, Execute"
+			a = office.execute(text, 5*time.Second)
 		}
-		r.logf("%s (%s): %s gives %v, %v; by its settings it is %s", who, how, text, a.rows, a, want[who])
+		r.logf("the office (%s): %s gives %v, %v; by its settings it is %s", how, text, a.rows, a, want)
 		if a.code != "" || a.err != nil || len(a.rows) != 1 {
-			return // refused or failed: no wrong data
+			continue // refused or failed: no wrong data
 		}
-		if a.rows[0] != want[who] {
-			broken = append(broken, fmt.Sprintf("%s was told %s for %s (%s), by its settings it is %s", who, a.rows[0], text, how, want[who]))
+		if a.rows[0] != want {
+			broken = append(broken, fmt.Sprintf("the office was told %s for %s (%s), by its settings it is %s", a.rows[0], text, how, want))
 		}
 	}
-	for range 4 {
-		ask("border", border, "Query")
-		ask("office", office, "Query")
-		ask("border", border, "Parse, Bind, Execute")
-		ask("office", office, "Parse, Bind, Execute")
-	}
 	return broken
 }
