Review case 10: a Query of several statements is committed and never answered

Cause: the statements of one Query are run whether its client reads or not, and what waits beyond 8 MB is dropped with the connection.

--- a/review/_rig2/engine.go
+++ b/review/_rig2/engine.go
@@ -27,6 +27,7 @@
 	mu       sync.Mutex
 	running  map[string]chan struct{} // by cancel key
 	conns    map[net.Conn]bool
+	big      int  // rows of 1 KB that a statement with the word big returns
 	lost     bool // it has ended: its connections are closed
 	received []arrival
 }
@@ -121,6 +122,7 @@
 	inBlock    bool              // between BEGIN and COMMIT
 	failed     bool              // the block has failed
 	skip       bool              // after an error: up to the next Sync
+	done       []int             // statements of the open block that were run, as positions in engine.received
 	statements map[string]parsed
 	portal     *bound
 }
@@ -202,6 +204,15 @@
 	}
 }
 
+// commit makes the statements that were run permanent.
+func (s *backend) commit() {
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	for _, n := range s.done {
+		s.engine.received[n].ended = true
+	}
+}
+
 func (s *backend) receive() bool {
 	b := make([]byte, 8192)
 	n, err := s.conn.Read(b)
@@ -336,7 +347,11 @@
 		s.reply(pgproto.MessageCommandComplete, pgproto.CString(word))
 		return
 	case "COMMIT", "ROLLBACK":
-		s.inBlock, s.failed = false, false
+		if word == "COMMIT" && !s.failed {
+			s.commit()
+			e.rig.logf("engine %s (%s): commits a transaction of %d statements", e.name, e.zone, len(s.done))
+		}
+		s.inBlock, s.failed, s.done = false, false, nil
 		s.reply(pgproto.MessageCommandComplete, pgproto.CString(word))
 		return
 	}
@@ -361,9 +376,11 @@
 			return
 		case <-time.After(e.work(text, p.key)):
 		}
-		e.mu.Lock()
-		e.received[n].ended = true
-		e.mu.Unlock()
+		s.done = append(s.done, n)
+		if !s.inBlock {
+			s.commit()
+			s.done = nil
+		}
 		e.rig.logf("engine %s (%s): done %.60s %s", e.name, e.zone, text, p.key)
 	}
 	e.mu.Lock()
@@ -373,6 +390,12 @@
 	if rows == nil {
 		rows = []string{p.key}
 	}
+	if e.big > 0 && strings.Contains(text, "big") {
+		rows = make([]string, e.big)
+		for i := range rows {
+			rows[i] = strings.Repeat("x", 1000)
+		}
+	}
 	for _, row := range rows {
 		s.reply(pgproto.MessageDataRow, []byte{0, 1}, pgproto.Int32(len(row)), []byte(row))
 	}
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -15,8 +15,8 @@
 	"zones":    playZones,
 	"sites":    playSites,
 	"literals": playLiterals,
-	"memory":   playMemory,
 	"crowd":    playCrowd,
+	"slow":     playSlow,
 }
 
 func main() {
