--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -13,10 +13,10 @@
 // cases play a case and return what broke the rule.
 var cases = map[string]func(*rig) []string{
 	"zones":    playZones,
-	"sites":    playSites,
 	"literals": playLiterals,
 	"crowd":    playCrowd,
 	"slow":     playSlow,
+	"finish":   playFinish,
 }
 
 func main() {
