Review case 10: say so where there are too few descriptors for the crowd

Cause: with a low limit the crowd would not come, and the case would pass without having been played.

--- a/review/_rig2/crowd.go
+++ b/review/_rig2/crowd.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -18,6 +19,10 @@
 		pause   = 1900 * time.Millisecond
 		waitMS  = 6000
 	)
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil || files.Cur < crowd+200 {
+		r.giveUp("the crowd needs %d descriptors", crowd+200)
+	}
 	listen := r.freePort()
 	var engines []*lineEngine
 	for i, zone := range []string{"hall-a", "hall-b", "hall-a", "hall-b", "hall-a", "hall-b"} {
