Keep a statement prepared only for clients with the settings it was parsed under

Cause: statements shared on a connection were looked up by text and parameter types alone, while an engine converts constants and resolves names when it parses. Change: the settings are a part of the key; a statement with a constant that may name the current time gets no name. The emulated engine gives DATE constants their value at Parse.

--- a/internal/backend/postgres/prepared.go
+++ b/internal/backend/postgres/prepared.go
@@ -2,15 +2,16 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"gannetspur/internal/pgproto"
+	"gannetspur/internal/sqltext"
 )
 
 const (
 	// maxPreparedStatements is the maximum number of named statements on one connection.
 	maxPreparedStatements = 32
-	// maxPreparedBytes is the maximum size in bytes of the text and parameter types of a named statement, which
-	// stay in memory.
+	// maxPreparedBytes is the maximum size in bytes of the key of a named statement, which stays in memory.
 	maxPreparedBytes = 4 << 10
 )
 
@@ -31,15 +32,26 @@
 	return preparedStatements{names: map[string]string{}}
 }
 
-// preparedKey returns the key of a statement: its text and its parameter types.
+// preparedKey returns the key of a statement: its text, its parameter types and the settings under which it is
+// prepared. An engine converts constants and resolves names when it parses a statement, by the settings of that
+// moment, and does not parse it anew when the settings change.
 func preparedKey(statement *pgproto.Statement) string {
-	return statement.Query + "\x00" + string(statement.ParameterTypes)
+	var key strings.Builder
+	key.WriteString(statement.Query)
+	key.WriteByte(0)
+	key.Write(statement.ParameterTypes)
+	for _, setting := range statement.Settings {
+		key.WriteByte(0)
+		key.WriteString(setting.Text)
+	}
+	return key.String()
 }
 
-// newName returns a name for a statement that is about to be prepared. The name is empty if there are already
-// maxPreparedStatements names or if the key is longer than maxPreparedBytes.
-func (p *preparedStatements) newName(key string) string {
-	if len(p.names) >= maxPreparedStatements || len(key) > maxPreparedBytes {
+// newName returns a name for a statement that is about to be prepared under a key. The name is empty if there are
+// already maxPreparedStatements names, if the key is longer than maxPreparedBytes, or if the statement must be parsed
+// anew each time because a constant in it may name the current time.
+func (p *preparedStatements) newName(key, query string) string {
+	if len(p.names) >= maxPreparedStatements || len(key) > maxPreparedBytes || sqltext.MayNameCurrentTime(query) {
 		return ""
 	}
 	p.lastNumber++
@@ -50,8 +62,8 @@
 func (p *preparedStatements) clear() { clear(p.names) }
 
 // prepare returns the encoded name of the statement, and appends a Parse if it is not prepared on this connection.
-// Long statements, those beyond maxPreparedStatements and those of a transaction use the unnamed statement: in a
-// transaction, a name that the engine has dropped would abort the transaction.
+// Statements that get no name (see newName) and those of a transaction use the unnamed statement: in a transaction, a
+// name that the engine has dropped would abort the transaction.
 func (c *connection) prepare(messages []byte, statement *pgproto.Statement) (name, appended []byte) {
 	c.query.preparedKey = ""
 	c.query.newName = ""
@@ -63,7 +75,7 @@
 	if ok {
 		return pgproto.CString(known), messages
 	}
-	c.query.newName = c.prepared.newName(c.query.preparedKey)
+	c.query.newName = c.prepared.newName(c.query.preparedKey, statement.Query)
 	name = pgproto.CString(c.query.newName)
 	return name, appendParse(messages, name, statement)
 }
--- a/internal/testbed/emulator/pg.go
+++ b/internal/testbed/emulator/pg.go
@@ -27,7 +27,8 @@
 
 // Postgres serves the PostgreSQL wire protocol on a listener until that is closed, one statement at a time
 // on each connection. The answer to a statement is two rows, its text and its first bound value; the answer to
-// SHOW is the value of the setting, "default" if none was set. As in PostgreSQL, the statements up to a Sync
+// SHOW is the value of the setting, "default" if none was set; the answer to a statement with a constant of type DATE
+// is the date, which is read by the DateStyle and the clock of its Parse. As in PostgreSQL, the statements up to a Sync
 // are one transaction, and a rollback undoes writes and settings.
 func Postgres(ln net.Listener, opts Options) {
 	serveEach(ln, func(c net.Conn) {
@@ -39,9 +40,10 @@
 
 // portal is a bound statement.
 type portal struct {
-	query, key string   // text, and first bound value or ""
-	begun      bool     // whether the statement has been executed
-	rows       []string // rows not fetched yet; empty until the statement has been executed
+	preparedStatement
+	key   string   // first bound value or ""
+	begun bool     // whether the statement has been executed
+	rows  []string // rows not fetched yet; empty until the statement has been executed
 }
 
 // fetch appends the next rows, at most limit (0: all), and a CommandComplete or PortalSuspended.
@@ -67,7 +69,7 @@
 	in         []byte // received bytes that are not handled yet
 	out        []byte // messages that are not written yet
 	session    *pgSession
-	statements map[string]string // texts of prepared statements, by name
+	statements map[string]preparedStatement // by name
 	portals    map[string]*portal
 }
 
@@ -76,7 +78,7 @@
 	id := conn.RemoteAddr().String()
 	c := &pgConnection{
 		opts: opts, id: id, conn: conn, session: newPGSession(&opts, id),
-		statements: map[string]string{}, portals: map[string]*portal{},
+		statements: map[string]preparedStatement{}, portals: map[string]*portal{},
 	}
 	if ok, err := c.startUp(); !ok || err != nil {
 		return err
@@ -197,14 +199,14 @@
 		c.fail(newEngineError("42P05", "prepared statement already exists"))
 		return
 	}
-	c.statements[name] = text
+	c.statements[name] = c.session.parse(text)
 	c.opts.Log.Info("asked", "statement", short(text))
 	c.reply(pgproto.MessageParseComplete)
 }
 
 func (c *pgConnection) handleBind(r *pgproto.Reader) {
 	name := r.CString()
-	text, exists := c.statements[r.CString()]
+	statement, exists := c.statements[r.CString()]
 	switch {
 	case !exists:
 		c.fail(newEngineError("26000", "prepared statement does not exist"))
@@ -213,7 +215,7 @@
 		c.fail(newEngineError("42P03", "cursor already exists"))
 		return
 	}
-	p := &portal{query: text}
+	p := &portal{preparedStatement: statement}
 	for range r.Count() {
 		r.Int16()
 	}
@@ -237,7 +239,7 @@
 
 func (c *pgConnection) handleDescribe(target byte, name string) {
 	if target == pgproto.TargetStatement {
-		c.reply(pgproto.MessageParameterDescription, parameters(c.statements[name]))
+		c.reply(pgproto.MessageParameterDescription, parameters(c.statements[name].query))
 	}
 	c.reply(pgproto.MessageRowDescription, columns)
 }
@@ -309,6 +311,9 @@
 	}
 	p.begun = true
 	p.rows = []string{p.query, p.key}
+	if p.constant != "" {
+		p.rows = []string{p.constant}
+	}
 	if words := statementWords(p.query); words[0] == "SHOW" && len(words) > 1 {
 		p.rows = []string{c.session.setting(strings.ToLower(words[1]))}
 	}
