Testbed: play clients that misbehave beside usual ones, and measure both

Cause: nothing of ours showed how much memory a process takes, and how late usual clients are answered, beside crowds that stop half way, floods on one connection and clients that read nothing.

--- a/cmd/testbed/main.go
+++ b/cmd/testbed/main.go
@@ -20,6 +20,7 @@
 	Conform  conformCommand  `cmd:"" help:"Test a PostgreSQL front end against the wire protocol, message by message." name:"conform"`
 	Keys     keysCommand     `cmd:"" help:"Issue test keys and certificates for gateways of several sites." name:"keys"`
 	Sitelink sitelinkCommand `cmd:"" help:"Measure throughput and latency of the link between sites, compared with a plain TCP relay." name:"sitelink"`
+	Pressure pressureCommand `cmd:"" help:"Measure what usual clients notice, and how much memory the gateway takes, beside clients that misbehave." name:"pressure"`
 	Try      tryCommand      `cmd:"" help:"Start emulated engines, an event bus, a Consul substitute and both front ends on loopback, until Ctrl-C." name:"try"`
 
 	Scripted scriptedCommand `cmd:"" hidden:"" help:"Act as a faulty successor process in an upgrade experiment." name:"scripted"`
--- a/internal/testbed/harness/files.go
+++ b/internal/testbed/harness/files.go
@@ -62,6 +62,9 @@
 	if opts.Clients > 0 {
 		config["limits"] = map[string]any{"cores": 1, "memory_mb": 1024, "sockets": 2*opts.Clients + spareSockets}
 	}
+	if opts.MemoryMB > 0 {
+		config["limits"] = map[string]any{"cores": 1, "memory_mb": opts.MemoryMB, "sockets": opts.Sockets}
+	}
 	raw, err = json.MarshalIndent(config, "", " ")
 	if err != nil {
 		return fmt.Errorf("harness: %w", err)
@@ -87,6 +90,10 @@
 		replace("sockets = 1024", fmt.Sprintf("sockets = %d", 2*opts.Clients+spareSockets))
 		replace("most_clients = 300", fmt.Sprintf("most_clients = %d", opts.Clients+spareClients))
 	}
+	if opts.MemoryMB > 0 {
+		replace("memory_mb = 192", fmt.Sprintf("memory_mb = %d", opts.MemoryMB))
+		replace("sockets = 1024", fmt.Sprintf("sockets = %d", opts.Sockets))
+	}
 	if opts.Shapes {
 		replace("enabled = false", "enabled = true")
 	}
--- a/internal/testbed/harness/harness.go
+++ b/internal/testbed/harness/harness.go
@@ -27,6 +27,8 @@
 	Shapes   bool                            // whether the PostgreSQL frontend's configuration enables query shapes
 	User     string                          // user that PostgreSQL engines accept; "": any
 	Clients  int                             // client connections to size the frontends for; 0: keep the templates' limits
+	MemoryMB int                             // memory limit of the gateways; 0: that of Clients or the templates
+	Sockets  int                             // descriptor limit of the gateways; 0: that of Clients or the templates
 	Ledger   *emulator.Ledger                // records what engines executed
 	Store    *emulator.Store                 // records what PostgreSQL engines committed; nil: nothing is recorded
 	Heard    func(session, statement string) // called with each statement at a PostgreSQL engine; may be nil
