PostgreSQL: bound the bytes that clients make the front end keep

Callers lost their connections when the process passed its memory limit: 4 clients with 42 prepared statements of 1 MB, portals with 65,535 values, or one Query of 262,119 statements sufficed. Cause: statements, portals and settings were bounded by number for each connection only. Change: they and the Query in progress are counted in bytes, for a connection and for all; who keeps most is closed first, and a client within an equal share is not refused. A Query holds 1,000 statements at most. The three new tests fail before (no bound exists) and pass now.

--- a/internal/frontend/postgres/connection.go
+++ b/internal/frontend/postgres/connection.go
@@ -28,6 +28,7 @@
 	inSimpleQuery bool
 	transaction   *transaction // nil if none is open
 	inFlight      inFlightRequest
+	memory        clientMemory
 
 	out        messageWriter
 	stallTimer *timerqueue.Timer // closes the connection if a message stays incomplete
@@ -212,6 +213,7 @@
 // endSimpleQuery ends the answer to a Query.
 func (c *connection) endSimpleQuery() {
 	c.inSimpleQuery = false
+	c.releaseQuery()
 	c.readyForQuery()
 }
 
--- a/internal/frontend/postgres/frontend.go
+++ b/internal/frontend/postgres/frontend.go
@@ -23,6 +23,7 @@
 	loginLimiter *loginlimit.Limiter
 	draining     bool // Drain was called
 	heldBytes    int  // size of the unsent rows in all open portals, in bytes
+	clientBytes  int  // size of what all clients make the frontend keep, see clientMemory, in bytes
 
 	connections   map[uint32]*connection // by process ID
 	lastProcessID uint32                 // highest process ID that was assigned
@@ -50,6 +51,9 @@
 	if opts.MaxHeldBytes <= 0 {
 		opts.MaxHeldBytes = defaultMaxHeldBytes
 	}
+	if opts.MaxClientBytes <= 0 {
+		opts.MaxClientBytes = defaultMaxClientBytes
+	}
 	f.opts = opts
 }
 
@@ -110,12 +114,12 @@
 	return c
 }
 
-// removeConnection unregisters a connection and releases the rows that its portals hold.
+// removeConnection unregisters a connection and releases what it keeps.
 func (f *Frontend) removeConnection(c *connection) {
 	c.ended = true
 	c.stallTimer.Stop()
 	delete(f.connections, c.processID)
-	c.dropPortals()
+	c.releaseAll()
 }
 
 // Drain closes each connection as soon as no request and no transaction is open on it. A transaction
--- a/internal/frontend/postgres/handover.go
+++ b/internal/frontend/postgres/handover.go
@@ -236,6 +236,7 @@
 	c.session.settings = state.Settings
 	c.session.statementTimeout = state.StatementTimeout
 	c.skipToSync = state.SkipToSync
+	c.countSettings()
 	statements := c.restoreStatements(state.Statements)
 	for _, p := range state.Portals {
 		c.restorePortal(p, statements[p.Statement])
@@ -258,7 +259,7 @@
 		s.description = state.Description
 		restored[i] = s
 		if state.Named {
-			c.statements[state.Name] = s
+			c.putStatement(state.Name, s)
 		}
 	}
 	return restored
@@ -285,6 +286,7 @@
 		p.values = values
 	}
 	c.portals[state.Name] = p
+	c.addMemory(p.size())
 	c.frontend.heldBytes += len(state.Remaining)
 }
 
--- a/internal/frontend/postgres/limits.go
+++ b/internal/frontend/postgres/limits.go
@@ -14,7 +14,9 @@
 	maxKeptOutputBuffer = 64 << 10
 	// defaultMaxHeldBytes limits the unsent rows of all open portals if Options.MaxHeldBytes is not set.
 	defaultMaxHeldBytes = 32 << 20
-	maxSettingSize      = 4 << 10 // the text of one SET
+	// defaultMaxClientBytes limits what all clients make the frontend keep if Options.MaxClientBytes is not set.
+	defaultMaxClientBytes = 20 << 20
+	maxSettingSize        = 4 << 10 // the text of one SET
 )
 
 // Counts, per connection unless stated otherwise.
@@ -23,6 +25,9 @@
 	maxStatements = 1000  // prepared statements
 	maxPortals    = 1000
 	maxSettings   = 64 // settings kept by SET
+	// maxQueryStatements is the maximum number of statements in one Query. It bounds the time for which the
+	// statements of one message are read.
+	maxQueryStatements = 1000
 	// spareConnections may be open in addition to Options.MaxClients, so that CancelRequests get through
 	// and further clients receive an error.
 	spareConnections = 16
--- a/internal/frontend/postgres/options.go
+++ b/internal/frontend/postgres/options.go
@@ -27,6 +27,9 @@
 	MaxClients int
 	// MaxHeldBytes limits the total size in bytes of the unsent rows in all open portals; 0 means 32 MiB.
 	MaxHeldBytes int
+	// MaxClientBytes limits the total size in bytes of prepared statements, portals, settings and Queries in progress;
+	// 0 means 20 MiB.
+	MaxClientBytes int
 
 	// Users are the users who may log in by password; nil admits every client without a password.
 	Users *scramauth.Users
--- a/internal/frontend/postgres/portal.go
+++ b/internal/frontend/postgres/portal.go
@@ -26,7 +26,6 @@
 	r := pgproto.Reader{Rest: body}
 	portalName := r.CString()
 	statementName := r.CString()
-	r.Rest = bytes.Clone(r.Rest) // the portal keeps this slice, and its values refer to it
 	bind := r.Rest
 	values, ok := readBind(&r)
 	if !ok {
@@ -44,18 +43,30 @@
 	if want, known := s.parameterCount(); known && want != len(values.Values) {
 		return newError(codeProtocolViolation, "bind message supplies %d parameters, but the prepared statement requires %d", len(values.Values), want)
 	}
-	p := &portal{statement: s, bind: bind}
-	if s.shape != nil {
-		p.values = values
-	}
+	key := ""
 	if s.runsAtEngine() {
 		var e *pgproto.Error
-		if p.key, e = s.readKey(values.Values); e != nil {
+		if key, e = s.readKey(values.Values); e != nil {
 			return e
 		}
 	}
 	c.dropPortal(portalName) // only the unnamed portal can exist here; it is replaced
-	c.portals[portalName] = p
+	return c.openPortal(portalName, &portal{statement: s, bind: bind, values: values, key: key})
+}
+
+// openPortal keeps a portal whose bind is a part of the connection's buffer.
+func (c *connection) openPortal(name string, p *portal) *pgproto.Error {
+	if p.statement.shape == nil { // nothing reads the values
+		p.values = sqltext.Binds{}
+	}
+	if e := c.reserveMemory(p.size()); e != nil {
+		return e
+	}
+	p.bind = bytes.Clone(p.bind)
+	if p.statement.shape != nil {
+		p.values, _ = readBind(&pgproto.Reader{Rest: p.bind}) // refers to the copy; it was read before without an error
+	}
+	c.portals[name] = p
 	c.out.bindComplete()
 	return nil
 }
@@ -278,14 +289,14 @@
 func (c *connection) dropPortal(name string) {
 	if p := c.portals[name]; p != nil {
 		c.releaseRows(p)
+		c.releaseMemory(p.size())
 		delete(c.portals, name)
 	}
 }
 
 // dropPortals closes all portals.
 func (c *connection) dropPortals() {
-	for _, p := range c.portals {
-		c.releaseRows(p)
+	for name := range c.portals {
+		c.dropPortal(name)
 	}
-	clear(c.portals)
 }
--- a/internal/frontend/postgres/prepared.go
+++ b/internal/frontend/postgres/prepared.go
@@ -96,6 +96,10 @@
 func (c *connection) handleParse(body []byte) *pgproto.Error {
 	r := pgproto.Reader{Rest: body}
 	name := r.CString()
+	if e := c.reserveMemory(len(body) + statementOverhead); e != nil {
+		return e
+	}
+	defer c.releaseMemory(len(body) + statementOverhead) // from here on, putStatement counts the statement
 	query := r.CString()
 	parameterTypes := bytes.Clone(r.Rest) // the statement keeps them
 	r.Bytes(4 * r.Count())
@@ -112,7 +116,7 @@
 	if e != nil {
 		return e
 	}
-	c.statements[name] = s
+	c.putStatement(name, s)
 	c.out.parseComplete()
 	return nil
 }
@@ -178,7 +182,7 @@
 		return e
 	}
 	if kind == pgproto.TargetStatement {
-		delete(c.statements, name)
+		c.dropStatement(name)
 	} else {
 		c.dropPortal(name)
 	}
--- a/internal/frontend/postgres/session_settings.go
+++ b/internal/frontend/postgres/session_settings.go
@@ -205,7 +205,8 @@
 	}
 	if words[1] == "ALL" {
 		c.session.resetAll()
-		clear(c.statements)
+		c.countSettings()
+		c.dropStatements()
 		c.dropPortals()
 	}
 	done("DISCARD " + words[1])
@@ -225,6 +226,7 @@
 	default:
 		c.session.reset(name)
 	}
+	c.countSettings()
 	done("RESET")
 	return nil
 }
@@ -244,6 +246,7 @@
 		}
 	case strings.EqualFold(strings.TrimSpace(value), "default"):
 		c.session.reset(name)
+		c.countSettings()
 	default:
 		return c.setAtEngine(pgproto.Setting{Name: name, Text: s.query}, done)
 	}
@@ -257,6 +260,10 @@
 	if len(setting.Text) > maxSettingSize || len(c.session.settings) >= maxSettings {
 		return newError(codeProgramLimitExceeded, "more than %d settings, or one of more than %d bytes", maxSettings, maxSettingSize)
 	}
+	if e := c.reserveMemory(settingOverhead + len(setting.Text)); e != nil {
+		return e
+	}
+	c.releaseMemory(settingOverhead + len(setting.Text)) // countSettings counts it once the engine has accepted it
 	class, ok := c.frontend.core.Class(c.frontend.opts.DefaultClass)
 	if !ok || class.Idempotency != policy.Idempotent {
 		return newError(codeFeatureNotSupported, "SET needs a default class that is safe to repeat")
@@ -272,6 +279,7 @@
 		message: message,
 		onResult: func(res *pgproto.Result) {
 			c.session.set(setting)
+			c.countSettings()
 			c.out.raw(res.ParameterStatus)
 			done(res.Tag)
 		},
--- a/internal/frontend/postgres/simple_query.go
+++ b/internal/frontend/postgres/simple_query.go
@@ -23,6 +23,9 @@
 // handleQuery handles a Query, which contains any number of statements.
 func (c *connection) handleQuery(body []byte) *pgproto.Error {
 	c.inSimpleQuery = true
+	if e := c.reserveQuery(len(body)); e != nil {
+		return e
+	}
 	r := pgproto.Reader{Rest: body}
 	query := r.CString()
 	if !r.Complete() {
@@ -32,7 +35,11 @@
 		return c.answerSetStatementTimeout(value)
 	}
 	if strings.Contains(query, ";") {
-		if parts := sqltext.SplitStatements(query); len(parts) > 1 {
+		parts := sqltext.SplitStatements(query, maxQueryStatements+1)
+		if len(parts) > maxQueryStatements {
+			return newError(codeProgramLimitExceeded, "more than %d statements in one message", maxQueryStatements)
+		}
+		if len(parts) > 1 {
 			return c.runStatements(parts)
 		}
 	}
--- a/internal/gateway/postgres.go
+++ b/internal/gateway/postgres.go
@@ -84,6 +84,7 @@
 		ReadOnlyFunctions:      sqltext.FunctionSet{},
 		MaxClients:             maxClientsFor(deploy.MaxDescriptors),
 		MaxHeldBytes:           limits{memoryMB: deploy.MemoryMB}.memoryFraction(6),
+		MaxClientBytes:         limits{memoryMB: deploy.MemoryMB}.memoryFraction(10),
 		Shapes:                 p.process.shapes,
 		IdleTransactionTimeout: config.FromSeconds(deploy.TransactionIdleSeconds),
 		TransactionTimeout:     config.FromSeconds(deploy.TransactionMaxSeconds),
--- /dev/null
+++ b/internal/integration/memory_bounds_test.go
@@ -0,0 +1,99 @@
+package integration
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gannetspur/internal/pgproto"
+)
+
+// boundedGateway starts a gateway whose clients of the PostgreSQL front end may make it keep a number of bytes.
+func boundedGateway(t *testing.T, maxClientBytes int) *gateway {
+	t.Helper()
+	addr, _ := pgEngine(t, func(pgCall) []byte { return pgRows("a") })
+	g := newGateway(t, nil)
+	g.pgOptions.DefaultClass, g.pgOptions.WriteClass = "lookup", "write"
+	g.pgOptions.MaxClientBytes = maxClientBytes
+	return g.startPostgres(addr)
+}
+
+// closeStatement is a Close message for a prepared statement.
+func closeStatement(name string) []byte {
+	return pgproto.AppendMessage(nil, 'C', []byte("S"), pgproto.CString(name))
+}
+
+// TestKeptBytesOfOneClient guards against a client that fills the memory with prepared statements, portals or
+// settings: it gets an error at the bound for one connection, and goes on once it has closed some.
+func TestKeptBytesOfOneClient(t *testing.T) {
+	const maxClientBytes = 6 << 20 // a quarter of it for one connection
+	long := strings.Repeat("x", 500<<10)
+	for name, message := range map[string]func(n int) []byte{
+		"statements": func(n int) []byte { return parse(fmt.Sprintf("s%d", n), "SELECT '"+long+"'") },
+		"portals":    func(n int) []byte { return bind(fmt.Sprintf("p%d", n), "long") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			k := connect(t, boundedGateway(t, maxClientBytes).addr)
+			k.send(append(parse("long", "SELECT '"+long+"'"), sync...))
+			k.until('Z')
+			for n := range 4 { // one batch, as Sync closes portals; beside the first statement, two fit
+				k.send(message(n))
+			}
+			k.send(sync)
+			if answer := k.until('Z'); answer != "1 1 E(54000) Z" && answer != "2 2 E(54000) Z" {
+				t.Errorf("got %s, want two completions and the error 54000", answer)
+			}
+			k.send(append(closeStatement("long"), sync...))
+			k.until('Z')
+			k.send(append(closeStatement("s0"), sync...))
+			k.until('Z')
+			k.send(append(parse("again", "SELECT '"+long+"'"), sync...))
+			assertEqual(t, "after a Close", k.until('Z'), "1 Z")
+		})
+	}
+}
+
+// TestKeptBytesOfAllClients guards against clients that fill the memory together: the one that keeps most is closed
+// with an error, and a client that keeps little is served.
+func TestKeptBytesOfAllClients(t *testing.T) {
+	const maxClientBytes = 5 << 20
+	long := strings.Repeat("x", 450<<10)
+	g := boundedGateway(t, maxClientBytes)
+	usual := connect(t, g.addr)
+	usual.send(append(parse("usual", "SELECT day FROM sales_17.orders"), sync...))
+	usual.until('Z')
+	var others []*pgClient
+	for range 8 {
+		k := connect(t, g.addr)
+		others = append(others, k)
+		for n := range 2 {
+			k.send(append(parse(fmt.Sprintf("s%d", n), "SELECT '"+long+"'"), sync...))
+			k.until('Z')
+		}
+	}
+	usual.send(append(bind("", "usual"), append(execute("", 0), sync...)...))
+	assertEqual(t, "usual client", usual.until('Z'), "2 D(a) C(SELECT 1) Z")
+	if g.count("pgwire.closed-for-memory") == 0 { // of 16 statements, 11 fit
+		t.Error("no client was closed, want the one that keeps most")
+	}
+	g.do(func() {
+		if kept := g.pgFront.ClientBytes(); kept > maxClientBytes {
+			t.Errorf("clients keep %d bytes, want %d at most", kept, maxClientBytes)
+		}
+	})
+	for _, k := range others {
+		_ = k.c.Close()
+	}
+}
+
+// TestTooManyStatementsInOneQuery guards against one message of very many statements, which took seconds to read and
+// more memory than the process has.
+func TestTooManyStatementsInOneQuery(t *testing.T) {
+	k := connect(t, boundedGateway(t, 0).addr)
+	k.send(query(strings.Repeat("END;", 200_000)))
+	assertEqual(t, "200,000 statements", k.until('Z'), "E(54000) Z")
+	k.send(query(strings.Repeat("END;", 1000)))
+	if answer := k.until('Z'); strings.Count(answer, "C(COMMIT)") != 1000 {
+		t.Errorf("1,000 statements: got %.100s, want all answered", answer)
+	}
+}
--- a/internal/sqltext/replay_test.go
+++ b/internal/sqltext/replay_test.go
@@ -326,7 +326,7 @@
 	word, multiple := FirstWord(text)
 	r.line("short readers", group, hasGroup, comment, hasComment, word, multiple, SkipComments(text), HasTokenPrefix(text, prefix), HasTokenPrefix(text, "select"),
 		HasTokenPrefix(text, "WITH q"), ContainsName(text, "set_config"))
-	for _, part := range SplitStatements(text) {
+	for _, part := range SplitStatements(text, len(text)+1) {
 		r.line("split", part)
 	}
 	effect := EffectOf(text, readOnly)
--- a/internal/sqltext/split.go
+++ b/internal/sqltext/split.go
@@ -4,7 +4,8 @@
 // semicolons outside parentheses, quotes and comments. Parts without a token are left out. The
 // body of a function in SQL (BEGIN ATOMIC) is not recognized: its parts are not valid
 // statements, and an engine reports an error for them.
-func SplitStatements(text string) (statements []string) {
+// It returns at most limit statements, and leaves the rest of the text unread.
+func SplitStatements(text string, limit int) (statements []string) {
 	l := Lexer{Src: text}
 	start, depth := 0, 0
 	hasToken := false
@@ -14,6 +15,9 @@
 			if hasToken {
 				statements = append(statements, text[start:t.Start])
 			}
+			if len(statements) == limit {
+				return statements
+			}
 			start = t.End
 			hasToken = false
 			continue
--- a/internal/sqltext/split_test.go
+++ b/internal/sqltext/split_test.go
@@ -20,7 +20,7 @@
 		"SELECT E'\\';'; SELECT 1":          {"SELECT E'\\';'", " SELECT 1"},
 		"a); b":                             {"a)", " b"},
 	} {
-		if diff := cmp.Diff(want, SplitStatements(text)); diff != "" {
+		if diff := cmp.Diff(want, SplitStatements(text, len(text)+1)); diff != "" {
 			t.Errorf("SplitStatements(%q) (-want +got):\n%s", text, diff)
 		}
 	}
@@ -32,7 +32,7 @@
 	f.Add("a;b;(;);c")
 	f.Fuzz(func(t *testing.T, text string) {
 		at := 0
-		for _, part := range SplitStatements(text) {
+		for _, part := range SplitStatements(text, len(text)+1) {
 			if len(part) == 0 || len(text)-at < len(part) {
 				t.Fatalf("part %q of %q has %d bytes, want between 1 and the remaining %d", part, text, len(part), len(text)-at)
 			}
