Platform: read the head of a request once, in however many pieces it comes

Callers' answers came up to 0.6 s late while a crowd wrote heads of thousands of fields byte by byte. Cause: each read searched and parsed the head from its first byte. Change: http1.Parser keeps its place and the parsed head; lines are read in place. TestRequestInPieces holds that no byte of a head is read again; before there was no parser that could.

--- a/internal/frontend/httpapi/connection.go
+++ b/internal/frontend/httpapi/connection.go
@@ -21,6 +21,7 @@
 
 	request  *core.Request // accepted and not answered yet; nil: none
 	orphan   *core.Orphan  // state of the first request if a process that died had received it; nil: none
+	parser   http1.Parser  // of the first request in the buffer
 	arrivals arrivals      // receive times of the bytes in the buffer
 
 	requestTimer *timerqueue.Timer // closes the connection if its request is not complete in time; nil: not running
@@ -52,7 +53,7 @@
 			c.socket.WhenWritten(c.socket.ScheduleData)
 			return false
 		}
-		req, size, err := http1.ParseRequest(in.Bytes())
+		req, size, err := c.parser.Parse(in.Bytes())
 		if err == nil && size > 0 && size < in.Len() && !http1.StartsRequest(in.Bytes()[size:]) {
 			err = contentLengthError()
 		}
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -12,7 +12,9 @@
 
 const (
 	maxHeadSize = 16 << 10 // bytes of request line and header
-	maxBodySize = 96 << 10 // bytes
+	// maxFieldName is the length of the longest recognized name of a header field, in bytes.
+	maxFieldName = 17
+	maxBodySize  = 96 << 10 // bytes
 	// MaxRequestSize is the maximum size of a complete request in bytes.
 	MaxRequestSize = maxHeadSize + maxBodySize
 )
@@ -37,31 +39,65 @@
 	"req-retry": true, "req-token": true, "req-cost": true, "req-kb": true, "req-key": true,
 }
 
-// ParseRequest parses the first request in b. size is the length of the request in bytes, or 0 if
-// b does not hold a complete request yet or the request is invalid.
-func ParseRequest(b []byte) (r Request, size int, statusErr *StatusError) {
-	end := bytes.Index(b[:min(len(b), maxHeadSize)], endOfHead)
+// Parser parses the requests of one connection. It keeps what it has read of a request that is not complete yet, so
+// that the time for a request does not depend on the number of pieces in which it arrives. The zero value is ready
+// for use.
+type Parser struct {
+	searched int     // bytes of the buffer that do not contain the end of the head
+	head     Request // the request without its body, once its head is complete
+	start    int     // offset of the body; 0 while the head is not complete
+	size     int     // size of the whole request, valid once the head is complete
+}
+
+// Parse parses the first request in b. size is the length of the request in bytes, or 0 if b does not hold a complete
+// request yet or the request is invalid. Until it returns a request or an error, b must begin with the bytes of the
+// previous call.
+func (p *Parser) Parse(b []byte) (r Request, size int, statusErr *StatusError) {
+	if p.start == 0 {
+		if statusErr = p.parseHead(b); statusErr != nil || p.start == 0 {
+			return Request{}, 0, statusErr
+		}
+	}
+	if len(b) < p.size {
+		return Request{}, 0, nil
+	}
+	r = p.head
+	r.Body = b[p.start:p.size]
+	size = p.size
+	*p = Parser{}
+	return r, size, nil
+}
+
+// parseHead parses the head of the first request in b if it is complete.
+func (p *Parser) parseHead(b []byte) *StatusError {
+	searchable := b[:min(len(b), maxHeadSize)]
+	end := bytes.Index(searchable[p.searched:], endOfHead)
 	if end < 0 {
+		p.searched = max(len(searchable)-len(endOfHead)+1, 0)
 		if len(b) >= maxHeadSize {
-			return r, 0, NewStatusError(http.StatusRequestHeaderFieldsTooLarge, "the head of the request is too large")
+			return NewStatusError(http.StatusRequestHeaderFieldsTooLarge, "the head of the request is too large")
 		}
-		return r, 0, nil
+		return nil
 	}
-	r, statusErr = parseHead(b[:end])
+	end += p.searched
+	head, statusErr := parseHead(b[:end])
 	if statusErr != nil {
-		return r, 0, statusErr
+		return statusErr
 	}
-	length, statusErr := r.bodyLength()
+	length, statusErr := head.bodyLength()
 	if statusErr != nil {
-		return r, 0, statusErr
-	}
-	start := end + len(endOfHead)
-	size = start + length
-	if len(b) < size {
-		return r, 0, nil
+		return statusErr
 	}
-	r.Body = b[start:size]
-	return r, size, nil
+	p.head = head
+	p.start = end + len(endOfHead)
+	p.size = p.start + length
+	return nil
+}
+
+// ParseRequest parses the first request in b. size is the length of the request in bytes, or 0 if
+// b does not hold a complete request yet or the request is invalid.
+func ParseRequest(b []byte) (r Request, size int, statusErr *StatusError) {
+	return new(Parser).Parse(b)
 }
 
 // parseHead parses the request line and the header.
@@ -71,8 +107,8 @@
 	if bytes.ContainsAny(bytes.ReplaceAll(head, endOfLine, nil), "\r\n\x00") {
 		return r, BadRequest("a line of the head has a stray CR, LF or NUL")
 	}
-	lines := strings.Split(string(head), "\r\n")
-	words := strings.Split(lines[0], " ")
+	line, rest, _ := bytes.Cut(head, endOfLine)
+	words := strings.Split(string(line), " ")
 	if len(words) != 3 || words[0] == "" || !strings.HasPrefix(words[1], "/") {
 		return r, BadRequest("malformed request line")
 	}
@@ -80,28 +116,34 @@
 	if version != "HTTP/1.1" && version != "HTTP/1.0" {
 		return r, NewStatusError(http.StatusHTTPVersionNotSupported, "only HTTP/1.1 is spoken here")
 	}
-	header, statusErr := parseHeader(lines[1:])
+	header, statusErr := parseHeader(rest)
 	r = Request{Method: words[0], Path: words[1], Header: header}
 	r.Close = version == "HTTP/1.0" || strings.EqualFold(header["connection"], "close")
 	return r, statusErr
 }
 
-// parseHeader returns the values of the recognized header fields.
-func parseHeader(lines []string) (map[string]string, *StatusError) {
+// parseHeader returns the values of the recognized header fields. lines holds the lines of the header, without the
+// last line end.
+func parseHeader(lines []byte) (map[string]string, *StatusError) {
 	header := map[string]string{}
-	for _, line := range lines {
-		name, value, ok := strings.Cut(line, ":")
-		if !ok || name == "" || strings.ContainsAny(name, " \t") {
+	for len(lines) > 0 {
+		var line []byte
+		line, lines, _ = bytes.Cut(lines, endOfLine)
+		name, value, ok := bytes.Cut(line, []byte{':'})
+		if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") {
 			return header, BadRequest("malformed header field")
 		}
-		name = strings.ToLower(name)
-		if !recognizedFields[name] {
+		if len(name) > maxFieldName {
+			continue
+		}
+		key := strings.ToLower(string(name))
+		if !recognizedFields[key] {
 			continue
 		}
-		if _, repeated := header[name]; repeated {
-			return header, BadRequest("header field %s came twice", name)
+		if _, repeated := header[key]; repeated {
+			return header, BadRequest("header field %s came twice", key)
 		}
-		header[name] = strings.Trim(value, " \t")
+		header[key] = string(bytes.Trim(value, " \t"))
 	}
 	return header, nil
 }
--- a/internal/http1/request_test.go
+++ b/internal/http1/request_test.go
@@ -69,6 +69,30 @@
 	}
 }
 
+// TestRequestInPieces guards against a request that is parsed anew with each piece of it: a client that wrote a head of
+// thousands of fields byte by byte kept all others waiting. The parser must not read again what it has read, and
+// must give the same result as for the whole request.
+func TestRequestInPieces(t *testing.T) {
+	head := "POST /rpc/lookup HTTP/1.1\r\nReq-Id: 1\r\nContent-Length: 9000\r\n" + strings.Repeat("a:b\r\n", 3000) + "\r\n"
+	input := []byte(head + strings.Repeat("x", 9000))
+	var parser Parser
+	for n := range len(input) {
+		if _, size, err := parser.Parse(input[:n]); size != 0 || err != nil {
+			t.Fatalf("after %d bytes: size = %d, error %v, want an incomplete request", n, size, err)
+		}
+		if unread := n - parser.searched; parser.start == 0 && unread >= len(endOfHead) {
+			t.Fatalf("after %d bytes: %d bytes are read again, want fewer than %d", n, unread, len(endOfHead))
+		}
+		if n >= len(head) && parser.start != len(head) {
+			t.Fatalf("after %d bytes: the body begins at %d, want %d: the head is read again", n, parser.start, len(head))
+		}
+	}
+	r, size, err := parser.Parse(input)
+	if size != len(input) || err != nil || len(r.Body) != 9000 || r.Header["req-id"] != "1" || parser.start != 0 {
+		t.Errorf("size = %d, body of %d bytes, error %v, want the whole request", size, len(r.Body), err)
+	}
+}
+
 // TestParseRequestFields checks that recognized header fields are stored by lower-case name, and that
 // Close is set for HTTP/1.0 and for "Connection: close" in any case.
 func TestParseRequestFields(t *testing.T) {
