Pause for full buffers, and close who holds them rather than who sends next

Callers that wrote a request in pieces lost their connection beside a crowd that stopped half way, and others waited: a median of 284 ms (6 alone) with 250 clients in the middle of 1 MB. Cause: beyond the budget of receive buffers the next connection that read was closed, and the crowd came again at once. Unsent answers were bounded for each connection only. Change: beyond the budget, connections with over 4 KB are not read; closed are those that made no valid request, then those that stand still, then the largest, with 503 or 53200. Who was served and still moves, or waits for an answer, is not. Unsent answers of all have a budget too.

--- a/internal/frontend/httpapi/connection.go
+++ b/internal/frontend/httpapi/connection.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"net/http"
 	"time"
 
 	"gannetspur/internal/core"
@@ -49,7 +50,7 @@
 // was invalid.
 func (c *conn) readRequests(in *netio.Buffer) bool {
 	for c.request == nil && !c.ended {
-		if c.socket.Pending() > maxUnsentBytes {
+		if c.socket.OutputFull(maxUnsentBytes) {
 			c.socket.WhenWritten(c.socket.ScheduleData)
 			return false
 		}
@@ -120,6 +121,21 @@
 	c.socket.Close()
 }
 
+// HasServed reports whether the client has made a valid request.
+func (c *conn) HasServed() bool { return c.served }
+
+// CloseForMemory tells the client that there is no memory for its request, and closes the connection. It returns
+// false, and does nothing, if a request waits for its answer.
+func (c *conn) CloseForMemory() bool {
+	if c.ended || c.request != nil {
+		return false
+	}
+	c.frontend.counters.Inc("rest.closed-for-memory")
+	c.closeAfterResponse = true
+	c.respond(http.StatusServiceUnavailable, 0, []byte(`{"fault":"Busy"}`))
+	return true
+}
+
 // Disconnected reports whether the client has disconnected, possibly before Closed is called.
 func (c *conn) Disconnected() bool { return c.socket.Disconnected() }
 
--- a/internal/frontend/postgres/connection.go
+++ b/internal/frontend/postgres/connection.go
@@ -29,6 +29,7 @@
 	transaction   *transaction // nil if none is open
 	inFlight      inFlightRequest
 	memory        clientMemory
+	served        bool // a statement was served
 
 	out        messageWriter
 	stallTimer *timerqueue.Timer // closes the connection if a message stays incomplete
@@ -85,7 +86,7 @@
 		return
 	}
 	c.stallTimer.Stop()
-	if c.mayRead() && in.Len() > 0 && c.socket.Pending() <= maxPendingWrite {
+	if c.mayRead() && in.Len() > 0 && !c.socket.OutputFull(maxPendingWrite) {
 		c.startStallTimer()
 	}
 	c.socket.LimitReadAhead(c.inFlight.request != nil)
@@ -100,7 +101,7 @@
 // or while the client does not read its answers.
 func (c *connection) readMessages(in *netio.Buffer) error {
 	for c.mayRead() {
-		if c.socket.Pending() > maxPendingWrite {
+		if c.socket.OutputFull(maxPendingWrite) {
 			c.socket.WhenWritten(c.socket.ScheduleData)
 			return nil
 		}
@@ -251,6 +252,20 @@
 	c.socket.Close()
 }
 
+// HasServed reports whether a statement of the client was served.
+func (c *connection) HasServed() bool { return c.served }
+
+// CloseForMemory tells the client that there is no memory for its messages, and closes the connection. It returns
+// false, and does nothing, if a statement waits for its answer.
+func (c *connection) CloseForMemory() bool {
+	if c.ended || c.inFlight.request != nil {
+		return false
+	}
+	c.frontend.counters.Inc("pgwire.closed-for-memory")
+	c.fatal(newError(codeOutOfMemory, "closed because there is no memory for the rest of a message"))
+	return true
+}
+
 // flush writes the buffered messages to the socket, unless they are held back.
 func (c *connection) flush() {
 	if c.holdsPartialAnswer() {
--- a/internal/frontend/postgres/request.go
+++ b/internal/frontend/postgres/request.go
@@ -133,6 +133,7 @@
 	if c.ended || onAnswer == nil {
 		return
 	}
+	c.served = c.served || a.Verdict == core.Served
 	onAnswer(a)
 	c.resume()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,6 +140,7 @@
 	}
 	p.startedAt = p.loop.Now()
 	p.loop.SetBufferBudget(int64(limits.bufferBytes()))
+	p.loop.SetWriteBudget(int64(limits.unsentBytes()))
 	p.core, err = core.New(settings, seed, p.loop, p.loop.Timers, p.counters, p.log)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -38,6 +38,9 @@
 // bufferBytes returns the number of bytes that the buffers of all connections together may hold.
 func (l limits) bufferBytes() int { return l.memoryFraction(6) }
 
+// unsentBytes returns the number of bytes that may wait to be sent on all connections together.
+func (l limits) unsentBytes() int { return l.memoryFraction(8) }
+
 // maxClientsFor returns the number of clients that a descriptor limit allows. A quarter of the descriptors is left to
 // engines, discovery and the program itself.
 func maxClientsFor(maxDescriptors int) int {
--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -85,5 +85,6 @@
 	platform.front.SetUnpaged(share < 1) // the request for a client's next page may reach another process
 	p.loop.SetDescriptorShare(share)
 	p.loop.SetBufferBudget(int64(share * float64(p.limits.bufferBytes())))
+	p.loop.SetWriteBudget(int64(share * float64(p.limits.unsentBytes())))
 	limitRuntime(int(share * float64(p.limits.memoryMB)))
 }
--- a/internal/integration/memory_bounds_test.go
+++ b/internal/integration/memory_bounds_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"gannetspur/internal/pgproto"
 )
@@ -97,3 +100,81 @@
 		t.Errorf("1,000 statements: got %.100s, want all answered", answer)
 	}
 }
+
+// TestUsualClientOutlivesACrowd guards against a crowd that stops half way in large requests: beyond the budget of all
+// buffers the gateway closed whichever client sent next, also one in the middle of a request that it wrote in pieces.
+// Those that have made no valid request are told and closed instead.
+func TestUsualClientOutlivesACrowd(t *testing.T) {
+	const (
+		budget = 300 << 10
+		pieces = 10
+		pause  = 100 * time.Millisecond // between two pieces
+	)
+	addr, _ := lineEngine(t, func(line string) string { return done(line, "a\tb\tc\n") })
+	g := newGateway(t, nil)
+	g.loop.SetBufferBudget(budget)
+	g.startHTTP(addr)
+	request := func(number int) string {
+		text := "SELECT '" + strings.Repeat("x", 90<<10) + "'"
+		return fmt.Sprintf("POST /rpc/lookup HTTP/1.1\r\nReq-Id: %016x\r\nReq-Wait-Ms: 2000\r\nContent-Length: %d\r\n\r\n%s", number, len(text), text)
+	}
+	usual := httpConnect(t, g.addr)
+	if answer, _ := usual.call(request(1)); !strings.HasPrefix(answer, "200") {
+		t.Fatalf("usual client, first request: got %.60s, want 200", answer)
+	}
+	text := request(2)
+	for n := range pieces {
+		other := dial(t, g.addr)
+		_, _ = io.WriteString(other, request(100 + n)[:80<<10])
+		step := len(text) / (pieces - n)
+		if _, err := io.WriteString(usual.c, text[:step]); err != nil {
+			t.Fatal(err)
+		}
+		text = text[step:]
+		time.Sleep(pause)
+		if held := g.loop.BufferedBytes(); held > budget+64<<10 { // two goroutines may each read once more
+			t.Errorf("the buffers hold %d bytes, want %d at most", held, budget)
+		}
+	}
+	if answer, _ := usual.answer(); !strings.HasPrefix(answer, "200") {
+		t.Errorf("usual client, second request: got %.60s, want 200", answer)
+	}
+	if g.count("rest.closed-for-memory") == 0 {
+		t.Error("no client of the crowd was closed, want some")
+	}
+}
+
+// TestUnreadAnswersAreBounded guards against clients that send requests and read nothing, and fill the memory with
+// answers: beyond the budget of all, those that hold most are closed, and a client that reads is served.
+func TestUnreadAnswersAreBounded(t *testing.T) {
+	const budget = 4 << 20
+	addr, _ := pgEngine(t, func(pgCall) []byte { return pgRows(strings.Repeat("a", 900<<10)) })
+	g := newGateway(t, nil)
+	g.loop.SetWriteBudget(budget)
+	g.startPostgres(addr)
+	for range 12 {
+		k := connect(t, g.addr)
+		if err := k.c.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+			t.Fatal(err)
+		}
+		for range 8 {
+			k.send(query("SELECT 1"))
+		}
+	}
+	deadline := time.Now().Add(waitTimeout)
+	closed := func() (n int64) {
+		g.do(func() { n = g.loop.ClosedForMemory() })
+		return n
+	}
+	for closed() == 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	if closed() == 0 {
+		t.Errorf("no client was closed, and %d bytes wait to be sent; want %d at most", g.loop.UnsentBytes(), budget)
+	}
+	usual := connect(t, g.addr)
+	usual.send(query("SELECT 1"))
+	if answer := usual.until('Z'); !strings.HasSuffix(answer, "C(SELECT 1) Z") {
+		t.Errorf("usual client: got %.60s, want a row", answer)
+	}
+}
--- a/internal/netio/connection.go
+++ b/internal/netio/connection.go
@@ -61,6 +61,8 @@
 	readAheadLimited atomic.Bool  // the handler consumes nothing at present, see LimitReadAhead
 	pendingBytes     atomic.Int64 // bytes accepted by Write that the socket has not taken yet
 	notifyWritten    atomic.Bool  // written is to be called once pendingBytes is zero
+	lastRead         progress     // latest read that received bytes
+	lastSent         progress     // latest time at which the socket took bytes
 
 	mu             sync.Mutex // guards the fields below, which the poller's and the loop's goroutine share
 	journal        Journal    // nil if there is none; only the loop changes it, and reads it without the lock
@@ -68,6 +70,7 @@
 	in             Buffer     // bytes read from the socket, encrypted ones on a TLS connection
 	dataScheduled  bool       // a call of deliver is queued
 	readPaused     bool       // reading stopped at a full buffer; the socket may hold more
+	memoryPaused   bool       // reading stopped because the buffers of all connections are full
 	discardedBytes int        // bytes read and dropped since Close
 }
 
@@ -116,7 +119,7 @@
 	}
 	if len(o.unread) > 0 {
 		c.in.append(o.unread)
-		l.bufferedBytes.Add(int64(len(o.unread)))
+		l.input.used.Add(int64(len(o.unread)))
 		c.dataScheduled = true
 		c.post(c.deliver)
 	}
@@ -198,12 +201,13 @@
 	delete(c.loop.conns, c)
 	c.endJournal()
 	c.mu.Lock()
-	c.loop.bufferedBytes.Add(-int64(c.in.Len()))
+	c.loop.input.used.Add(-int64(c.in.Len()))
 	c.in = Buffer{}
 	if c.tls != nil {
 		c.tls.end()
 	}
 	c.mu.Unlock()
+	c.releaseOutput()
 	c.onEnd()
 	c.handler.Closed(c, err)
 }
--- a/internal/netio/connection_read.go
+++ b/internal/netio/connection_read.go
@@ -7,9 +7,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// errBufferBudget is the error of a connection that was closed because it exceeded the buffer budget.
-var errBufferBudget = errors.New("the buffers of all connections are full")
-
 // read reads from the socket until it is empty or the connection's buffer is full. It runs on the poller's
 // goroutine when there is new data, and on the loop's when the buffer is below its limit again. scratch is the
 // memory for one read; its content does not matter. sharedEnd is true if another process may have the socket
@@ -26,7 +23,7 @@
 			}
 			continue
 		}
-		if c.mustPause() {
+		if c.mustPause() || c.mustPauseForMemory() {
 			c.readPaused = true
 			break
 		}
@@ -49,11 +46,13 @@
 	return c.in.Len() >= c.bufferLimit() && (!c.dialed || !hungUp(c.socket.Hash()))
 }
 
-// receive reads once and appends the bytes to the connection's buffer. It closes the socket on a read error, or
-// if the buffers exceed their budget. more is false if the socket has nothing more to read; at the end of the
+// receive reads once and appends the bytes to the connection's buffer. It closes the socket on a read error. more is false if the socket has nothing more to read; at the end of the
 // stream the poller closes it.
 func (c *Conn) receive(scratch []byte) (n int, more bool) {
 	var err error
+	if c.loop.input.exceeded() {
+		scratch = scratch[:smallBuffer]
+	}
 	if c.journal != nil {
 		n, err = c.readJournaled(scratch)
 	} else {
@@ -61,7 +60,8 @@
 	}
 	if n > 0 {
 		c.in.append(scratch[:n])
-		c.chargeBudget(n)
+		c.loop.input.used.Add(int64(n))
+		c.lastRead.record()
 		return n, true
 	}
 	if errors.Is(err, syscall.EINTR) {
@@ -73,19 +73,6 @@
 	return 0, false
 }
 
-// chargeBudget adds n bytes to the total of all buffers. If the total exceeds the buffer budget and this
-// connection holds more than one read (readSize), it closes the connection. This limits the memory that many
-// peers can occupy by each stopping in the middle of a long message.
-func (c *Conn) chargeBudget(n int) {
-	if c.loop.bufferedBytes.Add(int64(n)) <= c.loop.bufferBudget.Load() || c.in.Len() <= readSize {
-		return
-	}
-	c.readStopped.Store(true)
-	c.loop.bufferedBytes.Add(-int64(c.in.Len())) // at once rather than in end, as other connections need the memory
-	c.in = Buffer{}
-	c.closeSocket(errBufferBudget)
-}
-
 // discard reads once from a connection that is closing, and drops the bytes. It stops reading for good
 // after maxDrainBytes. more is false if the socket has nothing more to read.
 func (c *Conn) discard(scratch []byte) (more bool) {
@@ -120,7 +107,7 @@
 	if !c.ended {
 		c.handleInput()
 	}
-	resume := c.readPaused && c.in.Len() < c.bufferLimit()
+	resume := c.readPaused && !c.memoryPaused && c.in.Len() < c.bufferLimit()
 	if resume {
 		c.readPaused = false
 	}
@@ -142,7 +129,7 @@
 	default:
 		c.handler.Data(c, &c.in)
 	}
-	c.loop.bufferedBytes.Add(int64(c.in.Len() - before))
+	c.loop.input.used.Add(int64(c.in.Len() - before))
 }
 
 // Unread returns the number of received bytes that the handler has not consumed; on a TLS connection it
--- a/internal/netio/connection_write.go
+++ b/internal/netio/connection_write.go
@@ -27,7 +27,7 @@
 		c.journal.Output(c, c.writtenPosition, p)
 		c.writtenPosition += int64(len(p))
 	}
-	c.pendingBytes.Add(int64(len(p)))
+	c.chargeOutput(len(p))
 	if _, err := c.socket.Write(p); err != nil { // the failed write has closed the connection, unless it was closed before
 		c.loop.poller.barrier.recordClose(c.socket.Hash())
 		return false
@@ -51,7 +51,10 @@
 // sent subtracts n bytes that the socket has taken from the pending ones. It is called on the goroutine that
 // wrote them, the loop's or the poller's.
 func (c *Conn) sent(n int) {
-	if c.pendingBytes.Add(-int64(n)) == 0 && c.notifyWritten.Load() {
+	c.lastSent.record()
+	pending := c.pendingBytes.Add(-int64(n))
+	c.loop.output.used.Add(-int64(n))
+	if pending == 0 && c.notifyWritten.Load() {
 		c.loop.Post(c.written)
 	}
 }
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -21,7 +21,7 @@
 const maxSleep = time.Hour
 
 // Loop owns the sockets, the timers and the goroutine on which all handlers run. Post,
-// BufferedBytes and SetBufferBudget may be called from any goroutine. All other methods may be called before
+// BufferedBytes, UnsentBytes, SetBufferBudget and SetWriteBudget may be called from any goroutine. All other methods may be called before
 // Run by the goroutine that will call it, and from then on only on the loop's goroutine.
 type Loop struct {
 	// Timers holds the loop's timers; each iteration runs those that are due. It may be used only on the
@@ -32,8 +32,8 @@
 	work   workQueue
 
 	// Used on any goroutine.
-	bufferBudget  atomic.Int64 // in bytes, see SetBufferBudget
-	bufferedBytes atomic.Int64 // bytes that the buffers of all connections hold
+	input  memoryBudget // bytes that were received and not consumed, see SetBufferBudget
+	output memoryBudget // bytes that wait to be sent, see SetWriteBudget
 
 	// Used only on the loop's goroutine.
 	clock       clock
@@ -42,6 +42,8 @@
 	descriptors descriptorBudget
 	readBuffer  []byte // scratch memory for reads on the loop's goroutine
 	stopping    bool
+	// closedForMemory counts the connections that were closed because the buffers exceeded a budget.
+	closedForMemory int64
 }
 
 // New returns a loop and starts its poller. maxDescriptors is the process's descriptor limit; 0 keeps nbio's
@@ -54,7 +56,8 @@
 		conns:      map[*Conn]struct{}{},
 		readBuffer: make([]byte, readSize),
 	}
-	l.bufferBudget.Store(DefaultBufferBudget)
+	l.SetBufferBudget(DefaultBufferBudget)
+	l.SetWriteBudget(DefaultWriteBudget)
 	var err error
 	l.poller, err = newPoller(maxDescriptors)
 	if err != nil {
@@ -111,13 +114,13 @@
 // share a clock.
 func (l *Loop) AdvanceClock(now time.Duration) { l.clock.advance(now) }
 
-// SetBufferBudget bounds the bytes that the buffers of all connections hold together. Once the budget is
-// exceeded, the next connection that reads and holds more than one read (readSize) is closed. It may be called
-// from any goroutine.
-func (l *Loop) SetBufferBudget(bytes int64) { l.bufferBudget.Store(bytes) }
+// SetBufferBudget bounds the received bytes that the buffers of all connections hold together. Once the budget is
+// exceeded, connections that hold more than smallBuffer are not read until there is room, and some are closed, see
+// Reclaimable and compareHolders. It may be called from any goroutine.
+func (l *Loop) SetBufferBudget(bytes int64) { l.input.limit.Store(bytes) }
 
-// BufferedBytes returns the number of bytes that the buffers of all connections hold. It may be called from any goroutine.
-func (l *Loop) BufferedBytes() int64 { return l.bufferedBytes.Load() }
+// BufferedBytes returns the number of received bytes that the buffers of all connections hold. It may be called from any goroutine.
+func (l *Loop) BufferedBytes() int64 { return l.input.used.Load() }
 
 // Conns returns the open connections, in no particular order.
 func (l *Loop) Conns() iter.Seq[*Conn] { return maps.Keys(l.conns) }
--- a/internal/netio/tls.go
+++ b/internal/netio/tls.go
@@ -80,11 +80,16 @@
 
 // end drops the buffered bytes, and ends a handshake that waits for input. The connection's lock is held.
 func (s *tlsSession) end() {
-	s.c.loop.bufferedBytes.Add(-int64(s.plain.Len()))
-	s.plain = Buffer{}
+	s.dropPlain()
 	s.pipe.close()
 }
 
+// dropPlain drops the decrypted bytes. The connection's lock is held.
+func (s *tlsSession) dropPlain() {
+	s.c.loop.input.used.Add(-int64(s.plain.Len()))
+	s.plain = Buffer{}
+}
+
 // write encrypts and sends p. It reports whether p was encrypted; before the end of the handshake it sends
 // nothing and returns false. An error of the socket closes the connection and is not reported.
 func (s *tlsSession) write(p []byte) bool {
@@ -141,10 +146,10 @@
 		s.plain.append(s.scratch[:n])
 	}
 	length := s.plain.Len()
-	c.loop.bufferedBytes.Add(int64(length - before))
+	c.loop.input.used.Add(int64(length - before))
 	if length > 0 {
 		c.handler.Data(c, &s.plain)
-		c.loop.bufferedBytes.Add(int64(s.plain.Len() - length))
+		c.loop.input.used.Add(int64(s.plain.Len() - length))
 	}
 	return err
 }
