Platform: evict clients without a valid request before those who pause in one

Cause: who stood still longest in a request was closed first, and a usual client that pauses stands still longer than a crowd that has just come. Change: clients that have made no valid request go first, and one that has, and is in another, is not closed while there is one that has not. It is told with 503.

--- a/internal/frontend/httpapi/connection.go
+++ b/internal/frontend/httpapi/connection.go
@@ -1,7 +1,6 @@
 package httpapi
 
 import (
-	"net/http"
 	"time"
 
 	"gannetspur/internal/core"
@@ -131,8 +130,7 @@
 		return false
 	}
 	c.frontend.counters.Inc("rest.closed-for-memory")
-	c.closeAfterResponse = true
-	c.respond(http.StatusServiceUnavailable, 0, []byte(`{"fault":"Busy"}`))
+	c.evict()
 	return true
 }
 
--- a/internal/frontend/httpapi/limits.go
+++ b/internal/frontend/httpapi/limits.go
@@ -1,6 +1,9 @@
 package httpapi
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 const (
 	// defaultRequestTimeout is longer than the 2 s that some clients take to write a request, and
@@ -59,27 +62,44 @@
 			return
 		}
 		f.counters.Inc("rest.closed-for-room")
-		candidate.end()
+		candidate.evict()
 	}
 }
 
 // evictionCandidate returns the number of connections that are not closing, and the one to evict
-// first, or nil if all are in use. It aborts the connections that are closing already.
+// first, or nil if all are in use. It aborts the connections that are closing already. While there is any client that
+// has made no valid request, one that has and is in the middle of another is not evicted: the former will be evictable
+// within minStallBeforeEviction, or will have made a valid request.
 func (f *Frontend) evictionCandidate() (openCount int, candidate *conn) {
 	now := f.loop.Now()
+	anyUnserved := false
 	for c := range f.connections {
 		if c.ended { // only waiting for its client to read the last response
 			c.socket.Abort()
 			continue
 		}
 		openCount++
+		anyUnserved = anyUnserved || !c.served
 		if !c.inUse(now) && (candidate == nil || c.evictedBefore(candidate)) {
 			candidate = c
 		}
 	}
+	if candidate != nil && anyUnserved && candidate.served && candidate.partialRequest {
+		candidate = nil
+	}
 	return openCount, candidate
 }
 
+// evict closes the connection to make room for others. A client in the middle of a request is told.
+func (c *conn) evict() {
+	if !c.partialRequest {
+		c.end()
+		return
+	}
+	c.closeAfterResponse = true
+	c.respond(http.StatusServiceUnavailable, 0, []byte(`{"fault":"Busy"}`))
+}
+
 // retryEviction schedules another evictExcess. While no connection is accepted because the limit is
 // reached, nothing else would call it.
 func (f *Frontend) retryEviction() {
@@ -112,16 +132,16 @@
 	return rank < otherRank || rank == otherRank && c.lastActivity < other.lastActivity
 }
 
-// evictionRank returns 0 for a connection that has sent nothing yet, 1 for one that stopped in the
-// middle of a request, and 2 for an idle one whose client has made a valid request.
-func (c *conn) evictionRank() int {
-	switch {
-	case c.partialRequest:
-		return 1
-	case c.served:
-		return 2
+// evictionRank orders connections by who is evicted first. Those whose clients have made no valid request come before
+// all others, and those that stopped in the middle of a request after those that are silent.
+func (c *conn) evictionRank() (rank int) {
+	if c.partialRequest {
+		rank++
+	}
+	if c.served {
+		rank += 2
 	}
-	return 0
+	return rank
 }
 
 // startRequestTimer closes the connection unless a request is complete within RequestTimeout. It
--- a/internal/http1/request_test.go
+++ b/internal/http1/request_test.go
@@ -76,7 +76,7 @@
 	head := "POST /rpc/lookup HTTP/1.1\r\nReq-Id: 1\r\nContent-Length: 9000\r\n" + strings.Repeat("a:b\r\n", 3000) + "\r\n"
 	input := []byte(head + strings.Repeat("x", 9000))
 	var parser Parser
-	for n := range len(input) {
+	for n := range input {
 		if _, size, err := parser.Parse(input[:n]); size != 0 || err != nil {
 			t.Fatalf("after %d bytes: size = %d, error %v, want an incomplete request", n, size, err)
 		}
--- a/internal/integration/memory_bounds_test.go
+++ b/internal/integration/memory_bounds_test.go
@@ -178,3 +178,38 @@
 		t.Errorf("usual client: got %.60s, want a row", answer)
 	}
 }
+
+// TestPausedRequestOutlivesACrowd guards against a crowd that stops half way in requests and takes all connections: the
+// gateway closed usual clients who paused in the middle of a request, as theirs had stood still longest.
+func TestPausedRequestOutlivesACrowd(t *testing.T) {
+	const (
+		maxClients = 20
+		crowd      = 100
+		pause      = 900 * time.Millisecond // longer than a client may stand still without a valid request
+	)
+	addr, _ := lineEngine(t, func(line string) string { return done(line, "a\tb\tc\n") })
+	g := newGateway(t, nil)
+	g.httpOptions.MaxClients = maxClients
+	g.startHTTP(addr)
+	usual := httpConnect(t, g.addr)
+	if answer, _ := usual.call(post("lookup", "")); !strings.HasPrefix(answer, "200") {
+		t.Fatalf("first request: got %.60s, want 200", answer)
+	}
+	text := post("lookup", "")
+	_, _ = io.WriteString(usual.c, text[:len(text)/2])
+	deadline := time.Now().Add(pause)
+	for range crowd {
+		if other, err := net.Dial("tcp", g.addr); err == nil {
+			t.Cleanup(func() { _ = other.Close() })
+			_, _ = io.WriteString(other, text[:len(text)/2])
+		}
+		time.Sleep(time.Until(deadline) / crowd)
+	}
+	time.Sleep(time.Until(deadline))
+	if answer, _ := usual.call(text[len(text)/2:]); !strings.HasPrefix(answer, "200") {
+		t.Errorf("second request: got %.60s, want 200", answer)
+	}
+	if g.count("rest.closed-for-room") == 0 {
+		t.Error("no client of the crowd was closed, want some")
+	}
+}
