Stop the policy's timer of a request when the request is removed

Cause: the timer that ends a request shortly before its deadline stayed after the answer. Change: policy.QueryOfTimer names a timer's query; the core stops it with the request.

--- a/internal/core/policy_loop.go
+++ b/internal/core/policy_loop.go
@@ -53,7 +53,7 @@
 	case policy.Fail:
 		c.handlePolicyAnswer(a.Query, Answer{Verdict: Failed})
 	case policy.SetTimer:
-		c.timers.Add(c.clock.Now()+a.After, func() { c.notifyPolicy(policy.TimerFired{Token: a.Token}) })
+		c.setPolicyTimer(a)
 	case policy.Log:
 		c.log.Info("policy", "text", a.Text)
 	case policy.RequestLoadReport:
@@ -63,6 +63,20 @@
 	}
 }
 
+// setPolicyTimer sets a timer of the policy. The timer of a request is stopped when the request is removed: clients
+// may name a wait that is much longer than the time to the answer.
+func (c *Core) setPolicyTimer(a policy.SetTimer) {
+	timer := c.timers.Add(c.clock.Now()+a.After, func() { c.notifyPolicy(policy.TimerFired{Token: a.Token}) })
+	queryNumber, ok := policy.QueryOfTimer(a.Token)
+	if !ok {
+		return
+	}
+	if r := c.requests.byNumber[queryNumber]; r != nil {
+		r.policyTimer.Stop()
+		r.policyTimer = timer
+	}
+}
+
 func (c *Core) requestLoadReport(engine string) {
 	reporter, ok := c.backend.(LoadReporter)
 	if !ok { // this wire protocol has no load reports
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -49,11 +49,12 @@
 
 	queryNumber uint64 // identifies the request to the policy: a client may use an id twice
 	attempts    []*Attempt
-	outstanding int     // number of attempts that have not ended
-	answered    bool    // needs no answer any more: it was answered, or its client has disconnected
-	grantedMB   float64 // memory granted to the next attempts, in MB
-	priority    int     // priority granted by the policy
-	engineError error   // latest error of an engine, for the final answer
+	policyTimer *timerqueue.Timer // the policy's timer under the current query number; nil if it set none
+	outstanding int               // number of attempts that have not ended
+	answered    bool              // needs no answer any more: it was answered, or its client has disconnected
+	grantedMB   float64           // memory granted to the next attempts, in MB
+	priority    int               // priority granted by the policy
+	engineError error             // latest error of an engine, for the final answer
 
 	admitted bool // passed to the policy, and neither rejected nor failed by it
 	// firstAttempt is the index in attempts of the first one under the current query number. The
@@ -159,6 +160,7 @@
 	if _, ok := c.requests.byNumber[r.queryNumber]; ok && c.observers.cost != nil && r.CostContext != nil {
 		c.observers.cost.RequestDone(r)
 	}
+	r.policyTimer.Stop()
 	delete(c.requests.byNumber, r.queryNumber)
 }
 
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -68,6 +68,15 @@
 // queryFromToken is the inverse of queryToken.
 func queryFromToken(token uint64) (id uint64) { return token - 1 }
 
+// QueryOfTimer returns the query that a timer belongs to. The timer has no effect any more once the query is
+// answered and none of its attempts is in flight. ok is false for a timer that belongs to no query.
+func QueryOfTimer(token uint64) (id uint64, ok bool) {
+	if token == tickToken {
+		return 0, false
+	}
+	return queryFromToken(token), true
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // New returns a gateway for the settings, or an error that wraps a *SettingsError. The seed initializes the
