Platform: a result that its client has deleted leaves no timer behind

Cause: the timer of a held result kept its pages until the request's deadline, ten minutes at most, and no bound counted them once the client had deleted the result. Change: releasing a result stops its timer, which keeps the path alone.

--- a/internal/frontend/httpapi/paging.go
+++ b/internal/frontend/httpapi/paging.go
@@ -9,6 +9,7 @@
 
 	"gannetspur/internal/backend/lineproto"
 	"gannetspur/internal/core"
+	"gannetspur/internal/timerqueue"
 )
 
 const (
@@ -32,9 +33,10 @@
 
 // heldResult is a result of more than one page.
 type heldResult struct {
-	pages        []lineproto.Rows // all pages, the first included
-	size         int              // bytes of all pages
-	lastPageSent bool             // the last page was sent at least once
+	pages        []lineproto.Rows  // all pages, the first included
+	size         int               // bytes of all pages
+	lastPageSent bool              // the last page was sent at least once
+	expiry       *timerqueue.Timer // releases the result
 }
 
 func newResultStore(instanceID string) resultStore {
@@ -67,6 +69,7 @@
 	if result == nil {
 		return false
 	}
+	result.expiry.Stop() // it would keep the pages of a result that the client has deleted
 	delete(s.byPath, path)
 	s.bytes -= result.size
 	return true
@@ -142,8 +145,9 @@
 
 // holdResult stores a result, unless its path is in use already, and drops it at HeldUntil.
 func (f *Frontend) holdResult(result resultState) {
-	if f.results.add(result.Path, result.Pages) {
-		f.loop.Timers.Add(result.HeldUntil, func() { f.results.release(result.Path) })
+	path := result.Path
+	if f.results.add(path, result.Pages) {
+		f.results.byPath[path].expiry = f.loop.Timers.Add(result.HeldUntil, func() { f.results.release(path) })
 	}
 }
 
