Platform: bound the cancelled ids that a connection to an engine keeps

Cause: each stayed for 30 s, however many clients left. Change: a connection with 1,024 of them takes no more requests, and is closed when it is free.

--- a/internal/backend/lineproto/cancel.go
+++ b/internal/backend/lineproto/cancel.go
@@ -15,6 +15,9 @@
 	// cancelRetryInterval is how long to wait for an engine's confirmation that a cancelled
 	// statement is over before asking again, as any answer may be lost.
 	cancelRetryInterval = time.Second
+	// maxCancelledIDs is the number of cancelled IDs on one connection above which it accepts no more requests, and
+	// is closed once none is in flight.
+	maxCancelledIDs = 1024
 )
 
 // cancelledIDs holds the IDs of requests that were recently cancelled on one connection.
@@ -28,6 +31,9 @@
 // contains reports whether the ID must not be used yet.
 func (ids *cancelledIDs) contains(id string, now time.Duration) bool { return now < ids.reusableAt[id] }
 
+// full reports whether the connection must not be used for more requests.
+func (ids *cancelledIDs) full() bool { return len(ids.byAge) >= maxCancelledIDs }
+
 // add records that the request with this ID was cancelled now.
 func (ids *cancelledIDs) add(id string, now time.Duration) {
 	ids.expire(now)
--- a/internal/backend/lineproto/connection.go
+++ b/internal/backend/lineproto/connection.go
@@ -80,7 +80,7 @@
 // accepts reports whether a request with this ID can be sent on the connection.
 func (c *connection) accepts(id string, now time.Duration) bool {
 	switch {
-	case c.retired, len(c.streams) >= c.backend.site.MaxStreams:
+	case c.retired, c.cancelledIDs.full(), len(c.streams) >= c.backend.site.MaxStreams:
 		return false
 	case c.streams[id] != nil, c.cancelledIDs.contains(id, now):
 		return false
@@ -148,7 +148,8 @@
 
 // closeIfDone closes a retired connection on which nothing is in flight.
 func (c *connection) closeIfDone() {
-	if c.retired && c.socket != nil && len(c.streams) == 0 && c.healthCheck == nil {
+	done := c.retired || c.cancelledIDs.full()
+	if done && c.socket != nil && len(c.streams) == 0 && c.healthCheck == nil {
 		c.closeReason = core.OutcomeIdleClosed
 		c.socket.Close()
 	}
