--- a/internal/frontend/httpapi/connection.go
+++ b/internal/frontend/httpapi/connection.go
@@ -45,10 +45,15 @@
 }
 
 // readRequests handles requests from the buffer until one is waiting for its answer. It returns false if
-// the rest of the buffer must not be examined now: the client does not read its responses, or a request
-// was invalid.
+// the rest of the buffer must not be examined now: the client does not read its responses, a request
+// was invalid, or other connections have their turn.
 func (c *conn) readRequests(in *netio.Buffer) bool {
+	var turn netio.Turn
 	for c.request == nil && !c.ended {
+		if turn.Over() {
+			c.socket.ScheduleData()
+			return false
+		}
 		if c.socket.OutputFull(maxUnsentBytes) {
 			c.socket.WhenWritten(c.socket.ScheduleData)
 			return false
@@ -64,6 +69,7 @@
 		if size == 0 {
 			break
 		}
+		turn.Spend(size)
 		c.requestTimer.Stop()
 		c.requestTimer = nil
 		c.closeAfterResponse = req.Close
--- a/internal/frontend/postgres/connection.go
+++ b/internal/frontend/postgres/connection.go
@@ -98,9 +98,14 @@
 func (c *connection) mayRead() bool { return c.inFlight.request == nil && !c.ended }
 
 // readMessages processes the complete messages in the buffer. It pauses while a request is in flight
-// or while the client does not read its answers.
+// or while the client does not read its answers, and after a turn's work.
 func (c *connection) readMessages(in *netio.Buffer) error {
+	var turn netio.Turn
 	for c.mayRead() {
+		if turn.Over() {
+			c.socket.ScheduleData()
+			return nil
+		}
 		if c.socket.OutputFull(maxPendingWrite) {
 			c.socket.WhenWritten(c.socket.ScheduleData)
 			return nil
@@ -109,7 +114,9 @@
 		if c.started {
 			read = c.readMessage
 		}
+		before := in.Len()
 		more, err := read(in)
+		turn.Spend(before - in.Len())
 		if err != nil || !more {
 			return err
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -211,5 +211,9 @@
 	if p.shapes != nil {
 		p.shapes.UpdateMetrics()
 	}
+	p.counters.Set("loop.longest-turn-us", p.loop.LongestTurn().Microseconds())
+	p.counters.Set("loop.received-bytes", p.loop.BufferedBytes())
+	p.counters.Set("loop.unsent-bytes", p.loop.UnsentBytes())
+	p.counters.Set("loop.closed-for-memory", p.loop.ClosedForMemory())
 	p.counters.Print(os.Stderr)
 }
--- a/internal/http1/request_test.go
+++ b/internal/http1/request_test.go
@@ -121,3 +121,18 @@
 		}
 	}
 }
+
+// BenchmarkRequestInPieces measures a request with a long head of short fields and a long body that comes in pieces.
+func BenchmarkRequestInPieces(b *testing.B) {
+	const piece = 64
+	head := "POST /rpc/lookup HTTP/1.1\r\nReq-Id: 1\r\nContent-Length: 60000\r\n" + strings.Repeat("a:b\r\n", 3000) + "\r\n"
+	input := []byte(head + strings.Repeat("x", 60000))
+	for b.Loop() {
+		var parser Parser
+		for n := 0; n < len(input); n += piece {
+			if _, size, err := parser.Parse(input[:n]); size != 0 || err != nil {
+				b.Fatalf("after %d bytes: size = %d, error %v, want an incomplete request", n, size, err)
+			}
+		}
+	}
+}
--- a/internal/netio/connection.go
+++ b/internal/netio/connection.go
@@ -61,6 +61,7 @@
 	readAheadLimited atomic.Bool  // the handler consumes nothing at present, see LimitReadAhead
 	pendingBytes     atomic.Int64 // bytes accepted by Write that the socket has not taken yet
 	notifyWritten    atomic.Bool  // written is to be called once pendingBytes is zero
+	dataScheduled    atomic.Bool  // a call of deliver is queued
 	lastRead         progress     // latest read that received bytes
 	lastSent         progress     // latest time at which the socket took bytes
 
@@ -68,7 +69,6 @@
 	journal        Journal    // nil if there is none; only the loop changes it, and reads it without the lock
 	readPosition   int64      // stream position of the next byte to read, while there is a journal
 	in             Buffer     // bytes read from the socket, encrypted ones on a TLS connection
-	dataScheduled  bool       // a call of deliver is queued
 	readPaused     bool       // reading stopped at a full buffer; the socket may hold more
 	memoryPaused   bool       // reading stopped because the buffers of all connections are full
 	discardedBytes int        // bytes read and dropped since Close
@@ -120,8 +120,7 @@
 	if len(o.unread) > 0 {
 		c.in.append(o.unread)
 		l.input.used.Add(int64(len(o.unread)))
-		c.dataScheduled = true
-		c.post(c.deliver)
+		c.ScheduleData()
 	}
 }
 
--- a/internal/netio/connection_read.go
+++ b/internal/netio/connection_read.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -33,9 +34,8 @@
 			break
 		}
 	}
-	if received && !c.dataScheduled {
-		c.dataScheduled = true
-		c.post(c.deliver)
+	if received {
+		c.ScheduleData()
 	}
 	return sharedEnd
 }
@@ -97,15 +97,22 @@
 // nothing because a request of the client is in flight, and must call ScheduleData after it lifts it.
 func (c *Conn) LimitReadAhead(limited bool) { c.readAheadLimited.Store(limited) }
 
-// ScheduleData schedules another call of Data, for the bytes that an earlier call left in the buffer.
-func (c *Conn) ScheduleData() { c.loop.Post(c.deliver) }
+// ScheduleData schedules another call of Data, for the bytes that an earlier call left in the buffer, unless one is
+// scheduled already.
+func (c *Conn) ScheduleData() {
+	if !c.dataScheduled.Swap(true) {
+		c.post(c.deliver)
+	}
+}
 
 // deliver passes the buffer to the handler, and resumes reading once the buffer is below its limit.
 func (c *Conn) deliver() {
 	c.mu.Lock()
-	c.dataScheduled = false
+	c.dataScheduled.Store(false)
 	if !c.ended {
+		began := time.Now()
 		c.handleInput()
+		c.loop.recordTurn(began)
 	}
 	resume := c.readPaused && !c.memoryPaused && c.in.Len() < c.bufferLimit()
 	if resume {
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -44,6 +44,7 @@
 	stopping    bool
 	// closedForMemory counts the connections that were closed because the buffers exceeded a budget.
 	closedForMemory int64
+	longestTurn     time.Duration // see LongestTurn
 }
 
 // New returns a loop and starts its poller. maxDescriptors is the process's descriptor limit; 0 keeps nbio's
--- a/internal/testbed/pressure/usual.go
+++ b/internal/testbed/pressure/usual.go
@@ -17,6 +17,7 @@
 	answerTimeout = 10 * time.Second
 	slowPieces    = 16                     // in which a slow usual client writes a request
 	slowPause     = 120 * time.Millisecond // between two of these pieces, so that a request takes just under 2 s
+	crossingTime  = 50 * time.Millisecond  // in which a request may cross the close of an idle connection
 	slowEvery     = 3                      // every third usual client is slow
 )
 
@@ -86,8 +87,13 @@
 				pieces = slowPieces
 			}
 			var latency time.Duration
+			began := time.Now()
 			latency, err = conn.request(pieces)
+			if errors.Is(err, io.EOF) && conn.idled && pieces == 1 && time.Since(began) < crossingTime {
+				break // the front end closed an idle connection; the request is sent again on a new one
+			}
 			u.record(latency, err)
+			conn.idled = true
 			if errors.Is(err, errNotServed) {
 				err = nil // the connection can be used again
 			}
@@ -103,6 +109,7 @@
 	front Front
 	in    []byte // received and not read
 	sent  int    // requests sent
+	idled bool   // it was idle since the latest request
 }
 
 // connect opens a connection, with the startup where there is one.
