Platform: do not run a request again whose client left and sent its id anew

Callers' requests of a class that allows no repeat ran twice when the client left and came again at once with the same id, at the same process or at the other one of a replacement. Cause: ids were compared with open requests only, and by each process for itself. Change: the core remembers the id of such a request before it is first sent, for ten minutes; the processes of a front end exchange them through files that are written before a send and read before a request is taken. An id that may have run is answered with 409.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -69,6 +69,7 @@
 		a.sitesNotified = true
 		c.sites.AttemptStarted(a)
 	}
+	c.recordSent(r)
 	c.startTimeout(a, a.SentAt, s.Timeout)
 	if c.observers.firstSend != nil && len(r.attempts) == 1 {
 		c.observers.firstSend(r, a.SentAt)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"time"
 
+	"gannetspur/internal/decide/sentids"
 	"gannetspur/internal/metrics"
 	"gannetspur/internal/timerqueue"
 	"gannetspur/policy"
@@ -35,6 +36,9 @@
 	endpoints endpointList
 	stats     stats
 
+	sentIDs        *sentids.History // of requests that must not run again
+	sentIDExchange SentIDExchange   // nil if no other process serves this front end
+
 	classes map[string]policy.Class // by name
 	// callInterval is the period of the event loop. A request that is not served counts as late from
 	// this long before its deadline on.
@@ -71,7 +75,7 @@
 	c := &Core{
 		clock: clock, timers: timers, counters: counters, log: log,
 		policy: policyLoop{gateway: gateway}, requests: newRequestTable(),
-		endpoints: newEndpointList(), stats: newStats(settings.Classes),
+		endpoints: newEndpointList(), stats: newStats(settings.Classes), sentIDs: sentids.New(sentIDRetention, maxSentIDs),
 		classes: map[string]policy.Class{}, callInterval: settings.CallInterval,
 	}
 	for _, class := range settings.Classes {
--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -28,6 +28,7 @@
 // request at the other site and answers that it failed.
 func (c *Core) Forwarded(r *Request, until time.Duration) {
 	c.counters.Inc("away." + r.Class)
+	c.recordSent(r)
 	r.remote.forwardedAt = c.clock.Now()
 	r.remote.timer = c.timers.Add(until, func() {
 		c.RecordRemoteSend(r, r.remote.forwardedAt)
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -18,6 +18,7 @@
 // Request is one query or data load, from the receipt of its last byte to its final answer.
 type Request struct {
 	ID             string // chosen by the client and passed on unchanged; not necessarily unique
+	UniqueID       bool   // each request of a client has an ID of its own, also a retry
 	Class          string // name of the request class
 	IdempotencyKey string // empty if the client sent none
 	// SerialKey serializes requests: those with the same key run one at a time, in order of arrival.
@@ -161,6 +162,7 @@
 		c.observers.cost.RequestDone(r)
 	}
 	r.policyTimer.Stop()
+	c.forgetIfNeverRan(r)
 	delete(c.requests.byNumber, r.queryNumber)
 }
 
--- /dev/null
+++ b/internal/core/sent_ids.go
@@ -0,0 +1,61 @@
+package core
+
+import (
+	"time"
+
+	"gannetspur/policy"
+)
+
+const (
+	// sentIDRetention is how long the id of a request that may not run twice is remembered: the longest time that a
+	// client may wait.
+	sentIDRetention = 10 * time.Minute
+	// maxSentIDs bounds the ids that are remembered, at some 100 bytes each.
+	maxSentIDs = 16 << 10
+)
+
+// SentIDExchange exchanges ids of requests that may have run with other processes of the same front end.
+type SentIDExchange interface {
+	// Announce tells the others of an id, before the request is sent.
+	Announce(id string)
+	// Receive calls record for each id that the others have announced since the last call.
+	Receive(record func(id string))
+}
+
+// SetSentIDExchange sets the exchange with other processes; nil means that there is none.
+func (c *Core) SetSentIDExchange(e SentIDExchange) { c.sentIDExchange = e }
+
+// MayHaveRun reports whether a request of this id, of a class that allows no repeat, may have run. The request may be
+// over, its client may have left, and another process of this front end may have sent it.
+func (c *Core) MayHaveRun(id string) bool {
+	c.ReceiveSentIDs()
+	return c.sentIDs.Contains(c.clock.Now(), id)
+}
+
+// ReceiveSentIDs records the ids that other processes have announced.
+func (c *Core) ReceiveSentIDs() {
+	if c.sentIDExchange != nil {
+		c.sentIDExchange.Receive(c.RecordSentID)
+	}
+}
+
+// RecordSentID remembers the id of a request that another process has sent and that must not run again.
+func (c *Core) RecordSentID(id string) { c.sentIDs.Record(c.clock.Now(), id) }
+
+// recordSent remembers the id of a request that is about to be sent, if its class allows no repeat.
+func (c *Core) recordSent(r *Request) {
+	if !r.UniqueID || c.classes[r.Class].Idempotency != policy.NotIdempotent {
+		return
+	}
+	c.sentIDs.Record(c.clock.Now(), r.ID)
+	if c.sentIDExchange != nil {
+		c.sentIDExchange.Announce(r.ID)
+	}
+}
+
+// forgetIfNeverRan forgets the id of a request that is over and never ran.
+func (c *Core) forgetIfNeverRan(r *Request) {
+	if r.UniqueID && r.PriorSentAt == 0 && !r.MayHaveRunHere() && len(r.attempts) > 0 {
+		c.sentIDs.Remove(r.ID)
+	}
+}
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -12,9 +12,10 @@
 // Snapshot is the state of a core apart from its requests. A live upgrade transfers it to the core
 // of the new process, encoded as CBOR.
 type Snapshot struct {
-	Engines   []Engine             `cbor:"Engines"` // as reported by discovery, sorted by id
-	Learned   policy.Snapshot      `cbor:"Learned"` // state that the policy learned
-	Overrides adminstate.Overrides `cbor:"Bans"`    // engines that operators disabled or enabled
+	Engines   []Engine             `cbor:"Engines"`           // as reported by discovery, sorted by id
+	Learned   policy.Snapshot      `cbor:"Learned"`           // state that the policy learned
+	Overrides adminstate.Overrides `cbor:"Bans"`              // engines that operators disabled or enabled
+	SentIDs   []string             `cbor:"SentIDs,omitempty"` // of requests that may have run and must not run again
 }
 
 // Snapshot returns a copy of the core's state apart from its requests.
@@ -23,6 +24,7 @@
 	return Snapshot{
 		Engines: slices.SortedFunc(maps.Values(c.endpoints.engines), byID),
 		Learned: c.policy.gateway.Snapshot(), Overrides: c.Overrides(),
+		SentIDs: c.sentIDs.IDs(),
 	}
 }
 
@@ -30,6 +32,9 @@
 // must be called before any request is accepted.
 func (c *Core) Restore(s Snapshot) {
 	c.MergeOverrides(s.Overrides)
+	for _, id := range s.SentIDs {
+		c.sentIDs.Record(c.clock.Now(), id)
+	}
 	c.policy.gateway.Restore(c.clock.Now(), s.Learned)
 	c.UpdateEndpoints(policy.ListFull, s.Engines)
 }
--- a/internal/frontend/httpapi/request.go
+++ b/internal/frontend/httpapi/request.go
@@ -88,7 +88,7 @@
 	text := string(req.Body)
 	r := &core.Request{
 		ID: id, Class: className, Statement: lineproto.Statement(text), ClientRetry: req.Header["req-retry"] == "1", Client: c,
-		Deadline: receivedAt + wait,
+		Deadline: receivedAt + wait, UniqueID: true,
 	}
 	if err := readEstimates(r, req); err != nil {
 		return err
@@ -110,8 +110,8 @@
 	return nil
 }
 
-// checkRequestID checks the form of a request ID, and that no other open request has it: an engine
-// could not tell the two apart.
+// checkRequestID checks the form of a request ID, that no other open request has it, as an engine
+// could not tell the two apart, and that no request of this ID may have run that must not run again.
 func (f *Frontend) checkRequestID(id string) *http1.StatusError {
 	if len(id) != requestIDLength || strings.Trim(id, "0123456789abcdefABCDEF") != "" {
 		return http1.BadRequest("Req-Id: not 16 hex digits")
@@ -124,6 +124,10 @@
 	default:
 		return http1.NewStatusError(http.StatusConflict, "Req-Id: a request of this id is open")
 	}
+	if f.core.MayHaveRun(id) {
+		f.counters.Inc("rest.repeats-refused")
+		return http1.NewStatusError(http.StatusConflict, "Req-Id: a request of this id may have run")
+	}
 	return nil
 }
 
--- a/internal/takeover/coordinator.go
+++ b/internal/takeover/coordinator.go
@@ -42,6 +42,7 @@
 	loop   *netio.Loop
 	core   *core.Core
 	folder *Folder
+	sent   *SentIDs
 	opts   Options
 	log    *slog.Logger
 
@@ -57,8 +58,10 @@
 	if err != nil {
 		return nil, err
 	}
+	sent := newSentIDs(folder, log)
+	c.SetSentIDExchange(sent)
 	return &Coordinator{
-		loop: loop, core: c, folder: folder, opts: opts, log: log, limitShare: 1,
+		loop: loop, core: c, folder: folder, sent: sent, opts: opts, log: log, limitShare: 1,
 		self: decide.Process{ID: folder.Self(), StartedAt: loop.Now()},
 	}, nil
 }
@@ -120,6 +123,7 @@
 		return
 	}
 	c.updateOthers(states)
+	c.sent.update(len(states), c.core.RecordSentID)
 	if share := decide.LimitShare(c.others); share != c.limitShare {
 		c.limitShare = share
 		c.opts.OnLimitShare(share)
--- a/internal/takeover/folder.go
+++ b/internal/takeover/folder.go
@@ -168,7 +168,7 @@
 
 // removeFiles removes all files of a process.
 func (f *Folder) removeFiles(id string) {
-	for _, suffix := range []string{stateSuffix, temporarySuffix, lockSuffix} {
+	for _, suffix := range []string{stateSuffix, temporarySuffix, sentIDsSuffix, lockSuffix} {
 		_ = os.Remove(f.path(id, suffix)) // some may not exist
 	}
 }
