Platform: hear another event bus at the address of one that has gone

Callers' requests would go on to engines that are gone or drain: a bus that numbers its events anew was passed over until its numbers passed the old ones. Cause: a number that is not above the last one counts as an event that was applied. Change: a first event on a connection below the number that was asked for begins the numbering anew; a complete list is applied, else all events are asked for. Measured: TestAnotherBusAtTheAddress got no update within 5 s before, and passes.

--- a/internal/discovery/eventbus/watcher.go
+++ b/internal/discovery/eventbus/watcher.go
@@ -12,6 +12,7 @@
 	"gannetspur/internal/metrics"
 	"gannetspur/internal/netio"
 	"gannetspur/internal/timerqueue"
+	"gannetspur/policy"
 )
 
 const (
@@ -24,6 +25,8 @@
 var (
 	errSilent = errors.New("no frame received within the time limit")
 	errClosed = errors.New("connection closed by the event bus")
+	// errRenumbered means that the event bus has begun to number its events anew: it is another one than before.
+	errRenumbered = errors.New("the event bus numbers its events anew")
 )
 
 // Options select the event bus to watch and the event to start after.
@@ -47,6 +50,7 @@
 
 	lastEvent    uint64            // number of the last event applied
 	conn         *netio.Conn       // nil while not connected
+	awaitsEvent  bool              // no event was received on conn yet
 	dialCount    int               // number of dials started, which identifies the latest
 	cancelDial   func()            // cancels the latest dial; nil before the first
 	retryTimer   *timerqueue.Timer // starts the next dial; nil before the first retry
@@ -88,6 +92,7 @@
 		w.reconnectLater(fmt.Errorf("connect: %w", err))
 	default:
 		w.conn = c
+		w.awaitsEvent = true
 		c.Write(binary.BigEndian.AppendUint64(nil, w.lastEvent))
 		w.resetSilenceTimer()
 	}
@@ -192,6 +197,19 @@
 	w.reconnectLater(err)
 }
 
+// restartNumbering handles a first event on a connection that comes before the number that was asked for: another event
+// bus has taken the address of the former one. Its events apply from a complete list on. If the event is not one, the
+// returned error ends the connection, and the next one asks for all events.
+func (w *Watcher) restartNumbering(mode policy.ListMode) error {
+	w.counters.Inc("bus.renumbered")
+	w.log.Warn("bus.renumbered", "bus", w.address, "after", w.lastEvent)
+	w.lastEvent = 0
+	if mode != policy.ListFull {
+		return errRenumbered
+	}
+	return nil
+}
+
 // handleFrame handles a heartbeat or applies an event. An event that was applied before is skipped.
 func (w *Watcher) handleFrame(f frame) error {
 	w.backoff = firstBackoff
@@ -200,7 +218,17 @@
 	if err != nil {
 		return err
 	}
-	if f.kind == kindHeartbeat || f.number <= w.lastEvent {
+	if f.kind == kindHeartbeat {
+		return nil
+	}
+	isFirst := w.awaitsEvent
+	w.awaitsEvent = false
+	if isFirst && f.number < w.lastEvent {
+		if err := w.restartNumbering(mode); err != nil {
+			return err
+		}
+	}
+	if f.number <= w.lastEvent {
 		return nil
 	}
 	engines, err := w.decoder.decode(f.payload)
--- a/internal/discovery/eventbus/watcher_test.go
+++ b/internal/discovery/eventbus/watcher_test.go
@@ -126,3 +126,62 @@
 		t.Cleanup(func() { _ = c.Close() })
 	}
 }
+
+// TestAnotherBusAtTheAddress guards against an endpoint list that stands still: a new event bus at the address of one that
+// has gone numbers its events anew, and all of them were taken for events that had been applied.
+func TestAnotherBusAtTheAddress(t *testing.T) {
+	list := appendFrame(2, 1, record(7, 70, 0, 0)...)
+	change := appendFrame(3, 2, record(8, 80, 0, 0)...)
+	for name, c := range map[string]struct {
+		responses [][]byte // by connection; the last connection stays open
+		asked     []uint64 // event number that each connection begins with
+	}{
+		"complete list first": {[][]byte{append(list, change...)}, []uint64{50}},
+		"change first":        {[][]byte{change, append(list, change...)}, []uint64{50, 0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = ln.Close() })
+			asked := make(chan uint64, 10)
+			go func() {
+				for _, response := range c.responses {
+					conn, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					defer func() { _ = conn.Close() }()
+					var b [8]byte
+					_, _ = io.ReadFull(conn, b[:])
+					asked <- binary.BigEndian.Uint64(b[:])
+					_, _ = conn.Write(response)
+				}
+				_, _ = ln.Accept() // until the end of the test
+			}()
+			loop, err := netio.New(0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			updates := make(recorder, 10)
+			w := New(loop, Options{Address: ln.Addr().String(), LastEvent: 50, Zones: []string{"z"}, Kinds: []string{"k"}}, updates, metrics.New(), slog.New(slog.DiscardHandler))
+			run(t, loop, w)
+			for _, want := range []policy.ListMode{policy.ListFull, policy.ListChanges} {
+				select {
+				case got := <-updates:
+					if got.mode != want || len(got.engines) != 1 {
+						t.Errorf("update = %v, want mode %v with one engine", got, want)
+					}
+				case <-time.After(5 * time.Second):
+					t.Fatalf("no update within 5 s, want mode %v", want)
+				}
+			}
+			for _, want := range c.asked {
+				if got := <-asked; got != want {
+					t.Errorf("asked for events after %d, want %d", got, want)
+				}
+			}
+		})
+	}
+}
