--- a/internal/netio/connection_read.go
+++ b/internal/netio/connection_read.go
@@ -50,7 +50,7 @@
 // stream the poller closes it.
 func (c *Conn) receive(scratch []byte) (n int, more bool) {
 	var err error
-	if c.loop.input.exceeded() {
+	if !c.dialed && c.loop.input.exceeded() {
 		scratch = scratch[:smallBuffer]
 	}
 	if c.journal != nil {
--- a/internal/netio/memory_budget.go
+++ b/internal/netio/memory_budget.go
@@ -93,10 +93,10 @@
 }
 
 // mustPauseForMemory reports whether reading must stop because the buffers of all connections are full, and requests
-// a reclaim. The connection's lock is held.
+// a reclaim. Dialed connections are read on, as others wait for what comes on them. The connection's lock is held.
 func (c *Conn) mustPauseForMemory() bool {
 	l := c.loop
-	if c.in.Len() < smallBuffer || !l.input.exceeded() {
+	if c.dialed || c.in.Len() < smallBuffer || !l.input.exceeded() {
 		return false
 	}
 	c.memoryPaused = true
