PostgreSQL: read the values of a Bind into a list of the right size

Cause: the list of up to 65,535 values grew by copies while a Bind was read, a part of the longest turn of the loop beside one client that opens portals. Change: the list has its size from the start.

--- a/internal/frontend/postgres/portal.go
+++ b/internal/frontend/postgres/portal.go
@@ -71,6 +71,9 @@
 	return nil
 }
 
+// minValueSize is the size in bytes of the shortest value in a Bind, a null: its length.
+const minValueSize = 4
+
 // readBind reads the part of a Bind after the names: formats, values and result formats.
 func readBind(r *pgproto.Reader) (b sqltext.Binds, ok bool) {
 	formats := r.Count()
@@ -83,6 +86,7 @@
 	if !oneForEach || r.Invalid {
 		return b, false
 	}
+	b.Values = make([][]byte, 0, min(values, len(r.Rest)/minValueSize))
 	for range values {
 		value, ok := readValue(r)
 		if !ok {
