Log what an engine's slow start is taken to be, and on what evidence

Change: the policy reports each change of a slow start (reported, presumed, refused, disproved, broken again) with the time until the engine counts as warm, what is left of its budget and what was sent within the latest window; the core logs and counts it, and logs each change of an endpoint.

--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -39,6 +39,9 @@
 		c.endpoints.admin.Clear()
 	}
 	for _, e := range engines {
+		if previous, known := before[e.ID]; len(before) > 0 && (!known || previous.State != e.State || previous.Started != e.Started) {
+			c.logChange(e)
+		}
 		update.Engines = append(update.Engines, c.publish(e).Engine)
 		c.endpoints.apply(e)
 	}
@@ -46,12 +49,22 @@
 	c.notifyPolicy(update)
 }
 
+// logChange logs what discovery reports of an engine that is new or has changed.
+func (c *Core) logChange(e Engine) {
+	attributes := []any{"engine", e.ID, "state", e.State.String(), "addr", e.Addr}
+	if e.StartKnown {
+		attributes = append(attributes, "started_ago", c.clock.Now()-e.Started)
+	}
+	c.log.Info("endpoint.changed", attributes...)
+}
+
 // markUnlistedDeparted reports as departed, to the backend and the other sites, the engines that a
 // full list no longer has. Otherwise connections to them would stay open.
 func (c *Core) markUnlistedDeparted(before map[string]Engine) {
 	for id, e := range before {
 		if _, listed := c.endpoints.engines[id]; !listed && e.State != policy.EngineDeparted {
 			e.State = policy.EngineDeparted
+			c.logChange(e)
 			c.updateEngine(e)
 		}
 	}
--- a/internal/core/policy_loop.go
+++ b/internal/core/policy_loop.go
@@ -56,6 +56,8 @@
 		c.setPolicyTimer(a)
 	case policy.Log:
 		c.log.Info("policy", "text", a.Text)
+	case policy.SlowStartChanged:
+		c.logSlowStart(a)
 	case policy.RequestLoadReport:
 		c.requestLoadReport(a.Engine)
 	case policy.Subscribe: // the core is always subscribed
@@ -77,6 +79,14 @@
 	}
 }
 
+// logSlowStart logs what the policy takes the slow start of an engine to be, and counts it by its evidence.
+func (c *Core) logSlowStart(change policy.SlowStartChanged) {
+	c.counters.Inc("slowstart." + string(change.Evidence))
+	c.log.Info("slowstart", "engine", change.Engine, "evidence", string(change.Evidence),
+		"warm_in", change.WarmIn, "before", change.PreviousWarmIn, "budget_spent_for", change.BudgetSpentFor,
+		"sent", change.Sent.Attempts, "retries", change.Sent.Retries, "work_ms", int64(change.Sent.WorkMS))
+}
+
 func (c *Core) requestLoadReport(engine string) {
 	reporter, ok := c.backend.(LoadReporter)
 	if !ok { // this wire protocol has no load reports
--- a/internal/simwire/action.go
+++ b/internal/simwire/action.go
@@ -56,6 +56,8 @@
 		return beginLine(b, "SLEEP", instance).float(toMS(a.After)).id(a.Token).end()
 	case policy.Subscribe:
 		return append(beginLine(b, "LISTEN", instance), ",true]\n"...)
+	case policy.SlowStartChanged: // for the logs of a process
+		return b
 	case policy.Log:
 		return beginLine(b, "SAY_LOG", instance).text(a.Text).end()
 	}
--- a/policy/action.go
+++ b/policy/action.go
@@ -3,7 +3,8 @@
 import "time"
 
 // Action is an instruction to the caller: Send, Grant, Cancel, RequestLoadReport, Reject, Fail, SetTimer,
-// Subscribe or Log. The caller must carry out actions in the order in which they are returned.
+// Subscribe, Log or SlowStartChanged. The caller must carry out actions in the order in which they are
+// returned.
 type Action interface{ action() }
 
 // Send starts the next attempt of a query at an engine.
@@ -51,6 +52,36 @@
 // Log is a message for the process log.
 type Log struct{ Text string }
 
+// StartEvidence is why an engine's slow start begins, goes on or ends early.
+type StartEvidence string
+
+// The kinds of evidence, as they are logged and counted.
+const (
+	StartReported    StartEvidence = "reported"    // the engine list reports a start
+	RestartProven    StartEvidence = "refused"     // a connection was refused
+	RestartPresumed  StartEvidence = "presumed"    // a connection broke or timed out
+	RestartDisproved StartEvidence = "disproved"   // an answer came too soon after that for a restart
+	BrokeInSlowStart StartEvidence = "broke-again" // a connection broke or timed out in slow start
+)
+
+// SlowStartChanged is a message for the process log: what the gateway takes an engine's slow start to be
+// has changed, or its connection broke in slow start. Nothing needs to be carried out.
+type SlowStartChanged struct {
+	Engine         string
+	Evidence       StartEvidence
+	WarmIn         time.Duration // time until the engine counts as warm
+	PreviousWarmIn time.Duration // the same before the change
+	BudgetSpentFor time.Duration // time until the budget that is spent has accrued again
+	Sent           SentWork      // to the engine within the latest overload window
+}
+
+// SentWork is what a gateway sent to one engine within a window.
+type SentWork struct {
+	Attempts int
+	Retries  int     // of the attempts
+	WorkMS   float64 // expected work of the attempts, in milliseconds summed over their threads
+}
+
 func (Send) action()              {}
 func (Grant) action()             {}
 func (Cancel) action()            {}
@@ -60,3 +91,4 @@
 func (SetTimer) action()          {}
 func (Subscribe) action()         {}
 func (Log) action()               {}
+func (SlowStartChanged) action()  {}
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -34,10 +34,12 @@
 	}
 	if entry.StartKnown && entry.Started > e.lastStart {
 		g.resetEngine(e, entry.Kind)
+		before := e.warmUp
 		e.lastStart = entry.Started
 		e.warmUp.restartPresumed = false
 		e.warmUp.until = 0 // so that begin restarts the turns, even during an earlier warm-up
 		g.slowStart.begin(e, entry.Started, entry.Started+g.slowStart.period, g.now, g.random.Float64)
+		g.reportSlowStart(e, StartReported, &before)
 	}
 	e.zone = entry.Zone
 	e.kind = entry.Kind
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -23,6 +23,8 @@
 	health health
 	warmUp warmUp
 	report engineReport
+	// recentWork is what was sent within the latest overload window.
+	recentWork recentWork
 }
 
 func newEngine(id string) *engine {
--- a/policy/event.go
+++ b/policy/event.go
@@ -137,6 +137,18 @@
 	EngineLive                        // gets attempts
 )
 
+// String returns the name of the state, for logs.
+func (s EngineState) String() string {
+	switch s {
+	case EngineLive:
+		return "live"
+	case EngineDraining:
+		return "draining"
+	default:
+		return "departed"
+	}
+}
+
 // Engine is one entry of the engine list. It is encoded, in CBOR and JSON, under the names in the tags,
 // which must not change.
 type Engine struct {
--- a/policy/replay_world_test.go
+++ b/policy/replay_world_test.go
@@ -149,6 +149,9 @@
 func (sim *replaySimulation) handle(ev policy.Event) {
 	sim.events++
 	for _, a := range sim.gateway.Handle(sim.now, ev, nil) {
+		if _, isReport := a.(policy.SlowStartChanged); isReport { // changes nothing outside of the gateway
+			continue
+		}
 		sim.actions++
 		sim.apply(a)
 	}
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -31,6 +31,7 @@
 	// previousUntil is the value of until before that restart was presumed.
 	restartPresumed bool
 	previousUntil   time.Duration
+	reportedAt      time.Duration // time of the latest SlowStartChanged
 }
 
 // slowStart limits the load on engines that are warming up. All gateways together must not overload such an
@@ -131,15 +132,24 @@
 // restart only seconds later.
 func (g *Gateway) presumeRestart(e *engine, result Result) {
 	w := &e.warmUp
+	before := *w
 	e.health.connectionLostAt = g.now
+	evidence := RestartPresumed
 	if result == ResultConnectFailed {
-		w.restartPresumed = false // a refused connection proves the restart
+		evidence = RestartProven
+		w.restartPresumed = false
 	} else if !w.restartPresumed {
 		w.restartPresumed = true
 		w.previousUntil = w.until
 	}
 	until := max(w.until, g.now+g.slowStart.period)
 	g.slowStart.begin(e, g.now, until, g.now, g.random.Float64)
+	switch {
+	case g.now >= before.until || w.restartPresumed != before.restartPresumed:
+		g.reportSlowStart(e, evidence, &before)
+	case g.now-before.reportedAt >= g.slowStart.window:
+		g.reportSlowStart(e, BrokeInSlowStart, &before)
+	}
 }
 
 // disproveRestart withdraws a presumed restart after progress or a response of an attempt that was sent
@@ -150,7 +160,9 @@
 	w := &e.warmUp
 	lostAt := e.health.connectionLostAt
 	if w.restartPresumed && a.sentAt > lostAt && g.now < lostAt+minRestartTime {
+		before := *w
 		w.restartPresumed = false
 		w.until = w.previousUntil
+		g.reportSlowStart(e, RestartDisproved, &before)
 	}
 }
