--- a/internal/testbed/emulator/emul.go
+++ b/internal/testbed/emulator/emul.go
@@ -32,6 +32,7 @@
 	// real engine. QueryFor, which only a Machine needs, returns the query of a statement.
 	Machine  *Machine
 	QueryFor func(statement string) enginemodel.Query
+	Received func(enginemodel.Query)               // called with each query that reaches the Machine; may be nil
 	Ledger   *Ledger                               // records executions; nil: none are recorded
 	Store    *Store                                // records the writes that the PostgreSQL protocol commits; nil: none are recorded
 	Fail     func(statement string) *pgproto.Error // error with which a statement of the PostgreSQL protocol fails, or nil; may be nil
@@ -59,6 +60,9 @@
 	}
 	q := o.QueryFor(statement)
 	change(&q)
+	if o.Received != nil {
+		o.Received(q)
+	}
 	done := make(chan Outcome, 1)
 	id := o.Machine.Run(q, func(e Outcome) { done <- e })
 	if started != nil {
--- a/internal/testbed/emulator/fleet.go
+++ b/internal/testbed/emulator/fleet.go
@@ -31,9 +31,10 @@
 	ID    string         // name in the catalog
 	Addr  netip.AddrPort // address that discovery reports
 	State State
-	Boot  time.Time // time of the latest restart; zero: never restarted
+	Boot  time.Time // time of the latest restart, as discovery reports it; zero: never restarted
 
-	listen string // address that the engine listens on, which may differ from Addr behind a proxy
+	booted time.Time // time of the latest restart by the engine's own clock
+	listen string    // address that the engine listens on, which may differ from Addr behind a proxy
 	serve  func(net.Listener)
 	ln     net.Listener
 	start  func() // restarts its machine; may be nil
@@ -58,7 +59,13 @@
 	history     []Change
 }
 
-// event is a numbered event of the bus, which describes one changed engine. Numbers start at 2, since 1 is
+// StartOptions describe a start of an engine's process that discovery does not report yet.
+type StartOptions struct {
+	ClockError  time.Duration // error of the clock that gives the start time
+	AcceptDelay time.Duration // time from the start, when the engine listens, to the first accepted connection
+}
+
+// event is a numbered event of the bus, which describes changed engines. Numbers start at 2, since 1 is
 // the complete list.
 type event struct {
 	number  uint64
@@ -151,30 +158,72 @@
 		m.State = Gone
 		_ = m.ln.Close() // which also closes its connections
 	case Return, Move:
-		at := m.listen
 		if kind == Move {
 			_ = m.ln.Close()
-			at = "127.0.0.1:0"
+			m.listen = "127.0.0.1:0"
 		}
-		ln, err := Listen(at)
-		if err != nil {
+		if err := m.startProcess(StartOptions{}); err != nil {
 			return err
 		}
 		if kind == Move {
-			m.listen = ln.Addr().String()
 			m.Addr = netip.MustParseAddrPort(m.listen)
 		}
-		if m.start != nil {
-			m.start()
-		}
-		m.ln, m.State, m.Boot = ln, Ready, time.Now()
-		go m.serve(ln)
+		m.State, m.Boot = Ready, m.booted
 	default:
 		return fmt.Errorf("fleet: unknown action %q, want one of %s", kind, changeKinds)
 	}
-	f.history = append(f.history, Change{time.Now(), m.ID, m.State})
-	f.events = append(f.events, event{uint64(len(f.events) + 2), m.record(engine)})
+	f.announce(engine)
+	return nil
+}
+
+// Crash ends the process of an engine, with all its connections. Discovery reports nothing.
+func (f *Fleet) Crash(engine int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_ = f.members[engine-1].ln.Close()
+}
+
+// Start starts the process of an engine, cold, at its address. Discovery reports nothing until Announce.
+func (f *Fleet) Start(engine int, opts StartOptions) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members[engine-1].startProcess(opts)
+}
+
+// Announce lets discovery report the given engines as ready, in one event, with the times of their latest starts.
+func (f *Fleet) Announce(engines ...int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, engine := range engines {
+		m := f.members[engine-1]
+		m.State, m.Boot = Ready, m.booted
+	}
+	f.announce(engines...)
+}
+
+// announce adds one event with the current state of the given engines. f.mu must be held.
+func (f *Fleet) announce(engines ...int) {
+	var records []byte
+	for _, engine := range engines {
+		m := f.members[engine-1]
+		records = append(records, m.record(engine)...)
+		f.history = append(f.history, Change{time.Now(), m.ID, m.State})
+	}
+	f.events = append(f.events, event{uint64(len(f.events) + 2), records})
 	f.notify()
+}
+
+// startProcess starts the process of an engine, cold, at its listen address.
+func (m *Member) startProcess(opts StartOptions) error {
+	ln, err := Listen(m.listen)
+	if err != nil {
+		return err
+	}
+	if m.start != nil {
+		m.start()
+	}
+	m.ln, m.listen, m.booted = ln, ln.Addr().String(), time.Now().Add(opts.ClockError)
+	time.AfterFunc(opts.AcceptDelay, func() { m.serve(ln) })
 	return nil
 }
 
--- a/internal/testbed/harness/harness.go
+++ b/internal/testbed/harness/harness.go
@@ -36,8 +36,9 @@
 	// Machine and QueryFor, if set, make engines whose statements compete for resources.
 	Machine  func(i int) *emulator.Machine
 	QueryFor func(statement string) enginemodel.Query
-	Link     *faultproxy.Options // between gateways and engines; nil: direct connections
-	Log      *slog.Logger        // log of the engines
+	Received func(engine string, q enginemodel.Query) // called with each query that reaches the machine of an engine; may be nil
+	Link     *faultproxy.Options                      // between gateways and engines; nil: direct connections
+	Log      *slog.Logger                             // log of the engines
 }
 
 // Harness holds the emulated systems and the files that describe them. Close stops the systems.
@@ -122,6 +123,9 @@
 	}
 	spec.options.Name = opts.Name + spec.id
 	spec.options.Log = opts.Log.With("engine", spec.options.Name)
+	if opts.Received != nil {
+		spec.options.Received = func(q enginemodel.Query) { opts.Received(spec.options.Name, q) }
+	}
 	addr := listener.Addr().String()
 	if opts.Link != nil {
 		link, err := faultproxy.Listen(addr, *opts.Link)
