Charge no budget where the settings name no overload window

Cause: spend divided by the budget of a window of 0, and converted the infinite or undefined result to an integer, which differs between x86-64 and arm64. Change: no window, no budget spent.

Measured: TestReplay failed on arm64 before in that scenario alone; it passes with the same digests on arm64 and on x86-64 (user-mode emulation).

--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -63,6 +63,11 @@
 	return 1 - (1-s.minCapacity)*min(max(remaining, 0), 1)
 }
 
+// isWarmingUp reports whether the engine has a budget now.
+func (s *slowStart) isWarmingUp(e *engine, now time.Duration) bool {
+	return now < e.warmUp.until && s.window > 0
+}
+
 // isNearStart reports whether the engine list shows a start of the engine within the last warm-up period.
 func (s *slowStart) isNearStart(e *engine, now time.Duration) bool {
 	return now < e.lastStart+s.period
@@ -104,7 +109,7 @@
 func (s *slowStart) allows(q *query, e *engine, now time.Duration) bool {
 	w := &e.warmUp
 	switch {
-	case now >= w.until || s.window <= 0:
+	case !s.isWarmingUp(e, now):
 		return true
 	case now < s.startedAt+s.window: // work sent before a restart of this gateway is unknown
 		return false
@@ -122,7 +127,7 @@
 // spend deducts the query's cost from the engine's warm-up budget.
 func (s *slowStart) spend(q *query, e *engine, now time.Duration) {
 	w := &e.warmUp
-	if now >= w.until {
+	if !s.isWarmingUp(e, now) {
 		return
 	}
 	w.budgetSpentUntil = max(w.budgetSpentUntil, now) + time.Duration(s.windowsNeeded(q, e)*float64(s.window))
