Begin an engine's slow start when its start is told, whatever clock gave the time

What callers saw: an engine that had just come back was sent its full load, fell, and took what it had. Cause: the list gives the Unix time of a start by the engine's clock. It was compared with this process's clock, which keeps the Unix time of the process's own start: where either clock was stepped, the slow start ended before it began, lasted an hour too long, or a later start with a lower time was none. Change: a reported time only tells one start from another. The start itself is on the process's own clock: when it was told, or, for an engine not known before, long ago if no error of two clocks (an hour each) explains its age. Upgrade and replacement pass the starts on.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"time"
 
+	"gannetspur/internal/decide/enginestart"
 	"gannetspur/internal/decide/sentids"
 	"gannetspur/internal/metrics"
 	"gannetspur/internal/timerqueue"
@@ -34,6 +35,7 @@
 	policy    policyLoop
 	requests  requestTable
 	endpoints endpointList
+	starts    *enginestart.Tracker
 	stats     stats
 
 	sentIDs        *sentids.History // of requests that must not run again
@@ -75,7 +77,7 @@
 	c := &Core{
 		clock: clock, timers: timers, counters: counters, log: log,
 		policy: policyLoop{gateway: gateway}, requests: newRequestTable(),
-		endpoints: newEndpointList(), stats: newStats(settings.Classes), sentIDs: sentids.New(sentIDRetention, maxSentIDs),
+		endpoints: newEndpointList(), starts: enginestart.New(settings.Rules.WarmUpPeriod), stats: newStats(settings.Classes), sentIDs: sentids.New(sentIDRetention, maxSentIDs),
 		classes: map[string]policy.Class{}, callInterval: settings.CallInterval,
 	}
 	for _, class := range settings.Classes {
--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -46,6 +46,7 @@
 		c.endpoints.apply(e)
 	}
 	c.markUnlistedDeparted(before)
+	c.starts.Forget(len(c.endpoints.engines), func(id string) bool { return c.endpoints.engines[id].ID != "" })
 	c.notifyPolicy(update)
 }
 
@@ -70,10 +71,14 @@
 	}
 }
 
-// publish applies the operators' overrides to an entry of discovery, and reports the result to the
+// publish converts the start of an entry of discovery to the core's clock, applies the operators' overrides, and reports the result to the
 // backend and the other sites. This comes before the policy learns of the entry: a send to the
 // engine may follow at once.
 func (c *Core) publish(e Engine) Engine {
+	if e.StartKnown {
+		e.ReportedStart = e.Started
+		e.Started = c.starts.Observe(c.clock.Now(), e.ID, e.ReportedStart)
+	}
 	e.Engine = c.endpoints.admin.Update(e.Engine)
 	c.updateEngine(e)
 	return e
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"gannetspur/internal/decide/adminstate"
+	"gannetspur/internal/decide/enginestart"
 	"gannetspur/policy"
 )
 
@@ -15,6 +16,7 @@
 	Engines   []Engine             `cbor:"Engines"`           // as reported by discovery, sorted by id
 	Learned   policy.Snapshot      `cbor:"Learned"`           // state that the policy learned
 	Overrides adminstate.Overrides `cbor:"Bans"`              // engines that operators disabled or enabled
+	Starts    enginestart.Starts   `cbor:"Starts,omitempty"`  // on the clock of this process
 	SentIDs   []string             `cbor:"SentIDs,omitempty"` // of requests that may have run and must not run again
 }
 
@@ -24,7 +26,7 @@
 	return Snapshot{
 		Engines: slices.SortedFunc(maps.Values(c.endpoints.engines), byID),
 		Learned: c.policy.gateway.Snapshot(), Overrides: c.Overrides(),
-		SentIDs: c.sentIDs.IDs(),
+		Starts: c.starts.Snapshot(), SentIDs: c.sentIDs.IDs(),
 	}
 }
 
@@ -35,6 +37,18 @@
 	for _, id := range s.SentIDs {
 		c.sentIDs.Record(c.clock.Now(), id)
 	}
+	c.restoreStarts(s)
 	c.policy.gateway.Restore(c.clock.Now(), s.Learned)
 	c.UpdateEndpoints(policy.ListFull, s.Engines)
 }
+
+// restoreStarts loads the starts of engines. A version that did not record them took each start as discovery
+// reported it.
+func (c *Core) restoreStarts(s Snapshot) {
+	c.starts.Restore(s.Starts)
+	for _, e := range s.Engines {
+		if _, recorded := s.Starts[e.ID]; e.StartKnown && !recorded {
+			c.starts.Restore(enginestart.Starts{e.ID: {Reported: e.Started, At: e.Started}})
+		}
+	}
+}
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -38,7 +39,8 @@
 		e.lastStart = entry.Started
 		e.warmUp.restartPresumed = false
 		e.warmUp.until = 0 // so that begin restarts the turns, even during an earlier warm-up
-		g.slowStart.begin(e, entry.Started, entry.Started+g.slowStart.period, g.now, g.random.Float64)
+		turnsSince := min(cmp.Or(entry.ReportedStart, entry.Started), g.now)
+		g.slowStart.begin(e, turnsSince, entry.Started+g.slowStart.period, g.now, g.random.Float64)
 		g.reportSlowStart(e, StartReported, &before)
 	}
 	e.zone = entry.Zone
--- a/policy/event.go
+++ b/policy/event.go
@@ -159,6 +159,9 @@
 	State      EngineState   `cbor:"State" json:"State"`
 	Started    time.Duration `cbor:"Started" json:"Started"` // instant of its latest start, if known
 	StartKnown bool          `cbor:"Fresh" json:"Fresh"`     // Started is known; false: long ago
+	// ReportedStart is the latest start by the engine's own clock, which is the same at all gateways. It may
+	// differ from Started by any amount; 0: the same.
+	ReportedStart time.Duration `cbor:"-" json:"-"`
 }
 
 func (QueryArrived) event()       {}
