Take logarithms and exponentials of decisions by functions that give the same digits everywhere

Log1p and Expm1 are the same code on both. Measured: TestReplay in policy passes with unchanged digests on arm64 and on x86-64 (user-mode emulation).

--- a/policy/admission.go
+++ b/policy/admission.go
@@ -52,7 +52,7 @@
 		q.workMS = c.workMS * ratio
 		q.threads = c.Threads * min(max(ratio, minThreadsRatio), maxThreadsRatio)
 	}
-	logValue := math.Log2(max(c.PriorityWeight, minPriorityWeight) / q.workMS)
+	logValue := log2(max(c.PriorityWeight, minPriorityWeight) / q.workMS)
 	if g.meanLogValue == 0 {
 		g.meanLogValue = logValue
 	}
@@ -67,6 +67,12 @@
 	return q
 }
 
+// log2 is the binary logarithm. Unlike math.Log2, it gives the same digits on all machines.
+func log2(x float64) float64 {
+	fraction, exponent := math.Frexp(x)
+	return float64(exponent) + math.Log1p(fraction-1)/math.Ln2
+}
+
 // admit sends the query to an engine where it fits. If there is none, it ends the query without a result.
 func (g *Gateway) admit(q *query) {
 	e := g.chooseEngine(q)
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -42,7 +42,7 @@
 // penalties.
 func (g *Gateway) score(q *query, e *engine, limit float64, minAffinity uint64) float64 {
 	score := limit - e.backlog + g.localityBonus(q, e, minAffinity)
-	score += math.Log(1-g.random.Float64()) * q.threads / e.cores // breaks ties at random, weighted by cores
+	score += math.Log1p(-g.random.Float64()) * q.threads / e.cores // breaks ties at random, weighted by cores
 	score += g.reportedLoadBonus(e) - e.health.faultRate*e.ceiling
 	if g.slowStart.isNearStart(e, g.now) { // the warm-up budget limits its load, and unused budget is lost
 		score += warmUpBonus * q.threads
--- a/policy/loadreport.go
+++ b/policy/loadreport.go
@@ -31,7 +31,8 @@
 
 // weight returns the weight of the report, from 1 when it is new down to 0 as it ages.
 func (r *engineReport) weight(now time.Duration) float64 {
-	return math.Exp(-float64(now-r.at) / float64(reportDecayTime))
+	age := float64(now-r.at) / float64(reportDecayTime)
+	return 1 + math.Expm1(-age) // unlike math.Exp, the same digits on all machines
 }
 
 // recordLoad records an engine's load report. It estimates the load of the engine, and from it the load
