Charge the budget of a slow start with the work of queries that are sent, not of those served

What callers saw: engines in slow start were sent up to twice what their budget counted. Cause: a query costs the mean work of its class, learned from responses. Under load long queries are served late or never (timed out, moved, cancelled), so the mean is that of the short ones. Change: the mean is multiplied by the time of all attempts over that of the served ones (at most 3), the estimate where observations are cut off; in a class's first 50 responses the attempts in flight count. Engines that sent nothing since count for nothing.

--- a/policy/attempt.go
+++ b/policy/attempt.go
@@ -27,7 +27,7 @@
 	e.addAttempt(a)
 	g.meanThreads += (q.threads - g.meanThreads) / meanThreadsSamples
 	e.recentWork.record(a, g.slowStart.window)
-	g.slowStart.spend(q, e, g.now)
+	g.spendBudget(q, e)
 	g.grantResources(a)
 	g.emit(Send{Query: q.id, Engine: e.id, Timeout: q.deadline - g.now})
 }
@@ -64,6 +64,9 @@
 // recordResult updates the engine's limit and health from the result of an attempt.
 func (g *Gateway) recordResult(a *attempt, ev AttemptEnded) {
 	e := a.engine
+	if ev.Result.isCutOff() && !a.streaming {
+		g.recordUnserved(a, ev.Elapsed)
+	}
 	switch ev.Result {
 	case ResultSuccess:
 		g.recordSuccess(a, ev)
@@ -86,6 +89,7 @@
 	e := a.engine
 	latencyMS := milliseconds(ev.Elapsed)
 	a.query.class.recordLatency(latencyMS, a.query.workMS)
+	a.query.class.unserved.recordServed(latencyMS)
 	g.recordResponse(a, latencyMS)
 	g.recordCost(a, ev)
 	e.health.faultRate -= e.health.faultRate * failedConnectionWeight / 2
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -102,7 +102,7 @@
 func (g *Gateway) maySend(q *query, e *engine) bool {
 	return g.now < q.deadline && g.mayRetry(q) && g.isSuitable(q, e) &&
 		(g.settings.Limits.AllowHedging || !q.hasAttemptInFlight()) &&
-		g.orderedKeys.isTurn(q, g.now) && g.slowStart.allows(q, e, g.now)
+		g.orderedKeys.isTurn(q, g.now) && g.isWithinBudget(q, e)
 }
 
 // isSuitable reports whether the query may be placed on the engine: the engine must be live and in a zone
--- a/policy/class.go
+++ b/policy/class.go
@@ -37,6 +37,7 @@
 	// of the latter.
 	latencyDeviation float64
 	estimateMS       float64 // usual estimate of the work; 0: none so far
+	unserved         unservedTime
 	defaultGrantMB   float64 // granted to queries without an estimate; 0: the engine chooses
 	grantMultiple    float64 // memory to grant, as a multiple of the estimate
 }
--- a/policy/event.go
+++ b/policy/event.go
@@ -48,6 +48,11 @@
 	}
 }
 
+// isCutOff reports whether the result ended an attempt that may have run for a while.
+func (r Result) isCutOff() bool {
+	return r == ResultTimeout || r == ResultCancelled || r == ResultConnectionLost
+}
+
 // AttemptEnded reports the end of an attempt. Each Send is followed by exactly one.
 type AttemptEnded struct {
 	Query    uint64
--- a/policy/replay_world_test.go
+++ b/policy/replay_world_test.go
@@ -268,7 +268,7 @@
 	e.running++
 
 	g, id := sim.gateway, s.Query
-	latency := q.work / q.class.Threads * e.slowdown * (1 + 0.02*float64(e.running)*float64(e.running)/4) * math.Exp(0.3*sim.rng.NormFloat64())
+	latency := q.work / max(q.class.Threads, 1) * e.slowdown * (1 + 0.02*float64(e.running)*float64(e.running)/4) * math.Exp(0.3*sim.rng.NormFloat64())
 	duration := time.Duration(latency * float64(time.Millisecond))
 	endAfter := func(after time.Duration, result policy.Result) {
 		sim.schedule(after, func() {
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -97,24 +97,22 @@
 	return allGateways / float64(s.gateways)
 }
 
-// windowsNeeded returns the number of overload windows whose budget the query needs.
-func (s *slowStart) windowsNeeded(q *query, e *engine) float64 {
-	return warmUpCostFactor * q.workMS / s.budgetMS(e)
+// windowsNeeded returns the number of overload windows whose budget a query of the expected work needs.
+func (s *slowStart) windowsNeeded(workMS float64, e *engine) float64 {
+	return warmUpCostFactor * workMS / s.budgetMS(e)
 }
 
-// allows reports whether the query is within the engine's warm-up budget. A query that needs more than
-// warmUpBurst of a window's budget may be sent once in as many windows as pay for it, and only during this
-// gateway's turn. A turn lasts until that of the next gateway, or longer for small queries. Without turns,
-// all gateways would spend the budgets that accumulate over these windows at the same time.
-func (s *slowStart) allows(q *query, e *engine, now time.Duration) bool {
+// allows reports whether a query of the expected work is within the engine's warm-up budget. A query that
+// needs more than warmUpBurst of a window's budget may be sent once in as many windows as pay for it, and
+// only during this gateway's turn. A turn lasts until that of the next gateway, or longer for small
+// queries. Without turns, all gateways would spend the budgets that accumulate over these windows at the
+// same time.
+func (s *slowStart) allows(workMS float64, e *engine, now time.Duration) bool {
 	w := &e.warmUp
-	switch {
-	case !s.isWarmingUp(e, now):
-		return true
-	case now < s.startedAt+s.window: // work sent before a restart of this gateway is unknown
+	if now < s.startedAt+s.window { // work sent before a restart of this gateway is unknown
 		return false
 	}
-	windows := s.windowsNeeded(q, e)
+	windows := s.windowsNeeded(workMS, e)
 	if windows <= warmUpBurst {
 		return w.budgetSpentUntil <= now+time.Duration((warmUpBurst-windows)*float64(s.window))
 	}
@@ -124,13 +122,23 @@
 	return w.budgetSpentUntil <= now && isTurn
 }
 
-// spend deducts the query's cost from the engine's warm-up budget.
-func (s *slowStart) spend(q *query, e *engine, now time.Duration) {
+// spend deducts the cost of a query of the expected work from the engine's warm-up budget.
+func (s *slowStart) spend(workMS float64, e *engine, now time.Duration) {
 	w := &e.warmUp
-	if !s.isWarmingUp(e, now) {
-		return
+	cost := time.Duration(s.windowsNeeded(workMS, e) * float64(s.window))
+	w.budgetSpentUntil = max(w.budgetSpentUntil, now) + cost
+}
+
+// isWithinBudget reports whether the budget of the engine, if it has one now, permits the query.
+func (g *Gateway) isWithinBudget(q *query, e *engine) bool {
+	return !g.slowStart.isWarmingUp(e, g.now) || g.slowStart.allows(g.sentWorkMS(q), e, g.now)
+}
+
+// spendBudget charges the query to the budget of the engine, if it has one now.
+func (g *Gateway) spendBudget(q *query, e *engine) {
+	if g.slowStart.isWarmingUp(e, g.now) {
+		g.slowStart.spend(g.sentWorkMS(q), e, g.now)
 	}
-	w.budgetSpentUntil = max(w.budgetSpentUntil, now) + time.Duration(s.windowsNeeded(q, e)*float64(s.window))
 }
 
 // presumeRestart treats an engine as restarted after a failed connection, since the engine list reports a
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -46,6 +46,9 @@
 	MeanEstimateMS    float64 `cbor:"Guess"`  // 0: no estimate so far
 	GrantMultiple     float64 `cbor:"Grant"`  // memory granted, as a multiple of the estimate
 	DefaultGrantMB    float64 `cbor:"Ample"`  // without an estimate; 0: the engine chooses
+	// ServedTimeMS and UnservedTimeMS are the recent time of attempts at engines, by how they ended.
+	ServedTimeMS   float64 `cbor:"ServedTime,omitempty"`
+	UnservedTimeMS float64 `cbor:"UnservedTime,omitempty"`
 }
 
 // ControllerSnapshot is the state of one adaptive concurrency limit.
@@ -189,6 +192,8 @@
 		MeanEstimateMS:    c.estimateMS,
 		GrantMultiple:     c.grantMultiple,
 		DefaultGrantMB:    c.defaultGrantMB,
+		ServedTimeMS:      c.unserved.served,
+		UnservedTimeMS:    c.unserved.unserved,
 	}
 }
 
@@ -201,6 +206,7 @@
 	c.estimateMS = s.MeanEstimateMS
 	c.grantMultiple = s.GrantMultiple
 	c.defaultGrantMB = s.DefaultGrantMB
+	c.unserved = unservedTime{served: s.ServedTimeMS, unserved: s.UnservedTimeMS}
 }
 
 func (e *engine) snapshot() EngineSnapshot {
--- a/policy/warmup_simulation_test.go
+++ b/policy/warmup_simulation_test.go
@@ -46,6 +46,7 @@
 	restartedFraction float64 // of the gateways; they restart without a snapshot while the engines are away
 	skew              float64 // traffic of the busiest gateways over the mean
 	overloadWindow    time.Duration
+	attemptTimeout    time.Duration // at which an attempt ends without a response; 0: none
 
 	settings   Settings
 	random     *rand.Rand
@@ -61,8 +62,9 @@
 }
 
 type simQuery struct {
-	class  simClass
-	workMS float64
+	class    simClass
+	workMS   float64
+	attempts int
 }
 
 // simDelivery is a query that was sent to an engine. Its weight is in queries of mean work.
@@ -185,7 +187,7 @@
 	id := uint64(len(s.queries))
 	sigma := math.Sqrt(math.Log(1 + simWorkVariation*simWorkVariation))
 	workMS := class.workMS * math.Exp(sigma*s.random.NormFloat64()-sigma*sigma/2) // lognormal
-	s.queries = append(s.queries, simQuery{class, workMS})
+	s.queries = append(s.queries, simQuery{class: class, workMS: workMS})
 	for _, c := range s.settings.Classes {
 		if c.Name == class.name {
 			s.handle(gateway, QueryArrived{Query: id, Class: c.Name, DataSet: int64((id + 1) % simDataSets), Deadline: s.now + c.Timeout})
@@ -227,6 +229,7 @@
 func (s *warmUpSimulation) send(i int, send Send) {
 	g := s.gateways[i]
 	q := s.queries[send.Query]
+	s.queries[send.Query].attempts++
 	engine, err := strconv.Atoi(send.Engine)
 	if err != nil {
 		panic(fmt.Sprintf("send to unknown engine %q", send.Engine))
@@ -238,10 +241,14 @@
 	if engine >= simWarmEngines && s.now >= simReturn { // a warming engine is slower
 		elapsed = time.Duration(float64(elapsed) / simMinCapacity)
 	}
-	work := time.Duration(q.workMS * float64(time.Millisecond))
-	s.after(elapsed, func() {
+	end := AttemptEnded{Query: send.Query, Attempt: q.attempts, Result: ResultSuccess, Elapsed: elapsed, Final: true,
+		Work: time.Duration(q.workMS * float64(time.Millisecond))}
+	if s.attemptTimeout > 0 && elapsed > s.attemptTimeout {
+		end = AttemptEnded{Query: send.Query, Attempt: q.attempts, Result: ResultTimeout, Elapsed: s.attemptTimeout}
+	}
+	s.after(end.Elapsed, func() {
 		if s.gateways[i] == g {
-			s.handle(i, AttemptEnded{Query: send.Query, Result: ResultSuccess, Elapsed: elapsed, Final: true, Work: work})
+			s.handle(i, end)
 		}
 	})
 }
@@ -291,3 +298,22 @@
 		}
 	}
 }
+
+// TestWarmUpBudgetWhenLongQueriesAreNotServed guards against costs that are learned from served queries alone, which are
+// the short ones where long ones time out.
+func TestWarmUpBudgetWhenLongQueriesAreNotServed(t *testing.T) {
+	for _, gateways := range []int{2, 3, 6} {
+		worst, sent := 0.0, 0
+		for seed := range uint64(4) {
+			s := warmUpSimulation{seed: seed, gatewayCount: gateways, restartedFraction: 0.3, skew: 1, overloadWindow: time.Second,
+				attemptTimeout: 250 * time.Millisecond}
+			s.run()
+			overload, count := s.worstOverload()
+			worst = max(worst, overload)
+			sent += count
+		}
+		if worst > 1 || sent == 0 {
+			t.Errorf("%d gateways: worst overload = %.2f after %d queries, want at most 1 after more than 0", gateways, worst, sent)
+		}
+	}
+}
