Charge a slow start with what was sent in the window before its start was told

What callers saw: an engine that restarted unnoticed, or whose presumed restart an early answer had disproved, got its full load until the list told its start, and a fresh budget on top at that moment. Cause: the budget was counted from the moment the slow start began; all work that reaches the engine within a window counts. Change: when a start is told, what was sent within the latest window is charged, except what was sent before a connection broke, which went to the process that ended. What is older than a window is not. TestWorkSentBeforeAStartIsReportedCounts failed before: 19 queries right after the report.

--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -38,6 +38,7 @@
 		before := e.warmUp
 		e.lastStart = entry.Started
 		e.warmUp.restartPresumed = false
+		g.chargeRecentWork(e)
 		e.warmUp.until = 0 // so that begin restarts the turns, even during an earlier warm-up
 		turnsSince := min(cmp.Or(entry.ReportedStart, entry.Started), g.now)
 		g.slowStart.begin(e, turnsSince, entry.Started+g.slowStart.period, g.now, g.random.Float64)
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -141,6 +141,22 @@
 	}
 }
 
+// chargeRecentWork charges an engine's budget with what was sent to it within the latest overload window
+// while it counted as warm. What was sent before its connection broke went to the process that has ended.
+func (g *Gateway) chargeRecentWork(e *engine) {
+	w := &e.warmUp
+	if g.slowStart.window <= 0 || g.slowStart.isWarmingUp(e, g.now) {
+		return
+	}
+	e.recentWork.prune(g.now - g.slowStart.window)
+	for _, a := range e.recentWork.attempts {
+		if a.sentAt > e.health.connectionLostAt {
+			g.slowStart.spend(g.sentWorkMS(a.query), e, a.sentAt)
+		}
+	}
+	w.budgetSpentUntil = min(w.budgetSpentUntil, g.now+g.slowStart.window) // older work no longer counts
+}
+
 // presumeRestart treats an engine as restarted after a failed connection, since the engine list reports a
 // restart only seconds later.
 func (g *Gateway) presumeRestart(e *engine, result Result) {
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -82,6 +82,35 @@
 	}
 }
 
+// TestWorkSentBeforeAStartIsReportedCounts has an engine that gets a whole window's budget while it counts as warm. When
+// its start is reported, it must get nothing until a part of that work is a window old.
+func TestWorkSentBeforeAStartIsReportedCounts(t *testing.T) {
+	s := testSettings()
+	d := newDriver(t, s, liveEngine("e", "a", 1))
+	d.advance(3 * time.Second).handle(TimerFired{})
+	id := uint64(0)
+	sendMany := func() (sent int) {
+		for range 400 {
+			id++
+			sent += len(sendsIn(d.arrive(id, "idempotent")))
+			d.endAttempt(id, 0, ResultSuccess)
+		}
+		return sent
+	}
+	if sent := sendMany(); sent == 0 {
+		t.Fatal("a warm engine got nothing, want many queries")
+	}
+	started := liveEngine("e", "a", 1)
+	started.Started, started.StartKnown = d.now, true
+	d.advance(10 * time.Millisecond).handle(EngineList{Mode: ListChanges, Engines: []Engine{started}})
+	if sent := sendMany(); sent != 0 {
+		t.Errorf("right after the report: got %d queries sent, want none", sent)
+	}
+	if sent := func() int { d.advance(s.Rules.OverloadWindow); return sendMany() }(); sent == 0 {
+		t.Error("a window after the report: got no query sent, want some")
+	}
+}
+
 func TestFailedConnectionPresumesRestart(t *testing.T) {
 	s, list := manyGateways(1)
 	d := newDriver(t, s, list...)
