--- a/internal/testbed/slowstart/budget_test.go
+++ b/internal/testbed/slowstart/budget_test.go
@@ -17,12 +17,19 @@
 	observationTime = 4 * time.Second
 )
 
-// restart is how an engine's process ends and starts again.
+// noGateway stands for no gateway in a restart.
+const noGateway = -1
+
+// restart is how the processes of two engines end and start again, and what else happens meanwhile.
 type restart struct {
-	down      time.Duration // from the crash to the start
-	untold    time.Duration // from the start to the report by discovery
-	start     emulator.StartOptions
-	restarted int // number of the gateway that is killed and started again before the crash; -1: none
+	down        time.Duration // from the crash to the start
+	untold      time.Duration // from the start to the report by discovery
+	start       emulator.StartOptions
+	killed      int           // number of the gateway that is killed and started again right before the crash, or noGateway
+	paused      int           // number of the gateway that is stopped at the start, or noGateway
+	pause       time.Duration // how long it is stopped
+	busSilence  time.Duration // how long discovery is silent or away from the start on
+	secondAfter time.Duration // from the report to a second crash, of the first engine; 0: none
 }
 
 var program string // path of the gateway's program
@@ -43,19 +50,33 @@
 	return m.Run()
 }
 
-// checkBudget lets two engines restart at once while three others drain, which discovery reports in one event, and checks the work that reaches them.
+// maxListDelay is the time after which an engine's start counts as told although discovery is silent.
+const maxListDelay = 7 * time.Second
+
+// checkBudget lets two engines restart at once while three others drain, which discovery reports in one event, and checks
+// the work that reaches them.
 func checkBudget(t *testing.T, d *deployment, r restart) {
 	t.Helper()
 	time.Sleep(learningTime)
-	if r.restarted >= 0 {
-		d.restartGateway(r.restarted)
+	if r.killed != noGateway {
+		d.restartGateway(r.killed)
 	}
 	for _, engine := range []int{5, 6, 7} {
-		if err := d.fleet.Apply(emulator.Drain, engine); err != nil {
-			t.Fatal(err)
-		}
+		d.apply(emulator.Drain, engine)
 	}
 	engines := []int{1, 2}
+	d.checkRestart(r, engines)
+	if r.secondAfter > 0 {
+		r.killed, r.paused, r.busSilence = noGateway, noGateway, 0
+		time.Sleep(r.secondAfter)
+		d.checkRestart(r, engines[:1])
+	}
+}
+
+// checkRestart lets engines crash and start again, and checks the work that reaches them.
+func (d *deployment) checkRestart(r restart, engines []int) {
+	t := d.t
+	t.Helper()
 	for _, engine := range engines {
 		d.fleet.Crash(engine)
 	}
@@ -66,20 +87,47 @@
 			t.Fatal(err)
 		}
 	}
+	if r.paused != noGateway {
+		d.pauseGateway(r.paused, r.pause)
+	}
+	if r.busSilence > 0 {
+		d.apply(emulator.BusSilent, 0)
+		d.apply(emulator.ConsulAway, 0)
+		time.AfterFunc(r.busSilence, func() {
+			d.apply(emulator.BusSpeaks, 0)
+			d.apply(emulator.ConsulBack, 0)
+		})
+	}
 	time.Sleep(r.untold)
-	told := time.Now()
 	d.fleet.Announce(engines...)
-	time.Sleep(observationTime)
+	told := time.Now()
+	if silenceEnds := started.Add(r.busSilence); silenceEnds.After(told) {
+		told = told.Add(min(silenceEnds.Sub(told), maxListDelay))
+	}
+	time.Sleep(time.Until(told) + observationTime)
+	d.checkWork(engines, started, told)
+}
+
+// checkWork checks the work that has reached engines that started at the same time.
+func (d *deployment) checkWork(engines []int, started, told time.Time) {
+	d.t.Helper()
 	for _, engine := range engines {
 		worst := d.recorder.worst(d.fleet.Members()[engine-1].ID, started, told, time.Now())
-		t.Logf("engine %d: %.1f requests of mean work in a window that began %v after its start, limit %.1f (%.2f); %.2f of the work after the report",
+		d.t.Logf("engine %d: %.1f requests of mean work in a window that began %v after its start, limit %.1f (%.2f); %.2f of the work after the report",
 			engine, worst.requests, worst.at.Round(time.Millisecond), worst.limit, worst.ratio(), worst.told)
 		if worst.requests == 0 || worst.ratio() > 1 {
-			t.Errorf("engine %d: got %.2f of its budget in a window, want more than 0 and at most 1", engine, worst.ratio())
+			d.t.Errorf("engine %d: got %.2f of its budget in a window, want more than 0 and at most 1", engine, worst.ratio())
 		}
 	}
 }
 
+// apply applies an action to the engines of the frontend's protocol, or to their discovery.
+func (d *deployment) apply(kind string, engine int) {
+	if err := d.fleet.Apply(kind, engine); err != nil {
+		d.t.Error(err)
+	}
+}
+
 // TestStartReportedByAnotherClock guards against an engine that gets its full load right after its start because the
 // clock that gives the time of the start differs from the gateway's.
 func TestStartReportedByAnotherClock(t *testing.T) {
@@ -90,7 +138,7 @@
 				t.Parallel()
 				d := newDeployment(t, program, front, 1)
 				checkBudget(t, d, restart{
-					down: 1500 * time.Millisecond, untold: 1200 * time.Millisecond, restarted: -1,
+					down: 1500 * time.Millisecond, untold: 1200 * time.Millisecond, killed: noGateway, paused: noGateway,
 					start: emulator.StartOptions{ClockError: clockError},
 				})
 			})
--- a/internal/testbed/slowstart/deployment_test.go
+++ b/internal/testbed/slowstart/deployment_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -187,6 +188,13 @@
 	d.startGateway(g)
 }
 
+// pauseGateway stops a gateway process for a while, without its knowledge.
+func (d *deployment) pauseGateway(number int, pause time.Duration) {
+	process := d.gateways[number].process.Process
+	_ = process.Signal(syscall.SIGSTOP) // fails only if the process has ended
+	time.AfterFunc(pause, func() { _ = process.Signal(syscall.SIGCONT) })
+}
+
 // startClients starts the clients of all gateways. Each sends one request after another until the test ends.
 func (d *deployment) startClients(seed uint64) {
 	stop := make(chan struct{})
