Let a process that replaces another go by its clock, also after a step of the system's time

Each process keeps the Unix time of its own start. After a step between two starts, the processes of one front end order themselves wrongly (the new one counts as the older one and serves alone) and the instants in the old one's state mean other times: the end of a slow start lies in the past, or an hour ahead. An upgrade set its clock forward, but never back. Change: state files tell the writer's clock beside the machine's monotonic one; a process that finds one adopts it before it announces itself, and an upgrade adopts it in both directions. Timers shift with it.

--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -86,7 +86,7 @@
 		Listen:        p.protocol.frontend().Addr(),
 		Phase:         phase,
 		TookOver:      p.tookOver,
-		UptimeSeconds: (p.loop.Now() - p.startedAt).Seconds(),
+		UptimeSeconds: time.Since(p.startedAt).Seconds(),
 		Connections:   p.loop.ConnCount(),
 		Unanswered:    p.core.Unanswered(),
 		Counters:      p.counters.All(),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,7 +44,7 @@
 	core      *core.Core
 	counters  *metrics.Counters
 	log       *slog.Logger
-	startedAt time.Duration // on the loop's clock
+	startedAt time.Time
 	limits    limits
 
 	protocol protocol            // nil: no listen address is configured
@@ -138,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	p.startedAt = p.loop.Now()
+	p.startedAt = time.Now()
 	p.loop.SetBufferBudget(int64(limits.bufferBytes()))
 	p.loop.SetWriteBudget(int64(limits.unsentBytes()))
 	p.core, err = core.New(settings, seed, p.loop, p.loop.Timers, p.counters, p.log)
--- a/internal/handover/source_target.go
+++ b/internal/handover/source_target.go
@@ -73,7 +73,7 @@
 func (s *Source) sendState() {
 	state := s.opts.State()
 	s.attempt.countersSent = maps.Clone(state.Counters)
-	state.Clock = Clock{Now: s.loop.Now(), Monotonic: monotonicNow()}
+	state.Clock = ReadClock(s.loop)
 	state.Shared = s.frontend.SharedState()
 	m, err := state.message()
 	if err != nil { // the target gets no state, so the upgrade fails when WarmUpTimeout expires
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -16,6 +16,14 @@
 	Monotonic time.Duration `cbor:"2,keyasint"` // time of the machine's monotonic clock
 }
 
+// ReadClock returns the time of a loop's clock and of the machine's monotonic clock.
+func ReadClock(loop interface{ Now() time.Duration }) Clock {
+	return Clock{Now: loop.Now(), Monotonic: monotonicNow()}
+}
+
+// Current returns the time that the loop's clock shows now.
+func (c Clock) Current() time.Duration { return c.Now + monotonicNow() - c.Monotonic }
+
 // ProcessState is the state of a serving process that a process taking over continues from.
 type ProcessState struct {
 	Clock       Clock            // set only in a live upgrade
--- a/internal/handover/target.go
+++ b/internal/handover/target.go
@@ -165,7 +165,7 @@
 		t.log.Warn("upgrade.section-passed-by", "section", name)
 	}
 	if err == nil {
-		t.loop.AdvanceClock(state.Clock.Now + monotonicNow() - state.Clock.Monotonic)
+		t.loop.AdoptClock(state.Clock.Current())
 		err = t.opts.ApplyState(state)
 	}
 	if err == nil && len(state.Shared) > 0 {
--- a/internal/netio/loop.go
+++ b/internal/netio/loop.go
@@ -107,13 +107,16 @@
 // Post queues f to be called on the loop's goroutine. It may be called from any goroutine.
 func (l *Loop) Post(f func()) { l.work.post(f) }
 
-// Now returns the time since the Unix epoch by a clock that never goes back: it starts at the system's time and
-// is monotonic from then on.
+// Now returns the time since the Unix epoch by a clock that starts at the system's time and is monotonic from then
+// on, apart from AdoptClock.
 func (l *Loop) Now() time.Duration { return l.clock.now() }
 
-// AdvanceClock sets the clock to now, unless that would set it back. It lets two processes of one machine
-// share a clock.
-func (l *Loop) AdvanceClock(now time.Duration) { l.clock.advance(now) }
+// AdoptClock sets the clock to now and shifts all timers by as much. It lets a process that starts share the clock of
+// another one of its machine, also if the system's time was stepped in between.
+func (l *Loop) AdoptClock(now time.Duration) {
+	l.Timers.Shift(now - l.Now())
+	l.clock.set(now)
+}
 
 // SetBufferBudget bounds the received bytes that the buffers of all connections hold together. Once the budget is
 // exceeded, connections that hold more than smallBuffer are not read until there is room, and some are closed, see
@@ -199,7 +202,7 @@
 	}
 }
 
-// clock is a Unix clock that never goes back.
+// clock is a monotonic clock that starts at a Unix time.
 type clock struct {
 	origin time.Time     // with a monotonic reading
 	unix   time.Duration // the clock's time at origin
@@ -213,9 +216,8 @@
 // now returns the time since the Unix epoch.
 func (c *clock) now() time.Duration { return c.unix + time.Since(c.origin) }
 
-// advance sets the clock to now, unless that would set it back.
-func (c *clock) advance(now time.Duration) {
-	current := c.now()
+// set sets the clock to now.
+func (c *clock) set(now time.Duration) {
 	c.origin = time.Now()
-	c.unix = max(now, current)
+	c.unix = now
 }
--- a/internal/takeover/coordinator.go
+++ b/internal/takeover/coordinator.go
@@ -58,6 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
+	adoptClock(loop, folder, log)
 	sent := newSentIDs(folder, log)
 	c.SetSentIDExchange(sent)
 	return &Coordinator{
@@ -66,6 +67,24 @@
 	}, nil
 }
 
+// adoptClock sets the clock of this process to that of another process in the folder, if there is one. They compare their
+// starts and pass on instants, and the system's time may have been stepped since the other one started.
+func adoptClock(loop *netio.Loop, folder *Folder, log *slog.Logger) {
+	states, err := folder.Others()
+	if err != nil { // the first scan logs it
+		return
+	}
+	for _, state := range states {
+		if state.Clock == (handover.Clock{}) {
+			continue
+		}
+		step := loop.Now()
+		loop.AdoptClock(state.Clock.Current())
+		log.Info("takeover.clock", "from", state.ID, "step", loop.Now()-step)
+		return
+	}
+}
+
 // Start announces this process to the others and takes over if another one serves. It leads to a call of
 // ApplyState, or of StartAlone if there is no state or it can't be applied. The call may come before
 // Start returns.
@@ -91,7 +110,7 @@
 // writeState replaces this process's state file. If that fails, for example because the disk is full,
 // this process continues; a process that would take over from it then starts from its configuration.
 func (c *Coordinator) writeState() {
-	s := State{Process: c.self, Overrides: c.core.Overrides(), EventSourceChecksum: c.opts.EventSourceChecksum}
+	s := State{Process: c.self, Clock: handover.ReadClock(c.loop), Overrides: c.core.Overrides(), EventSourceChecksum: c.opts.EventSourceChecksum}
 	if c.self.StateWritten {
 		encoded, err := c.opts.State().Encode()
 		if err != nil {
--- a/internal/takeover/state.go
+++ b/internal/takeover/state.go
@@ -7,6 +7,7 @@
 
 	"gannetspur/internal/decide/adminstate"
 	decide "gannetspur/internal/decide/takeover"
+	"gannetspur/internal/handover"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -16,9 +17,10 @@
 // tags are part of the stored format.
 type State struct {
 	decide.Process
-	Overrides           adminstate.Overrides `cbor:"Bans"`   // the operators' overrides, by engine ID
-	EventSourceChecksum uint64               `cbor:"Events"` // checksum of the configuration of endpoint lists
-	ProcessState        []byte               `cbor:"World"`  // encoded handover.ProcessState; nil if no process waits for it
+	Overrides           adminstate.Overrides `cbor:"Bans"`           // the operators' overrides, by engine ID
+	Clock               handover.Clock       `cbor:"Clock,omitzero"` // of the process's event loop; zero in versions that don't write it
+	EventSourceChecksum uint64               `cbor:"Events"`         // checksum of the configuration of endpoint lists
+	ProcessState        []byte               `cbor:"World"`          // encoded handover.ProcessState; nil if no process waits for it
 }
 
 // A state file consists of a magic number of four bytes, the format version (1 byte), a checksum of
--- a/internal/timerqueue/timerqueue.go
+++ b/internal/timerqueue/timerqueue.go
@@ -93,6 +93,14 @@
 	}
 }
 
+// Shift makes all timers due later by the duration, or earlier if it is negative.
+func (q *Queue) Shift(by time.Duration) {
+	q.tree.Ascend(func(t *Timer) bool { // the order of the timers stays
+		t.due += by
+		return true
+	})
+}
+
 // Next returns the due time of the earliest timer. ok is false if the queue is empty.
 func (q *Queue) Next() (due time.Duration, ok bool) {
 	t, ok := q.tree.Min()
--- a/internal/timerqueue/timerqueue_test.go
+++ b/internal/timerqueue/timerqueue_test.go
@@ -1,6 +1,7 @@
 package timerqueue
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -51,3 +52,26 @@
 		t.Error("Next() on an empty queue: got a timer, want none")
 	}
 }
+
+// TestShift moves all timers by the same time. Their order stays, and a stopped one stays stopped.
+func TestShift(t *testing.T) {
+	for _, by := range []time.Duration{time.Hour, -time.Hour} {
+		q := New()
+		var order []int
+		for i := range 100 {
+			timer := q.Add(2*time.Hour+time.Duration(i%7)*time.Second, func() { order = append(order, i%7) })
+			if i%5 == 0 {
+				timer.Stop()
+			}
+		}
+		q.Shift(by)
+		q.RunDue(2*time.Hour + by - 1)
+		if len(order) != 0 {
+			t.Errorf("shift by %v: got %d timers run before their time, want none", by, len(order))
+		}
+		q.RunDue(2*time.Hour + by + 6*time.Second)
+		if len(order) != 80 || !slices.IsSorted(order) {
+			t.Errorf("shift by %v: got the order %v, want 80 timers in the order of their times", by, order)
+		}
+	}
+}
