--- a/policy/warmup_simulation_test.go
+++ b/policy/warmup_simulation_test.go
@@ -47,6 +47,8 @@
 	skew              float64 // traffic of the busiest gateways over the mean
 	overloadWindow    time.Duration
 	attemptTimeout    time.Duration // at which an attempt ends without a response; 0: none
+	acceptDelay       time.Duration // from the return of the engines until they read what was sent to them
+	workFactor        float64       // of the work of all classes; 0: 1
 
 	settings   Settings
 	random     *rand.Rand
@@ -100,9 +102,12 @@
 	s.random = rand.New(rand.NewPCG(s.seed, 7))
 	s.now = simStart
 	s.deliveries = make([][]simDelivery, simWarmEngines+simWarmingEngines)
+	if s.workFactor == 0 {
+		s.workFactor = 1
+	}
 	for _, c := range simClasses() {
 		s.shareSum += c.share
-		s.meanWorkMS += c.share * c.workMS
+		s.meanWorkMS += c.share * c.workMS * s.workFactor
 	}
 	s.meanWorkMS /= s.shareSum
 	s.settings = s.newSettings()
@@ -186,7 +191,7 @@
 	class := s.drawClass()
 	id := uint64(len(s.queries))
 	sigma := math.Sqrt(math.Log(1 + simWorkVariation*simWorkVariation))
-	workMS := class.workMS * math.Exp(sigma*s.random.NormFloat64()-sigma*sigma/2) // lognormal
+	workMS := s.workFactor * class.workMS * math.Exp(sigma*s.random.NormFloat64()-sigma*sigma/2) // lognormal
 	s.queries = append(s.queries, simQuery{class: class, workMS: workMS})
 	for _, c := range s.settings.Classes {
 		if c.Name == class.name {
@@ -234,8 +239,12 @@
 	if err != nil {
 		panic(fmt.Sprintf("send to unknown engine %q", send.Engine))
 	}
+	unread := max(simReturn+s.acceptDelay-s.now, 0)
+	if engine < simWarmEngines || s.now < simReturn {
+		unread = 0
+	}
 	if s.now >= simReturn {
-		s.deliveries[engine] = append(s.deliveries[engine], simDelivery{s.now, q.class.workMS / s.meanWorkMS})
+		s.deliveries[engine] = append(s.deliveries[engine], simDelivery{s.now + unread, s.workFactor * q.class.workMS / s.meanWorkMS})
 	}
 	elapsed := time.Duration(q.workMS / g.classes[q.class.name].Threads * float64(time.Millisecond))
 	if engine >= simWarmEngines && s.now >= simReturn { // a warming engine is slower
@@ -246,6 +255,7 @@
 	if s.attemptTimeout > 0 && elapsed > s.attemptTimeout {
 		end = AttemptEnded{Query: send.Query, Attempt: q.attempts, Result: ResultTimeout, Elapsed: s.attemptTimeout}
 	}
+	end.Elapsed += unread
 	s.after(end.Elapsed, func() {
 		if s.gateways[i] == g {
 			s.handle(i, end)
@@ -317,3 +327,19 @@
 		}
 	}
 }
+
+// TestWarmUpBudgetOfEnginesThatReadLate guards against a burst of queries that have waited unread since an engine's start.
+func TestWarmUpBudgetOfEnginesThatReadLate(t *testing.T) {
+	for _, workFactor := range []float64{0.03, 0.3} { // queries of 20 and of 200 ms
+		for _, gateways := range []int{3, 6, 30} {
+			for _, delay := range []time.Duration{900 * time.Millisecond, 1500 * time.Millisecond} {
+				s := warmUpSimulation{seed: 1, gatewayCount: gateways, skew: 1, overloadWindow: time.Second, acceptDelay: delay, workFactor: workFactor}
+				s.run()
+				if worst, sent := s.worstOverload(); worst > 1 || sent == 0 {
+					t.Errorf("%d gateways, read after %v, work times %.2f: worst overload = %.2f after %d queries, want at most 1 after more than 0",
+						gateways, delay, workFactor, worst, sent)
+				}
+			}
+		}
+	}
+}
