Charge a slow start with the further statements of transactions

Change: the policy hears of each further statement and charges it like a query; statements of an open transaction are not held back, but nothing new is sent until they are paid for.

--- a/internal/core/endpoints_test.go
+++ b/internal/core/endpoints_test.go
@@ -83,3 +83,33 @@
 		t.Errorf("after the replacement: got a slow start of %v, want the remaining 5s", got)
 	}
 }
+
+// TestFurtherStatementsReachThePolicy guards against statements of a transaction that the budget of an engine in slow start
+// does not count.
+func TestFurtherStatementsReachThePolicy(t *testing.T) {
+	c := newStartCase(t, 0)
+	c.core.SetBackend(streamingFixture{fixtureBackend{c.fixture}})
+	c.list(false)
+	c.advance(time.Minute)
+	c.list(true)
+	c.advance(time.Second)
+	r := c.accept("read")
+	if len(c.sent) != 1 {
+		t.Fatalf("got %d attempts, want 1", len(c.sent))
+	}
+	r.Client = streamingClient{c.fixture}
+	c.core.RelayPart(c.sent[0], Report{})
+	spent := func() time.Duration { return c.core.Snapshot().Learned.Engines[0].BudgetSpentUntil }
+	before := spent()
+	if !c.core.Continue(r, nil, time.Second) || spent() <= before {
+		t.Errorf("a further statement left the budget spent until %v, want later than %v", spent(), before)
+	}
+}
+
+type streamingFixture struct{ fixtureBackend }
+
+func (streamingFixture) Continue(*Attempt) {}
+
+type streamingClient struct{ *fixture }
+
+func (streamingClient) PartialAnswer(*Request, Answer) {}
--- a/internal/core/policy_loop.go
+++ b/internal/core/policy_loop.go
@@ -84,7 +84,7 @@
 	c.counters.Inc("slowstart." + string(change.Evidence))
 	c.log.Info("slowstart", "engine", change.Engine, "evidence", string(change.Evidence),
 		"warm_in", change.WarmIn, "before", change.PreviousWarmIn, "budget_spent_for", change.BudgetSpentFor,
-		"sent", change.Sent.Attempts, "retries", change.Sent.Retries, "work_ms", int64(change.Sent.WorkMS))
+		"sent", change.Sent.Statements, "retries", change.Sent.Retries, "work_ms", int64(change.Sent.WorkMS))
 }
 
 func (c *Core) requestLoadReport(engine string) {
--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -46,6 +46,7 @@
 	}
 	r.Statement = statement
 	c.startTimeout(a, c.clock.Now(), timeout)
+	c.notifyPolicy(policy.StreamContinued{Query: r.queryNumber, Attempt: a.number})
 	backend.Continue(a)
 	return true
 }
--- a/policy/action.go
+++ b/policy/action.go
@@ -77,9 +77,9 @@
 
 // SentWork is what a gateway sent to one engine within a window.
 type SentWork struct {
-	Attempts int
-	Retries  int     // of the attempts
-	WorkMS   float64 // expected work of the attempts, in milliseconds summed over their threads
+	Statements int
+	Retries    int     // of the statements
+	WorkMS     float64 // expected work of the statements, in milliseconds summed over their threads
 }
 
 func (Send) action()              {}
--- a/policy/attempt.go
+++ b/policy/attempt.go
@@ -26,8 +26,7 @@
 	q.attempts = append(q.attempts, a)
 	e.addAttempt(a)
 	g.meanThreads += (q.threads - g.meanThreads) / meanThreadsSamples
-	e.recentWork.record(a, g.slowStart.window)
-	g.spendBudget(q, e)
+	g.recordSentWork(a)
 	g.grantResources(a)
 	g.emit(Send{Query: q.id, Engine: e.id, Timeout: q.deadline - g.now})
 }
--- a/policy/event.go
+++ b/policy/event.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Event is an input of a Gateway: QueryArrived, AttemptEnded, LoadReportReceived, AttemptProgress,
-// StreamStarted, ClientDisconnected, TimerFired or EngineList.
+// StreamStarted, StreamContinued, ClientDisconnected, TimerFired or EngineList.
 type Event interface{ event() }
 
 // QueryArrived reports a new query. The client must then get exactly one final answer: a response
@@ -108,6 +108,12 @@
 	Attempt int
 }
 
+// StreamContinued reports that a further statement is sent in a streamed attempt, which it belongs to.
+type StreamContinued struct {
+	Query   uint64
+	Attempt int
+}
+
 // ClientDisconnected reports that the client has disconnected. It needs no final answer.
 type ClientDisconnected struct{ Query uint64 }
 
@@ -174,6 +180,7 @@
 func (LoadReportReceived) event() {}
 func (AttemptProgress) event()    {}
 func (StreamStarted) event()      {}
+func (StreamContinued) event()    {}
 func (ClientDisconnected) event() {}
 func (TimerFired) event()         {}
 func (EngineList) event()         {}
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -138,6 +138,10 @@
 			a.streaming = true
 			a.engine.health.lastHeard = g.now
 		}
+	case StreamContinued:
+		if a := g.attempt(ev.Query, ev.Attempt); a != nil && !a.ended {
+			g.recordSentWork(a)
+		}
 	case ClientDisconnected:
 		if q := g.queries[ev.Query]; q != nil {
 			g.endQuery(q)
--- a/policy/recent_work.go
+++ b/policy/recent_work.go
@@ -5,31 +5,38 @@
 	"time"
 )
 
-// recentWork holds the attempts that this gateway sent to one engine within the latest overload window, in
-// the order of sending. They may have ended.
-type recentWork struct{ attempts []*attempt }
+// sentWork is a statement that was sent to an engine: that of an attempt, or a further one of a streamed
+// attempt.
+type sentWork struct {
+	attempt *attempt // may have ended
+	at      time.Duration
+}
+
+// recentWork is what this gateway sent to one engine within the latest overload window, in the order of
+// sending.
+type recentWork struct{ sends []sentWork }
 
-// record adds an attempt, and drops those that were sent before the window.
-func (r *recentWork) record(a *attempt, window time.Duration) {
-	r.prune(a.sentAt - window)
-	r.attempts = append(r.attempts, a)
+// record adds a statement, and drops those that were sent before the window.
+func (r *recentWork) record(sent sentWork, window time.Duration) {
+	r.prune(sent.at - window)
+	r.sends = append(r.sends, sent)
 }
 
-// prune drops the attempts that were sent at or before the given time.
+// prune drops the statements that were sent at or before the given time.
 func (r *recentWork) prune(before time.Duration) {
 	expired := 0
-	for expired < len(r.attempts) && r.attempts[expired].sentAt <= before {
+	for expired < len(r.sends) && r.sends[expired].at <= before {
 		expired++
 	}
-	r.attempts = slices.Delete(r.attempts, 0, expired)
+	r.sends = slices.Delete(r.sends, 0, expired)
 }
 
-// total sums up the attempts.
+// total sums up the statements.
 func (r *recentWork) total() (total SentWork) {
-	for _, a := range r.attempts {
-		total.Attempts++
-		total.WorkMS += a.query.workMS
-		if a.number > 0 {
+	for _, sent := range r.sends {
+		total.Statements++
+		total.WorkMS += sent.attempt.query.workMS
+		if sent.attempt.number > 0 {
 			total.Retries++
 		}
 	}
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -134,10 +134,13 @@
 	return !g.slowStart.isWarmingUp(e, g.now) || g.slowStart.allows(g.sentWorkMS(q), e, g.now)
 }
 
-// spendBudget charges the query to the budget of the engine, if it has one now.
-func (g *Gateway) spendBudget(q *query, e *engine) {
+// recordSentWork records that a statement of the attempt is sent to its engine, and charges it to the
+// engine's budget, if it has one now.
+func (g *Gateway) recordSentWork(a *attempt) {
+	e := a.engine
+	e.recentWork.record(sentWork{attempt: a, at: g.now}, g.slowStart.window)
 	if g.slowStart.isWarmingUp(e, g.now) {
-		g.slowStart.spend(g.sentWorkMS(q), e, g.now)
+		g.slowStart.spend(g.sentWorkMS(a.query), e, g.now)
 	}
 }
 
@@ -149,9 +152,9 @@
 		return
 	}
 	e.recentWork.prune(g.now - g.slowStart.window)
-	for _, a := range e.recentWork.attempts {
-		if a.sentAt > e.health.connectionLostAt {
-			g.slowStart.spend(g.sentWorkMS(a.query), e, a.sentAt)
+	for _, sent := range e.recentWork.sends {
+		if sent.at > e.health.connectionLostAt {
+			g.slowStart.spend(g.sentWorkMS(sent.attempt.query), e, sent.at)
 		}
 	}
 	w.budgetSpentUntil = min(w.budgetSpentUntil, g.now+g.slowStart.window) // older work no longer counts
--- a/policy/slowstart_log_test.go
+++ b/policy/slowstart_log_test.go
@@ -38,7 +38,7 @@
 		t.Fatalf("evidence of the reports (-want +got):\n%s", diff)
 	}
 	last := reports[len(reports)-1]
-	if last.WarmIn != s.Rules.WarmUpPeriod-time.Second || last.PreviousWarmIn != 0 || last.Sent.Attempts < 2 || last.Sent.WorkMS <= 0 {
-		t.Errorf("report of the start: got %+v, want the rest of the warm-up, no earlier one, and the attempts of the latest window", last)
+	if last.WarmIn != s.Rules.WarmUpPeriod-time.Second || last.PreviousWarmIn != 0 || last.Sent.Statements < 2 || last.Sent.WorkMS <= 0 {
+		t.Errorf("report of the start: got %+v, want the rest of the warm-up, no earlier one, and the statements of the latest window", last)
 	}
 }
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -111,6 +111,23 @@
 	}
 }
 
+// TestFurtherStatementsOfAStreamCount has a transaction at an engine in slow start whose further statements spend the
+// budget: it must get no new query until they are paid for.
+func TestFurtherStatementsOfAStreamCount(t *testing.T) {
+	d := newDriver(t, testSettings(), liveEngine("e", "a", 1))
+	d.advance(3 * time.Second).handle(TimerFired{})
+	started := liveEngine("e", "a", 1)
+	started.Started, started.StartKnown = d.now, true
+	d.handle(EngineList{Mode: ListChanges, Engines: []Engine{started}})
+	d.wantSend(d.arrive(1, "idempotent"), "e")
+	d.handle(StreamStarted{Query: 1})
+	for range 1000 {
+		d.handle(StreamContinued{Query: 1})
+	}
+	d.advance(testSettings().Rules.OverloadWindow)
+	d.wantNoSend(d.arrive(2, "idempotent"))
+}
+
 func TestFailedConnectionPresumesRestart(t *testing.T) {
 	s, list := manyGateways(1)
 	d := newDriver(t, s, list...)
