Keep engines in slow start that answer right after a break while discovery is away

What callers saw: an engine that restarted within a moment got its full load in its slow start when the list could not tell of it: after 7 s its start counts as told. Cause: an answer within 2 s of a broken connection was taken as proof that the process had not restarted. Processes restart faster; only the list's news corrected that. Change: the event bus's and Consul's watchers tell when discovery does not answer and for how long, and when the list is current again. Meanwhile an answer disproves nothing, and engines whose connection broke less than 7 s before the silence are taken as restarted. Consul's blocking queries wait 5 s in place of 30 s, so that an agent that hangs is noticed within 7 s.

--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"gannetspur/internal/decide/adminstate"
 	"gannetspur/policy"
 )
@@ -50,6 +52,17 @@
 	c.notifyPolicy(update)
 }
 
+// EndpointsUnavailable tells the policy that discovery does not answer, and for how long the list may have been out of date.
+func (c *Core) EndpointsUnavailable(silentFor time.Duration) {
+	c.counters.Inc("roster.unavailable")
+	c.notifyPolicy(policy.EngineList{Mode: policy.ListFailed, SilentFor: silentFor})
+}
+
+// EndpointsCurrent tells the policy that the list is up to date again.
+func (c *Core) EndpointsCurrent() {
+	c.notifyPolicy(policy.EngineList{Mode: policy.ListChanges})
+}
+
 // logChange logs what discovery reports of an engine that is new or has changed.
 func (c *Core) logChange(e Engine) {
 	attributes := []any{"engine", e.ID, "state", e.State.String(), "addr", e.Addr}
--- a/internal/discovery/consul/query.go
+++ b/internal/discovery/consul/query.go
@@ -16,8 +16,8 @@
 
 const (
 	maxResponseBytes = 8 << 20
-	queryWait        = 30 * time.Second       // time after which a blocking query returns without a change
-	queryGrace       = 5 * time.Second        // time that a server may add to queryWait
+	queryWait        = 5 * time.Second        // time after which a blocking query returns without a change
+	queryGrace       = 2 * time.Second        // time that a server may add to queryWait, and the network
 	firstBackoff     = 100 * time.Millisecond // delay after a failure, doubled after each further one
 	maxBackoff       = 5 * time.Second
 	// minQueryInterval is the minimum time between the starts of two successful queries. It limits
@@ -30,19 +30,22 @@
 // query is a blocking query of one path of the HTTP API, which poll repeats. It belongs to the
 // goroutine that runs poll.
 type query struct {
-	client     *http.Client
-	opts       Options
-	path       string       // API path that the name of the service is appended to
-	post       func(func()) // runs a function on the watcher's goroutine
-	countError func()       // counts a failure; must run on the watcher's goroutine
-	log        *slog.Logger
+	client *http.Client
+	opts   Options
+	path   string       // API path that the name of the service is appended to
+	post   func(func()) // runs a function on the watcher's goroutine
+	// failed and answered are called on the watcher's goroutine after each query, and after its list was handled. silentFor
+	// is the time since the latest answer.
+	failed   func(silentFor time.Duration)
+	answered func()
+	log      *slog.Logger
 }
 
 // newQuery returns the query of a service for an API path that ends in a slash.
 func (w *Watcher) newQuery(opts Options, path string) *query {
 	return &query{
 		client: w.client, opts: opts, path: path, post: w.post, log: w.log,
-		countError: func() { w.counters.Inc("consul.errors") },
+		failed: func(silentFor time.Duration) { w.queryFailed(path, silentFor) }, answered: func() { w.queryAnswered(path) },
 	}
 }
 
@@ -51,6 +54,7 @@
 func poll[T any](ctx context.Context, q *query, handle func([]T)) {
 	var index uint64 // index of the latest list; 0 requests an immediate response
 	backoff := firstBackoff
+	answeredAt := time.Now()
 	for ctx.Err() == nil {
 		start := time.Now()
 		var list []T
@@ -59,20 +63,24 @@
 			return
 		}
 		if err != nil {
-			q.reportFailure(err, backoff)
+			q.reportFailure(ctx, err, backoff, time.Since(answeredAt))
 			sleep(ctx, backoff)
 			backoff = min(2*backoff, maxBackoff)
 			index = 0
 			continue
 		}
 		backoff = firstBackoff
-		if responseIndex != index {
-			q.post(func() {
-				if ctx.Err() == nil { // otherwise Watch has switched to another service in the meantime
-					handle(list)
-				}
-			})
-		}
+		answeredAt = time.Now()
+		isNew := responseIndex != index
+		q.post(func() {
+			if ctx.Err() != nil { // Watch has switched to another service in the meantime
+				return
+			}
+			if isNew {
+				handle(list)
+			}
+			q.answered()
+		})
 		index = nextIndex(index, responseIndex)
 		sleep(ctx, minQueryInterval-time.Since(start))
 	}
@@ -88,9 +96,13 @@
 	return max(response, 1)
 }
 
-// reportFailure counts and logs a failed query.
-func (q *query) reportFailure(err error, backoff time.Duration) {
-	q.post(q.countError)
+// reportFailure reports and logs a failed query.
+func (q *query) reportFailure(ctx context.Context, err error, backoff, silentFor time.Duration) {
+	q.post(func() {
+		if ctx.Err() == nil {
+			q.failed(silentFor)
+		}
+	})
 	q.log.Warn("consul.failed", "consul", q.opts.Address, "path", q.path, "error", err, "retry_in", backoff)
 }
 
--- a/internal/discovery/consul/watcher.go
+++ b/internal/discovery/consul/watcher.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"gannetspur/internal/core"
 	"gannetspur/internal/discovery/endpoint"
@@ -43,6 +44,7 @@
 	registered []registration                // nil until the catalog has responded
 	health     map[string]policy.EngineState // state by engine ID; nil until the health API has responded
 	published  map[string]core.Engine        // entries published last, by engine ID
+	failing    map[string]bool               // API paths whose latest query failed
 }
 
 // New returns a watcher that updates the endpoints through post, which must run a function on the
@@ -51,7 +53,7 @@
 	return &Watcher{
 		post: post, endpoints: endpoints, counters: counters, log: log,
 		client:    &http.Client{Transport: &http.Transport{Proxy: nil}},
-		stopWatch: func() {}, published: map[string]core.Engine{},
+		stopWatch: func() {}, published: map[string]core.Engine{}, failing: map[string]bool{},
 	}
 }
 
@@ -75,6 +77,7 @@
 	w.opts = opts
 	w.registered = nil
 	w.health = nil
+	clear(w.failing)
 	go poll(ctx, w.newQuery(opts, "/v1/catalog/service/"), w.setCatalog)
 	go poll(ctx, w.newQuery(opts, "/v1/health/service/"), w.setHealth)
 }
@@ -122,6 +125,24 @@
 	w.endpoints.UpdateEndpoints(policy.ListChanges, changed)
 }
 
+// queryFailed records that a query of an API path failed, and for how long the path has not answered.
+func (w *Watcher) queryFailed(path string, silentFor time.Duration) {
+	w.counters.Inc("consul.errors")
+	w.failing[path] = true
+	w.endpoints.EndpointsUnavailable(silentFor)
+}
+
+// queryAnswered records that a query of an API path was answered. The list is up to date once no path fails.
+func (w *Watcher) queryAnswered(path string) {
+	if !w.failing[path] {
+		return
+	}
+	delete(w.failing, path)
+	if len(w.failing) == 0 {
+		w.endpoints.EndpointsCurrent()
+	}
+}
+
 // merge joins both lists by engine ID. An engine that the health API does not list yet is left out.
 func (w *Watcher) merge() map[string]core.Engine {
 	merged := map[string]core.Engine{}
--- a/internal/discovery/endpoint/endpoint.go
+++ b/internal/discovery/endpoint/endpoint.go
@@ -15,6 +15,10 @@
 type Updater interface {
 	// UpdateEndpoints replaces the list by the engines or applies them as changes, depending on the mode.
 	UpdateEndpoints(mode policy.ListMode, engines []core.Engine)
+	// EndpointsUnavailable tells that discovery does not answer, and for how long the list may have been out of date.
+	EndpointsUnavailable(silentFor time.Duration)
+	// EndpointsCurrent tells that the list is up to date again.
+	EndpointsCurrent()
 }
 
 // SetBootTime sets the start of an engine from its boot time in milliseconds of Unix time. An
--- a/internal/discovery/eventbus/watcher.go
+++ b/internal/discovery/eventbus/watcher.go
@@ -51,6 +51,8 @@
 	lastEvent    uint64            // number of the last event applied
 	conn         *netio.Conn       // nil while not connected
 	awaitsEvent  bool              // no event was received on conn yet
+	isLost       bool              // no frame was received since the latest connection ended
+	heardAt      time.Duration     // time of the latest frame, or of New
 	dialCount    int               // number of dials started, which identifies the latest
 	cancelDial   func()            // cancels the latest dial; nil before the first
 	retryTimer   *timerqueue.Timer // starts the next dial; nil before the first retry
@@ -65,7 +67,7 @@
 	return &Watcher{
 		loop: loop, address: opts.Address, decoder: recordDecoder{zones: opts.Zones, kinds: opts.Kinds},
 		endpoints: endpoints, counters: counters, log: log,
-		lastEvent: opts.LastEvent, backoff: firstBackoff, maxSilence: maxSilence,
+		lastEvent: opts.LastEvent, heardAt: loop.Now(), backoff: firstBackoff, maxSilence: maxSilence,
 	}
 }
 
@@ -162,6 +164,8 @@
 		return
 	}
 	w.counters.Inc("bus.reconnects")
+	w.isLost = true
+	w.endpoints.EndpointsUnavailable(w.loop.Now() - w.heardAt)
 	w.log.Warn("bus.lost", "bus", w.address, "error", err, "retry_in", w.backoff)
 	w.retryTimer = w.loop.Timers.Add(w.loop.Now()+w.backoff, w.Start)
 	w.backoff = min(2*w.backoff, maxBackoff)
@@ -210,8 +214,22 @@
 	return nil
 }
 
-// handleFrame handles a heartbeat or applies an event. An event that was applied before is skipped.
+// handleFrame applies a frame, and reports the list as up to date if it is the first frame since the list was lost: the
+// bus sends the events that were missed in it.
 func (w *Watcher) handleFrame(f frame) error {
+	w.heardAt = w.loop.Now()
+	if err := w.applyFrame(f); err != nil {
+		return err
+	}
+	if w.isLost {
+		w.isLost = false
+		w.endpoints.EndpointsCurrent()
+	}
+	return nil
+}
+
+// applyFrame handles a heartbeat or applies an event. An event that was applied before is skipped.
+func (w *Watcher) applyFrame(f frame) error {
 	w.backoff = firstBackoff
 	w.resetSilenceTimer()
 	mode, err := f.kind.listMode()
--- a/internal/discovery/eventbus/watcher_test.go
+++ b/internal/discovery/eventbus/watcher_test.go
@@ -29,6 +29,17 @@
 	r <- update{mode, engines}
 }
 
+// EndpointsUnavailable and EndpointsCurrent implement endpoint.Updater; availability records them.
+func (recorder) EndpointsUnavailable(time.Duration) {}
+func (recorder) EndpointsCurrent()                  {}
+
+// availability is an endpoint.Updater that sends on the channel whether the list is current.
+type availability chan bool
+
+func (availability) UpdateEndpoints(policy.ListMode, []core.Engine) {}
+func (a availability) EndpointsUnavailable(time.Duration)           { a <- false }
+func (a availability) EndpointsCurrent()                            { a <- true }
+
 // run starts the watcher and its loop, and stops both at the end of the test.
 func run(t *testing.T, loop *netio.Loop, w *Watcher) {
 	t.Helper()
@@ -185,3 +196,42 @@
 		})
 	}
 }
+
+// TestLostBusMakesTheListUnavailable checks that the endpoints are told when the connection to the bus ends, and when the
+// next one has sent a frame, be it a heartbeat.
+func TestLostBusMakesTheListUnavailable(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for i := range 2 {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if i == 0 {
+				_ = c.Close()
+				continue
+			}
+			_, _ = c.Write(appendFrame(4, 0))
+		}
+	}()
+	loop, err := netio.New(1024)
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := make(availability, 10)
+	run(t, loop, New(loop, Options{Address: listener.Addr().String(), LastEvent: 4}, list, metrics.New(), slog.New(slog.DiscardHandler)))
+	for _, want := range []bool{false, true} {
+		select {
+		case got := <-list:
+			if got != want {
+				t.Errorf("got the list available: %v, want %v", got, want)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("no call within 10 s, want the list available: %v", want)
+		}
+	}
+}
--- a/internal/testbed/slowstart/budget_test.go
+++ b/internal/testbed/slowstart/budget_test.go
@@ -145,3 +145,17 @@
 		}
 	}
 }
+
+// TestRestartWhileDiscoveryIsAway guards against an engine that restarts within a moment while discovery is away, and gets
+// its full load because it answers soon after its connections broke.
+func TestRestartWhileDiscoveryIsAway(t *testing.T) {
+	t.Parallel()
+	for _, front := range []frontend{platformFrontend, postgresFrontend} {
+		t.Run(string(front), func(t *testing.T) {
+			t.Parallel()
+			checkBudget(t, newDeployment(t, program, front, 1), restart{
+				untold: 300 * time.Millisecond, killed: noGateway, paused: noGateway, busSilence: 12 * time.Second,
+			})
+		})
+	}
+}
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -9,8 +9,16 @@
 
 // updateEngines applies an engine list or a change to it. It renews a lost subscription.
 func (g *Gateway) updateEngines(ev EngineList) {
-	if ev.Mode == ListFailed && g.settings.SubscribeToList {
-		g.emit(Subscribe{})
+	switch ev.Mode {
+	case ListFailed:
+		g.isListLost = true
+		g.presumeUnreportedRestarts(ev.SilentFor)
+		if g.settings.SubscribeToList {
+			g.emit(Subscribe{})
+		}
+	case ListChanges, ListFull:
+		g.isListLost = false
+	case ListCached: // may be stale
 	}
 	if ev.Mode == ListFull || ev.Mode == ListCached {
 		for _, e := range g.engines {
--- a/policy/event.go
+++ b/policy/event.go
@@ -135,6 +135,8 @@
 type EngineList struct {
 	Mode    ListMode
 	Engines []Engine
+	// SilentFor is, for ListFailed, the time since the list was last known to be current.
+	SilentFor time.Duration
 }
 
 // EngineState is the state of an engine according to the engine list.
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -27,10 +27,12 @@
 
 	aggregate controller // the limit over all engines together
 	slowStart slowStart
-	tenants   tenantQuotas
-	traffic   trafficShare
-	retries   retryBudget
-	dataSets  dataSetCounts
+	// isListLost is set from a ListFailed until the next change or full list.
+	isListLost bool
+	tenants    tenantQuotas
+	traffic    trafficShare
+	retries    retryBudget
+	dataSets   dataSetCounts
 
 	// targetThreadsPerCore is the number of threads per core that an engine should run.
 	targetThreadsPerCore float64
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -13,8 +13,10 @@
 	warmUpBurst = 0.5
 	// warmUpCostFactor is the cost of a query to the budget, in multiples of its expected work.
 	warmUpCostFactor = 1.3
-	// minRestartTime is the shortest time in which an engine process can end and serve again.
+	// minRestartTime is the shortest time in which most engine processes can end and serve again.
 	minRestartTime = 2 * time.Second
+	// maxReportDelay is the longest time from a start until the engine list reports it.
+	maxReportDelay = 7 * time.Second
 )
 
 // warmUp is the slow-start state of one engine.
@@ -184,13 +186,36 @@
 	}
 }
 
+// presumeUnreportedRestarts treats engines as restarted whose connections broke so shortly before the engine
+// list was lost that it may not have reported a restart yet, although they have answered since.
+func (g *Gateway) presumeUnreportedRestarts(silentFor time.Duration) {
+	for _, e := range g.engines {
+		w := &e.warmUp
+		lostAt := e.health.connectionLostAt
+		mayBeUnreported := lostAt > 0 && lostAt > g.now-silentFor-maxReportDelay
+		if g.now < w.until || !mayBeUnreported || lostAt+g.slowStart.period <= g.now {
+			continue
+		}
+		before := *w
+		w.restartPresumed = true
+		w.previousUntil = w.until
+		g.chargeRecentWork(e)
+		g.slowStart.begin(e, lostAt, lostAt+g.slowStart.period, g.now, g.random.Float64)
+		g.reportSlowStart(e, RestartPresumed, &before)
+	}
+}
+
 // disproveRestart withdraws a presumed restart after progress or a response of an attempt that was sent
-// after the connection broke, sooner than a process can restart. It prevents an engine that only lost a
-// connection from being starved of queries.
+// after the connection broke, sooner than most processes can restart. It prevents an engine that only lost
+// a connection from being starved of queries. A faster restart is in the engine list soon, unless that is
+// lost.
 func (g *Gateway) disproveRestart(a *attempt) {
 	e := a.engine
 	w := &e.warmUp
 	lostAt := e.health.connectionLostAt
+	if g.isListLost {
+		return
+	}
 	if w.restartPresumed && a.sentAt > lostAt && g.now < lostAt+minRestartTime {
 		before := *w
 		w.restartPresumed = false
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -128,6 +128,44 @@
 	d.wantNoSend(d.arrive(2, "idempotent"))
 }
 
+// TestFastRestartWhileTheListIsLost has an engine answer soon after its connection broke. That disproves a restart only
+// while the engine list would report it.
+func TestFastRestartWhileTheListIsLost(t *testing.T) {
+	lost := EngineList{Mode: ListFailed, SilentFor: time.Second}
+	for name, c := range map[string]struct {
+		beforeAnswer, afterAnswer, late bool // whether the list is lost then; late: long after the answer
+		want                            bool // in slow start in the end
+	}{
+		"list is current":            {},
+		"lost before the answer":     {beforeAnswer: true, want: true},
+		"lost right after":           {afterAnswer: true, want: true},
+		"lost long after the answer": {late: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, testSettings(), liveEngine("e", "a", 1))
+			d.advance(3 * time.Second).handle(TimerFired{})
+			d.arrive(1, "idempotent")
+			d.endAttempt(1, 0, ResultConnectionLost)
+			if c.beforeAnswer {
+				d.handle(lost)
+			}
+			d.advance(100 * time.Millisecond)
+			d.arrive(2, "idempotent")
+			d.endAttempt(2, 0, ResultSuccess)
+			if c.afterAnswer {
+				d.advance(time.Second).handle(lost)
+			}
+			d.advance(maxReportDelay + 1100*time.Millisecond)
+			if c.late {
+				d.handle(lost)
+			}
+			if got := d.now < d.g.engines[0].warmUp.until; got != c.want {
+				t.Errorf("in slow start = %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 func TestFailedConnectionPresumesRestart(t *testing.T) {
 	s, list := manyGateways(1)
 	d := newDriver(t, s, list...)
