Let the turns of heavy queries not overlap at an engine in slow start

Each class had a cycle of turns of its own, from costs that each gateway learned by itself, so turns of two classes or two gateways met; and where a query weighs a tenth to a half of the budget of all, a turn stayed open longer than a window. Up to ten heavy queries, each several times the mean, came within a window. Change: queries that need half of the budget of all gateways or more share the cycle of the heaviest class; cycles of heavy queries are powers of two, so that gateways agree; no turn of theirs is longer than a window.

--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -11,6 +11,10 @@
 	warmUpBudgetMargin = 0.7
 	// warmUpBurst is the fraction of an overload window's budget that may be sent at once.
 	warmUpBurst = 0.5
+	// heavyFraction is the fraction of the budget of all gateways for a window from which a query is heavy.
+	heavyFraction = 0.1
+	// maxHeavyTurn is the longest turn of a heavy query, in overload windows.
+	maxHeavyTurn = 1.0
 	// warmUpCostFactor is the cost of a query to the budget, in multiples of its expected work.
 	warmUpCostFactor = 1.3
 	// minRestartTime is the shortest time in which most engine processes can end and serve again.
@@ -108,8 +112,8 @@
 // needs more than warmUpBurst of a window's budget may be sent once in as many windows as pay for it, and
 // only during this gateway's turn. A turn lasts until that of the next gateway, or longer for small
 // queries. Without turns, all gateways would spend the budgets that accumulate over these windows at the
-// same time.
-func (s *slowStart) allows(workMS float64, e *engine, now time.Duration) bool {
+// same time. heaviestMS is the expected work of a query of the heaviest class.
+func (s *slowStart) allows(workMS, heaviestMS float64, e *engine, now time.Duration) bool {
 	w := &e.warmUp
 	if now < s.startedAt+s.window { // work sent before a restart of this gateway is unknown
 		return false
@@ -118,12 +122,30 @@
 	if windows <= warmUpBurst {
 		return w.budgetSpentUntil <= now+time.Duration((warmUpBurst-windows)*float64(s.window))
 	}
-	sinceTurn := float64(now-w.turnsSince)/float64(s.window)/windows - w.turnOffset
-	turnLength := windows / float64(s.gateways)
-	isTurn := sinceTurn >= 0 && math.Mod(sinceTurn, 1)*windows < max(turnLength, warmUpBurst/turnLength)
+	cycle, maxTurn := s.turnCycle(windows, heaviestMS, e)
+	sinceTurn := float64(now-w.turnsSince)/float64(s.window)/cycle - w.turnOffset
+	turnLength := cycle / float64(s.gateways)
+	turnLength = max(turnLength, min(warmUpBurst/turnLength, maxTurn))
+	isTurn := sinceTurn >= 0 && math.Mod(sinceTurn, 1)*cycle < turnLength
 	return w.budgetSpentUntil <= now && isTurn
 }
 
+// turnCycle returns the number of windows in which each gateway has one turn to send a query that needs the
+// given number of windows, and the longest turn in windows. For queries that need much of the budget of all
+// gateways, few of which may come at once, the turns must not overlap: those of all classes share the cycle
+// of the heaviest class, and cycles are powers of two, so that gateways whose expectations differ agree.
+func (s *slowStart) turnCycle(windows, heaviestMS float64, e *engine) (cycle, maxTurn float64) {
+	ofAllGateways := windows / float64(s.gateways)
+	if ofAllGateways < heavyFraction {
+		return windows, math.Inf(1)
+	}
+	if ofAllGateways >= warmUpBurst {
+		windows = max(windows, s.windowsNeeded(heaviestMS, e))
+	}
+	_, exponent := math.Frexp(windows)
+	return math.Ldexp(1, exponent), maxHeavyTurn
+}
+
 // spend deducts the cost of a query of the expected work from the engine's warm-up budget.
 func (s *slowStart) spend(workMS float64, e *engine, now time.Duration) {
 	w := &e.warmUp
@@ -133,7 +155,18 @@
 
 // isWithinBudget reports whether the budget of the engine, if it has one now, permits the query.
 func (g *Gateway) isWithinBudget(q *query, e *engine) bool {
-	return !g.slowStart.isWarmingUp(e, g.now) || g.slowStart.allows(g.sentWorkMS(q), e, g.now)
+	if !g.slowStart.isWarmingUp(e, g.now) {
+		return true
+	}
+	return g.slowStart.allows(g.sentWorkMS(q), g.heaviestWorkMS(), e, g.now)
+}
+
+// heaviestWorkMS returns the expected work of a query of the class with the most work.
+func (g *Gateway) heaviestWorkMS() (heaviest float64) {
+	for _, c := range g.classes {
+		heaviest = max(heaviest, c.workMS*c.unserved.factor(0))
+	}
+	return heaviest
 }
 
 // recordSentWork records that a statement of the attempt is sent to its engine, and charges it to the
