Leave a window between the turns of heavy queries of two gateways

Cause: turns that follow each other let two gateways send a heavy query each, one at the end of its turn and one at the start of the next. Change: a turn of over a window ends a window before the next one begins, at the latest at its half.

--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -122,6 +122,9 @@
 	sinceTurn := float64(now-w.turnsSince)/float64(s.window)/cycle - w.turnOffset
 	turnLength := cycle / float64(s.gateways)
 	turnLength = max(turnLength, min(warmUpBurst/turnLength, maxTurn))
+	if turnLength > 1 { // a window lies between the queries of two gateways
+		turnLength = max(turnLength-1, turnLength/2)
+	}
 	isTurn := sinceTurn >= 0 && math.Mod(sinceTurn, 1)*cycle < turnLength
 	return w.budgetSpentUntil <= now && isTurn
 }
--- a/policy/warmup_simulation_test.go
+++ b/policy/warmup_simulation_test.go
@@ -368,16 +368,11 @@
 func TestTurnsOfHeavyQueriesDoNotOverlap(t *testing.T) {
 	for _, c := range []heavyQuerySimulation{
 		{6, 1036}, {6, 5020}, {9, 1044}, {9, 5016}, {9, 5032}, {12, 1033}, {12, 5008}, {12, 5024}, {20, 1024}, {20, 1026}, {20, 1032}, {20, 5040},
+		{9, 5028}, {20, 1056}, // gateways whose expectations are on both sides of a power of two
 	} {
 		c.check(t)
 	}
 }
 
-// TestTurnsOfHeavyQueriesDisagree has gateways whose expectations of a query's work are on both sides of a power of two.
-func TestTurnsOfHeavyQueriesDisagree(t *testing.T) {
-	heavyQuerySimulation{9, 5028}.check(t)
-	heavyQuerySimulation{20, 1056}.check(t)
-}
-
 // exp is the exponential function. Unlike math.Exp, it gives the same digits on all machines.
 func exp(x float64) float64 { return 1 + math.Expm1(x) }
