Work out a query's cost for slow starts once for each choice of an engine

No decision changes. At each engine in slow start the policy summed up the attempts in flight at all engines anew, in the first 50 responses of a class: work that grew with the square of the engines. It is worked out once for each choice, and only if an engine is in slow start.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -77,7 +77,8 @@
 	c := &Core{
 		clock: clock, timers: timers, counters: counters, log: log,
 		policy: policyLoop{gateway: gateway}, requests: newRequestTable(),
-		endpoints: newEndpointList(), starts: enginestart.New(settings.Rules.WarmUpPeriod), stats: newStats(settings.Classes), sentIDs: sentids.New(sentIDRetention, maxSentIDs),
+		endpoints: newEndpointList(), starts: enginestart.New(settings.Rules.WarmUpPeriod),
+		stats: newStats(settings.Classes), sentIDs: sentids.New(sentIDRetention, maxSentIDs),
 		classes: map[string]policy.Class{}, callInterval: settings.CallInterval,
 	}
 	for _, class := range settings.Classes {
--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -84,9 +84,9 @@
 	}
 }
 
-// publish converts the start of an entry of discovery to the core's clock, applies the operators' overrides, and reports the result to the
-// backend and the other sites. This comes before the policy learns of the entry: a send to the
-// engine may follow at once.
+// publish converts the start of an entry of discovery to the core's clock, applies the operators'
+// overrides, and reports the result to the backend and the other sites. This comes before the policy
+// learns of the entry: a send to the engine may follow at once.
 func (c *Core) publish(e Engine) Engine {
 	if e.StartKnown {
 		e.ReportedStart = e.Started
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -45,10 +45,12 @@
 // restoreStarts loads the starts of engines. A version that did not record them took each start as discovery
 // reported it.
 func (c *Core) restoreStarts(s Snapshot) {
-	c.starts.Restore(s.Starts)
+	starts := enginestart.Starts{}
 	for _, e := range s.Engines {
-		if _, recorded := s.Starts[e.ID]; e.StartKnown && !recorded {
-			c.starts.Restore(enginestart.Starts{e.ID: {Reported: e.Started, At: e.Started}})
+		if e.StartKnown {
+			starts[e.ID] = enginestart.Start{Reported: e.Started, At: e.Started}
 		}
 	}
+	maps.Copy(starts, s.Starts)
+	c.starts.Restore(starts)
 }
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -17,7 +17,7 @@
 }
 
 // ReadClock returns the time of a loop's clock and of the machine's monotonic clock.
-func ReadClock(loop interface{ Now() time.Duration }) Clock {
+func ReadClock(loop core.Clock) Clock {
 	return Clock{Now: loop.Now(), Monotonic: monotonicNow()}
 }
 
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -17,6 +17,7 @@
 	if !g.fitsAggregate(q) {
 		return nil
 	}
+	q.budgetCost = budgetCost{}
 	var best *engine
 	bestScore := math.Inf(-1)
 	minAffinity := g.minNearAffinity(q.dataSet)
--- a/policy/query.go
+++ b/policy/query.go
@@ -15,6 +15,8 @@
 	deadline time.Duration // instant at which the client stops waiting
 	workMS   float64       // expected work of all its threads
 	threads  float64       // its weight in a backlog
+	// budgetCost is valid during one choice of an engine; the zero value is not computed yet.
+	budgetCost budgetCost
 	// logValue is the binary logarithm of priority weight over expected work, minus the mean over recent
 	// arrivals. 0 is average.
 	logValue      float64
--- a/policy/restart.go
+++ b/policy/restart.go
@@ -61,10 +61,7 @@
 	e := a.engine
 	w := &e.warmUp
 	lostAt := e.health.connectionLostAt
-	if g.isListLost {
-		return
-	}
-	if w.restartPresumed && a.sentAt > lostAt && g.now < lostAt+minRestartTime {
+	if !g.isListLost && w.restartPresumed && a.sentAt > lostAt && g.now < lostAt+minRestartTime {
 		before := *w
 		w.restartPresumed = false
 		w.until = w.previousUntil
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -157,7 +157,16 @@
 	if !g.slowStart.isWarmingUp(e, g.now) {
 		return true
 	}
-	return g.slowStart.allows(g.sentWorkMS(q), g.heaviestWorkMS(), e, g.now)
+	if q.budgetCost == (budgetCost{}) {
+		q.budgetCost = budgetCost{workMS: g.sentWorkMS(q), heaviestMS: g.heaviestWorkMS()}
+	}
+	return g.slowStart.allows(q.budgetCost.workMS, q.budgetCost.heaviestMS, e, g.now)
+}
+
+// budgetCost is what the budgets of all engines take a query to need.
+type budgetCost struct {
+	workMS     float64 // expected work
+	heaviestMS float64 // expected work of a query of the heaviest class
 }
 
 // heaviestWorkMS returns the expected work of a query of the class with the most work.
