One test double for watchers of discovery; portable functions in one file; test.sh simpler

No behaviour changes. The two watchers' tests shared a double and a loop word for word: both call endpointtest.Availability now, with the same assertions. log2 and exp of decisions stand in portable_math.go, and the simulation's test takes that exp. test.sh keeps the listed packages as lines.

--- a/internal/discovery/consul/watcher_test.go
+++ b/internal/discovery/consul/watcher_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gannetspur/internal/core"
+	"gannetspur/internal/discovery/endpoint/endpointtest"
 	"gannetspur/internal/metrics"
 	"gannetspur/policy"
 
@@ -32,17 +33,10 @@
 	r <- strings.Join(entries, "; ")
 }
 
-// EndpointsUnavailable and EndpointsCurrent implement endpoint.Updater; availability records them.
+// EndpointsUnavailable and EndpointsCurrent implement endpoint.Updater.
 func (recorder) EndpointsUnavailable(time.Duration) {}
 func (recorder) EndpointsCurrent()                  {}
 
-// availability is an endpoint.Updater that sends on the channel whether the list is current.
-type availability chan bool
-
-func (availability) UpdateEndpoints(policy.ListMode, []core.Engine) {}
-func (a availability) EndpointsUnavailable(time.Duration)           { a <- false }
-func (a availability) EndpointsCurrent()                            { a <- true }
-
 // fakeAgent is a Consul agent with one service. It blocks a query until the current index differs from
 // that of the query, and fails as many queries as a test sets.
 type fakeAgent struct {
@@ -158,21 +152,12 @@
 	agent := &fakeAgent{index: 50, failures: 3, engines: map[string]string{"e1": "passing"}, changed: make(chan struct{})}
 	server := httptest.NewServer(agent)
 	t.Cleanup(server.Close)
-	list := make(availability, 10)
+	list := make(endpointtest.Availability, 10)
 	var ownerMu sync.Mutex // in place of the goroutine that owns the endpoint list
 	post := func(f func()) { ownerMu.Lock(); defer ownerMu.Unlock(); f() }
 	w := New(post, list, metrics.New(), slog.New(slog.DiscardHandler))
 	post(func() {
 		w.Watch(t.Context(), Options{Address: strings.TrimPrefix(server.URL, "http://"), Service: "stock"})
 	})
-	for i, want := range []bool{false, false, false, true} {
-		select {
-		case got := <-list:
-			if got != want {
-				t.Errorf("call %d: got the list available: %v, want %v", i+1, got, want)
-			}
-		case <-time.After(10 * time.Second):
-			t.Fatalf("call %d: none within 10 s, want the list available: %v", i+1, want)
-		}
-	}
+	list.Expect(t, false, false, false, true)
 }
--- a/internal/discovery/eventbus/watcher_test.go
+++ b/internal/discovery/eventbus/watcher_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gannetspur/internal/core"
+	"gannetspur/internal/discovery/endpoint/endpointtest"
 	"gannetspur/internal/metrics"
 	"gannetspur/internal/netio"
 	"gannetspur/policy"
@@ -29,17 +30,10 @@
 	r <- update{mode, engines}
 }
 
-// EndpointsUnavailable and EndpointsCurrent implement endpoint.Updater; availability records them.
+// EndpointsUnavailable and EndpointsCurrent implement endpoint.Updater.
 func (recorder) EndpointsUnavailable(time.Duration) {}
 func (recorder) EndpointsCurrent()                  {}
 
-// availability is an endpoint.Updater that sends on the channel whether the list is current.
-type availability chan bool
-
-func (availability) UpdateEndpoints(policy.ListMode, []core.Engine) {}
-func (a availability) EndpointsUnavailable(time.Duration)           { a <- false }
-func (a availability) EndpointsCurrent()                            { a <- true }
-
 // run starts the watcher and its loop, and stops both at the end of the test.
 func run(t *testing.T, loop *netio.Loop, w *Watcher) {
 	t.Helper()
@@ -222,16 +216,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	list := make(availability, 10)
+	list := make(endpointtest.Availability, 10)
 	run(t, loop, New(loop, Options{Address: listener.Addr().String(), LastEvent: 4}, list, metrics.New(), slog.New(slog.DiscardHandler)))
-	for _, want := range []bool{false, true} {
-		select {
-		case got := <-list:
-			if got != want {
-				t.Errorf("got the list available: %v, want %v", got, want)
-			}
-		case <-time.After(10 * time.Second):
-			t.Fatalf("no call within 10 s, want the list available: %v", want)
-		}
-	}
+	list.Expect(t, false, true)
 }
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -1,7 +1,5 @@
 package policy
 
-import "math"
-
 // Parameters of admission. The value of a query is the priority weight of its class.
 const (
 	valueSamples      = 50   // arrivals over which the logarithm of value over work is averaged
@@ -67,12 +65,6 @@
 	return q
 }
 
-// log2 is the binary logarithm. Unlike math.Log2, it gives the same digits on all machines.
-func log2(x float64) float64 {
-	fraction, exponent := math.Frexp(x)
-	return float64(exponent) + math.Log1p(fraction-1)/math.Ln2
-}
-
 // admit sends the query to an engine where it fits. If there is none, it ends the query without a result.
 func (g *Gateway) admit(q *query) {
 	e := g.chooseEngine(q)
--- a/policy/loadreport.go
+++ b/policy/loadreport.go
@@ -1,9 +1,6 @@
 package policy
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// reportDecayTime is the age at which the weight of a report has dropped to 1/e, about a third.
@@ -32,7 +29,7 @@
 // weight returns the weight of the report, from 1 when it is new down to 0 as it ages.
 func (r *engineReport) weight(now time.Duration) float64 {
 	age := float64(now-r.at) / float64(reportDecayTime)
-	return 1 + math.Expm1(-age) // unlike math.Exp, the same digits on all machines
+	return exp(-age)
 }
 
 // recordLoad records an engine's load report. It estimates the load of the engine, and from it the load
--- a/policy/warmup_simulation_test.go
+++ b/policy/warmup_simulation_test.go
@@ -373,6 +373,3 @@
 		c.check(t)
 	}
 }
-
-// exp is the exponential function. Unlike math.Exp, it gives the same digits on all machines.
-func exp(x float64) float64 { return 1 + math.Expm1(x) }
--- a/test.sh
+++ b/test.sh
@@ -23,16 +23,17 @@
             echo "KNOWN-RED.txt: $name passes; remove its line" >&2
             exit 1
         fi
-        listed="$listed $(go list "$package")"
+        listed="$listed
+$(go list "$package")"
     done < KNOWN-RED.txt
 fi
 drawn=$(go list -f '{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$.ImportPath}}{{end}}{{end}}' ./...)
 unlisted() { # PACKAGES: those of which KNOWN-RED.txt lists no test
-    echo "$1" | grep -vxF "$(echo $listed | tr ' ' '\n' | sed 's/^$/./')"
+    echo "$1" | grep -vxF "$listed"
 }
 go test -race $(unlisted "$(go list ./... | grep -vxF "$drawn")")
 go test -race $(unlisted "$drawn") -rapid.seed="${RAPID_SEED:-1}"
-for package in $(echo $listed | tr ' ' '\n' | sort -u); do # without its listed tests, and those alone
+for package in $(echo "$listed" | sort -u); do # without its listed tests, and those alone
     skip=$(while read -r name path _; do [ "$(go list "$path")" != "$package" ] || printf '^%s$|' "$name"; done < KNOWN-RED.txt)
     seed=
     ! echo "$drawn" | grep -qxF "$package" || seed=-rapid.seed="${RAPID_SEED:-1}"
