Keep keyed retries in the zone or cell that the engine had at the send

Callers: where the list moves an engine while a keyed request is there, a failed attempt was sent again in the engine's new zone, whose engines don't know the key. Cause: the retry was compared with where the engine is now, not with where it was at the send; and an engine was always taken to know its own keys.

--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -117,24 +117,11 @@
 	}
 	return !slices.ContainsFunc(q.attempts, func(a *attempt) bool {
 		isCancelledThere := a.cancelled && a.engine == e && !g.settings.Limits.AllowHedging
-		inDedupScope := c.Idempotency != IdempotentWithKey || sharesDeduplication(c.DedupScope, a.engine, e)
+		inDedupScope := c.Idempotency != IdempotentWithKey || a.dropsRepeatAt(e)
 		return isCancelledThere || a.mayHaveRun && !inDedupScope
 	})
 }
 
-// sharesDeduplication reports whether two engines drop each other's repeats of a query with an idempotency
-// key.
-func sharesDeduplication(scope DedupScope, a, b *engine) bool {
-	switch {
-	case a == b || scope == DedupAll:
-		return true
-	case scope == DedupZone:
-		return a.zone == b.zone
-	default:
-		return scope == DedupCell && a.cell == b.cell
-	}
-}
-
 // isAllowed reports whether the name of a zone or machine kind is in the list. An empty list allows all.
 func isAllowed(allowed []string, name string) bool {
 	return len(allowed) == 0 || slices.Contains(allowed, name)
--- a/policy/query.go
+++ b/policy/query.go
@@ -30,6 +30,7 @@
 	query        *query
 	number       int // counted from 0
 	engine       *engine
+	placement    Placement // of the engine when the attempt was sent
 	sentAt       time.Duration
 	lastHeard    time.Duration // time of the latest progress, or of the send
 	ended        bool
@@ -45,7 +46,8 @@
 
 func newAttempt(q *query, e *engine, now time.Duration) *attempt {
 	return &attempt{
-		query: q, number: len(q.attempts), engine: e, sentAt: now, lastHeard: now, mayHaveRun: true,
+		query: q, number: len(q.attempts), engine: e, placement: e.placement(),
+		sentAt: now, lastHeard: now, mayHaveRun: true,
 	}
 }
 
