--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -20,7 +20,8 @@
 	Priority     int           // priority granted by the policy
 	BackendState BackendState  // state kept by the backend; nil once the attempt has ended
 
-	number        int // the policy's number of the attempt within its query, from 0
+	placement     policy.Placement // of the engine when the attempt was sent; empty if it is not listed
+	number        int              // the policy's number of the attempt within its query, from 0
 	ended         bool
 	neverRan      bool              // the outcome proves that the engine did not run it; false if streaming
 	written       bool              // BeginWrite returned true: the backend may have written it completely
@@ -50,7 +51,7 @@
 func (c *Core) send(r *Request, s policy.Send) {
 	a := &Attempt{
 		Request: r, Engine: s.Engine, Timeout: s.Timeout, SentAt: c.clock.Now(),
-		MemoryMB: r.grantedMB, Priority: r.priority, number: len(r.attempts) - r.firstAttempt,
+		MemoryMB: r.grantedMB, Priority: r.priority, placement: c.endpoints.placement(s.Engine), number: len(r.attempts) - r.firstAttempt,
 	}
 	a.writeDeadline = c.keyedWriteDeadline(r)
 	r.attempts = append(r.attempts, a)
@@ -71,9 +72,7 @@
 	}
 	c.recordSent(r)
 	c.startTimeout(a, a.SentAt, s.Timeout)
-	if c.observers.firstSend != nil && len(r.attempts) == 1 {
-		c.observers.firstSend(r, a.SentAt)
-	}
+	c.reportAttempts(r)
 	c.backend.Send(a)
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -51,7 +51,7 @@
 // observers are notified of what happens in a core. Each may be nil.
 type observers struct {
 	cost             CostObserver
-	firstSend        func(r *Request, at time.Duration)
+	attemptsChanged  func(r *Request)
 	overridesChanged func()
 }
 
@@ -96,9 +96,10 @@
 // SetCostObserver sets the observer of request costs.
 func (c *Core) SetCostObserver(o CostObserver) { c.observers.cost = o }
 
-// OnFirstSend sets a function that is called right before each request is first sent to an engine,
-// with the time of the send. It lets the caller record that the request may have run.
-func (c *Core) OnFirstSend(f func(r *Request, at time.Duration)) { c.observers.firstSend = f }
+// OnAttemptsChanged sets a function that is called with a request whenever AttemptsThatMayHaveRun changes for
+// it: right before each send to an engine, so that the caller can record that the request may have run, and once a
+// send is known to have run nothing.
+func (c *Core) OnAttemptsChanged(f func(r *Request)) { c.observers.attemptsChanged = f }
 
 // OnOverridesChanged sets a function that is called whenever DisableEngine or EnableEngine changed
 // an override, before that call returns.
--- a/internal/core/end_attempt.go
+++ b/internal/core/end_attempt.go
@@ -32,6 +32,9 @@
 	if a.sitesNotified {
 		c.sites.AttemptEnded(a, outcome, report)
 	}
+	if a.neverRan {
+		c.reportAttempts(r)
+	}
 	c.recordEngineError(a, report.EngineError)
 	c.observeCost(a, outcome, report)
 	c.answerByOutcome(r, outcome, report)
--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -31,6 +31,12 @@
 	return !l.admin.Disabled(id) && l.engines[id].State == policy.EngineLive
 }
 
+// placement returns where an engine is according to the list, and an empty placement if it is not listed.
+func (l *endpointList) placement(id string) policy.Placement {
+	e := l.engines[id]
+	return policy.Placement{Engine: e.ID, Zone: e.Zone, Cell: e.Cell}
+}
+
 // UpdateEndpoints applies an endpoint list of discovery, or changes to one.
 func (c *Core) UpdateEndpoints(mode policy.ListMode, engines []Engine) {
 	c.counters.Inc("roster.events")
--- a/internal/core/fixture_test.go
+++ b/internal/core/fixture_test.go
@@ -108,6 +108,7 @@
 func (s fixtureSites) ForwardOnArrival(r *Request) bool {
 	return s.forward != nil && s.forward(r, false)
 }
+func (s fixtureSites) SharesDeduplication() bool       { return true }
 func (s fixtureSites) ForwardRejected(r *Request) bool { return s.forward != nil && s.forward(r, true) }
 func (s fixtureSites) Drop(*Request)                   { s.record("drop forwarded") }
 func (s fixtureSites) AttemptStarted(*Attempt)         {}
--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -1,6 +1,10 @@
 package core
 
-import "time"
+import (
+	"time"
+
+	"gannetspur/policy"
+)
 
 // RemoteSites forwards requests to other sites, either when they arrive, before the policy sees them,
 // or after the policy rejected them. Its methods may call the core back.
@@ -18,6 +22,9 @@
 	AttemptStarted(a *Attempt)
 	// AttemptEnded reports the end of an attempt that AttemptStarted reported.
 	AttemptEnded(a *Attempt, outcome Outcome, report Report)
+	// SharesDeduplication reports whether the engines of all sites drop each other's repeats of an idempotency
+	// key.
+	SharesDeduplication() bool
 	// UpdateEngine adds an engine of this site to the endpoint list or changes its entry.
 	UpdateEngine(e Engine)
 }
@@ -43,9 +50,14 @@
 // RecordRemoteSend records that a request may have run at another site, where it was first sent to an
 // engine at the given time.
 func (c *Core) RecordRemoteSend(r *Request, at time.Duration) {
-	if first := r.FirstSentAt(); first == 0 || at < first {
-		r.PriorSentAt = at
-	}
+	c.recordPriorAttempt(r, c.remoteAttempt(r, at))
+}
+
+// RecordLocalSend records that a request may have run at an unknown engine of this site, to which it was first sent
+// at the given time.
+func (c *Core) RecordLocalSend(r *Request, at time.Duration) {
+	class := c.classes[r.Class]
+	c.recordPriorAttempt(r, policy.PriorAttempt{SentAt: at, Scope: class.DedupScope, Window: class.DedupWindow})
 }
 
 // CompleteForwarded gives a request the final answer of another site, and cancels its attempts here.
--- a/internal/core/idempotency.go
+++ b/internal/core/idempotency.go
@@ -21,7 +21,7 @@
 	if c.classes[r.Class].Idempotency == policy.Idempotent {
 		return false
 	}
-	return r.PriorSentAt > 0 || c.isForwarded(r) || r.MayHaveRunHere()
+	return len(r.PriorAttempts) > 0 || c.isForwarded(r) || r.MayHaveRunHere()
 }
 
 // keyedWriteDeadline returns the time from which on a request with an idempotency key may not be
@@ -30,11 +30,17 @@
 // retry then waits for a connection, and the window may end during that wait.
 func (c *Core) keyedWriteDeadline(r *Request) time.Duration {
 	class := c.classes[r.Class]
-	first := r.FirstSentAt()
-	if class.Idempotency != policy.IdempotentWithKey || first == 0 && !r.MayHaveRunHere() {
+	if class.Idempotency != policy.IdempotentWithKey {
 		return 0
 	}
-	return max(first+class.DedupWindow-keyWindowMargin, 1) // at least 1, because 0 means no limit
+	deadline := time.Duration(0)
+	for _, attempt := range c.AttemptsThatMayHaveRun(r) {
+		end := max(attempt.WindowEnd(class.DedupWindow)-keyWindowMargin, 1) // at least 1, because 0 means no limit
+		if deadline == 0 || end < deadline {
+			deadline = end
+		}
+	}
+	return deadline
 }
 
 // safeToRetry reports whether a client that follows the RetryAfter hint can safely retry a request
--- a/internal/core/lifecycle.go
+++ b/internal/core/lifecycle.go
@@ -11,9 +11,11 @@
 
 // Orphan describes a request that was open in a process when that process died.
 type Orphan struct {
-	ReceivedAt  time.Duration // when its last byte was received, or slightly later
-	FirstSentAt time.Duration // when it was first sent to an engine; 0 if it never was
-	MustFail    bool          // it must not be sent again
+	ReceivedAt time.Duration         // when its last byte was received, or slightly later
+	Attempts   []policy.PriorAttempt // the sends after which it may have run
+	// Idempotency is that of its class in the settings of the process that died. It means nothing without Attempts.
+	Idempotency policy.Idempotency
+	MustFail    bool // it must not be sent again
 	// PartlyAnswered means that its client has received a part of the answer, or is about to. Only
 	// frontends read it.
 	PartlyAnswered bool
@@ -40,16 +42,20 @@
 		c.Accept(r)
 		return
 	}
-	r.PriorSentAt = orphan.FirstSentAt
-	if orphan.MustFail {
+	mayRepeat := c.adoptPriorAttempts(r, orphan)
+	if orphan.MustFail || !mayRepeat {
 		c.failOrphan(r)
 		return
 	}
+	if len(r.PriorAttempts) > 0 {
+		c.counters.Inc("orphans.resent." + r.Class)
+	}
 	c.Accept(r)
 }
 
 // failOrphan accepts an orphan that must not be sent again, and answers at once that it failed.
 func (c *Core) failOrphan(r *Request) {
+	c.counters.Inc("orphans.failed." + r.Class)
 	c.register(r)
 	c.answer(r.queryNumber, Answer{Verdict: Failed})
 }
@@ -65,7 +71,7 @@
 	r.admitted = true
 	c.notifyPolicy(policy.QueryArrived{
 		Query: r.queryNumber, Class: r.Class, Key: r.SerialKey, DataSet: r.DataSet, Deadline: r.Deadline,
-		Work: r.Work, MemoryMB: r.MemoryMB, ClientRetry: r.ClientRetry,
+		Work: r.Work, MemoryMB: r.MemoryMB, ClientRetry: r.ClientRetry, PriorAttempts: c.AttemptsThatMayHaveRun(r),
 	})
 }
 
--- a/internal/core/replay_test.go
+++ b/internal/core/replay_test.go
@@ -56,10 +56,11 @@
 	timers         *timerqueue.Queue
 	core           *Core
 	counters       *metrics.Counters
-	openRequests   []*Request // not answered yet
-	attempts       []*Attempt // all that were written, also ended ones
-	awaitingEngine []*Attempt // cancelled attempts for which MustAwaitEngine returned true
-	lastID         int        // number in the latest request's ID
+	openRequests   []*Request        // not answered yet
+	attempts       []*Attempt        // all that were written, also ended ones
+	awaitingEngine []*Attempt        // cancelled attempts for which MustAwaitEngine returned true
+	lastID         int               // number in the latest request's ID
+	firstSent      map[*Request]bool // requests whose first send was recorded
 }
 
 // replayText implements Statement and Result.
@@ -75,7 +76,7 @@
 
 func newReplay(t *testing.T, out io.Writer, seed uint64) *replay {
 	t.Helper()
-	r := &replay{out: out, random: rand.New(rand.NewPCG(seed, 2)), now: time.Hour, timers: timerqueue.New(), counters: metrics.New()}
+	r := &replay{out: out, random: rand.New(rand.NewPCG(seed, 2)), now: time.Hour, timers: timerqueue.New(), counters: metrics.New(), firstSent: map[*Request]bool{}}
 	settings := fixtureSettings()
 	var err error
 	if r.core, err = New(settings, seed, r, r.timers, r.counters, slog.New(slog.DiscardHandler)); err != nil {
@@ -83,7 +84,7 @@
 	}
 	r.core.SetBackend(replayBackend{r})
 	r.core.SetCostObserver(r)
-	r.core.OnFirstSend(func(q *Request, at time.Duration) { r.record("first send %s %d", q.ID, at) })
+	r.core.OnAttemptsChanged(r.recordFirstSend)
 	r.core.OnOverridesChanged(func() { r.record("bans changed") })
 	if seed%2 == 0 {
 		r.core.SetRemoteSites(replaySites{r})
@@ -91,6 +92,14 @@
 	return r
 }
 
+// recordFirstSend records the first send of a request to an engine of this site.
+func (r *replay) recordFirstSend(q *Request) {
+	if len(q.attempts) == 1 && !q.attempts[0].ended && !r.firstSent[q] {
+		r.firstSent[q] = true
+		r.record("first send %s %d", q.ID, q.attempts[0].SentAt)
+	}
+}
+
 func (r *replay) record(format string, args ...any) {
 	_, _ = fmt.Fprintf(r.out, format+"\n", args...) // a hash never fails
 }
@@ -166,6 +175,7 @@
 type replaySites struct{ *replay }
 
 func (s replaySites) ForwardOnArrival(q *Request) bool { return s.forward(q, false) }
+func (s replaySites) SharesDeduplication() bool        { return true }
 func (s replaySites) ForwardRejected(q *Request) bool  { return s.forward(q, true) }
 func (s replaySites) forward(q *Request, rejected bool) bool {
 	if s.random.IntN(3) > 0 {
@@ -251,7 +261,8 @@
 	}
 	var orphan *Orphan
 	if r.random.IntN(15) == 0 {
-		orphan = &Orphan{ReceivedAt: r.now, FirstSentAt: r.now - time.Duration(r.random.IntN(2))*time.Second, MustFail: r.random.IntN(3) == 0}
+		orphan = &Orphan{ReceivedAt: r.now, Attempts: []policy.PriorAttempt{{SentAt: r.now - time.Duration(r.random.IntN(2))*time.Second, Scope: policy.DedupAll, Window: time.Hour}}, MustFail: r.random.IntN(3) == 0}
+		orphan.Idempotency = r.core.classes[class].Idempotency
 	}
 	r.record("arrive %s %s", q.ID, class)
 	r.openRequests = append(r.openRequests, q)
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gannetspur/internal/timerqueue"
+	"gannetspur/policy"
 )
 
 // Client is the sender of a request. Answer is called exactly once, unless Core.ClientDisconnected
@@ -32,9 +33,8 @@
 	ClientRetry bool          // the client marked the request as a retry
 	Client      Client
 	CostContext CostContext // set by the CostObserver; nil if the cost is not observed
-	// PriorSentAt is when another site, or a process that died, first sent the request to an engine,
-	// which may have run it. 0: neither did.
-	PriorSentAt time.Duration
+	// PriorAttempts are the sends by other processes or at other sites after which the request may have run.
+	PriorAttempts []policy.PriorAttempt
 	// FromOtherSite marks a request that another site forwarded here. It is not forwarded again.
 	FromOtherSite bool
 	// Streaming marks a request with further statements and answers after the first, such as a
@@ -85,13 +85,17 @@
 // FirstSentAt returns the time of the first send, at any site, after which the request may have run.
 // It returns 0 if the request can't have run.
 func (r *Request) FirstSentAt() time.Duration {
-	if r.PriorSentAt > 0 {
-		return r.PriorSentAt
+	first := time.Duration(0)
+	for _, prior := range r.PriorAttempts {
+		if first == 0 || prior.SentAt < first {
+			first = prior.SentAt
+		}
 	}
-	if i := slices.IndexFunc(r.attempts, (*Attempt).mayHaveRun); i >= 0 {
-		return r.attempts[i].SentAt
+	i := slices.IndexFunc(r.attempts, (*Attempt).mayHaveRun)
+	if i >= 0 && (first == 0 || r.attempts[i].SentAt < first) {
+		first = r.attempts[i].SentAt
 	}
-	return 0
+	return first
 }
 
 // MayHaveRunHere reports whether an engine of this site may have run the request.
--- a/internal/core/sent_ids.go
+++ b/internal/core/sent_ids.go
@@ -50,7 +50,7 @@
 
 // forgetIfNeverRan forgets the id of a request that is over and never ran.
 func (c *Core) forgetIfNeverRan(r *Request) {
-	if r.UniqueID && r.PriorSentAt == 0 && !r.MayHaveRunHere() && len(r.attempts) > 0 {
+	if r.UniqueID && len(r.PriorAttempts) == 0 && !r.MayHaveRunHere() && len(r.attempts) > 0 {
 		c.sentIDs.Remove(r.ID)
 	}
 }
--- a/internal/decide/handover/model_test.go
+++ b/internal/decide/handover/model_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
+
+	"gannetspur/policy"
 )
 
 // world is the state of the model: two processes, the channel between them, two clients and the
@@ -35,14 +38,20 @@
 	targetHas           bool // the target has the connection
 	requestSent         bool // the request is in the socket or was read from it
 	location            location
-	stage               stage // how far the target has processed the request
-	executions          int   // by engines
-	executedAfterWindow bool  // the request was executed again after the end of its key's window
-	responses           int   // final responses, errors included
-	connectionClosed    bool  // the connection was closed without a complete response, which the client notices
-	responseWritten     bool  // the target has written the response
+	stage               stage       // how far the target has processed the request
+	executions          int         // by engines
+	zone                int         // zone of the engine that the target sends the request to next
+	refused             bool        // an engine has refused the request, which proves that it did not run there
+	ranIn               [zones]bool // zones of the engines that ran it; those of a zone drop each other's repeats
+	executedAfterWindow bool        // the request was executed again after the end of its key's window
+	responses           int         // final responses, errors included
+	connectionClosed    bool        // the connection was closed without a complete response, which the client notices
+	responseWritten     bool        // the target has written the response
 }
 
+// zones is the number of zones that the engines are in.
+const zones = 2
+
 // location is where a request is: in the socket, in the process that has read it, or finished.
 type location byte
 
@@ -104,6 +113,8 @@
 	reclaimBeforeRead  bool // the source reclaims connections before it has read all messages of the target
 	sendBeforeRecord   bool // the target sends a request to an engine without recording that first
 	resendInDoubt      bool // the source sends a request again that may have run and must not be repeated
+	groupLeftOut       bool // the source sends a request with a key again to an engine of any zone
+	firstSendOnly      bool // the target records the first send of a request only, also if that engine refuses it
 }
 
 // step is a named step of the model and the state after it.
@@ -170,6 +181,10 @@
 	if d.resendInDoubt && recovery == ReportInDoubt {
 		recovery = Resend
 	}
+	zone, permitted := resendZone(d, e.Request, c)
+	if recovery == Resend && !permitted {
+		recovery = ReportInDoubt
+	}
 	switch recovery {
 	case NothingToRecover:
 		if !e.Request.InFlight { // not recorded: the source reads it from the socket again, if it is still there
@@ -188,7 +203,7 @@
 		c.responses++
 		c.location = finished
 	case Resend:
-		w.execute(c)
+		w.execute(c, zone)
 		c.responses++
 		c.location = finished
 	}
@@ -197,8 +212,28 @@
 	}
 }
 
-// execute has an engine execute a request.
-func (w *world) execute(c *client) {
+// resendZone returns the zone of the engine that the source sends a request to again, if its prior attempts permit one.
+// It prefers an engine of another zone than the target's.
+func resendZone(d defects, r Request, c *client) (zone int, permitted bool) {
+	other := (c.zone + 1) % zones
+	isRestricted := r.Sent && r.Idempotency == IdempotentWithKey && !d.groupLeftOut
+	for _, zone := range []int{other, c.zone} {
+		isDropped := func(a policy.PriorAttempt) bool { return a.DropsRepeatAt(policy.DedupZone, placementIn(zone)) }
+		if !isRestricted || !slices.ContainsFunc(r.Attempts, func(a policy.PriorAttempt) bool { return !isDropped(a) }) {
+			return zone, true
+		}
+	}
+	return 0, false
+}
+
+// placementIn returns the placement of the engine in a zone.
+func placementIn(zone int) policy.Placement {
+	return policy.Placement{Engine: fmt.Sprintf("e%d", zone), Zone: fmt.Sprintf("z%d", zone)}
+}
+
+// execute has an engine of a zone execute a request.
+func (w *world) execute(c *client, zone int) {
+	c.ranIn[zone] = true
 	if c.executions > 0 && w.keyWindowsOver {
 		c.executedAfterWindow = true
 	}
@@ -231,13 +266,34 @@
 	if w.target.Owner() {
 		return
 	}
-	r := Request{InFlight: true, Idempotency: w.clients[i].idempotency, KeyWindow: 5 * timeUnit, Deadline: 100 * timeUnit, Sent: stage >= stageSendRecorded}
+	r := Request{InFlight: true, Idempotency: w.clients[i].idempotency, Deadline: 100 * timeUnit, Sent: stage >= stageSendRecorded}
+	if r.Sent {
+		r.Attempts = []policy.PriorAttempt{{Placement: placementIn(w.clients[i].zone), Scope: policy.DedupZone, Window: 5 * timeUnit}}
+	}
 	if stage >= stageResponseRecorded {
 		r.ResponseLength, r.ResponseRecorded = 1, true
 	}
 	w.toSource = append(w.toSource, RequestRecorded{ConnID(i), r})
 }
 
+// sendToEngine has the target send a request to an engine, which executes it.
+func (w *world) sendToEngine(i int) {
+	c := &w.clients[i]
+	c.stage = stageSent
+	w.execute(c, c.zone)
+}
+
+// refuse has an engine refuse a request, which the target then sends to an engine of the next zone.
+func (w *world) refuse(d defects, i int) {
+	c := &w.clients[i]
+	c.refused = true
+	c.zone = (c.zone + 1) % zones
+	c.stage = stageRead
+	if !d.firstSendOnly {
+		w.record(i, stageRead)
+	}
+}
+
 // steps returns all steps that are possible next. Crashes come last; there are two at most.
 func (w world) steps(d defects) (all []step) {
 	do := func(name string, change func(*world)) {
@@ -306,7 +362,7 @@
 	if c.location == atSource && w.sourceAlive {
 		do(name("source answers request"), func(n *world) {
 			c := &n.clients[i]
-			n.execute(c)
+			n.execute(c, c.zone)
 			c.responses++
 			c.location = finished
 			n.sourceStep(d, 0, ConnectionIdle{ConnID(i)})
@@ -322,11 +378,19 @@
 			n.record(i, stageRead)
 		})
 	case c.location == atTarget && c.stage == stageRead && d.sendBeforeRecord:
-		do(name("target sends request to engine"), func(n *world) { n.clients[i].stage = stageSent; n.execute(&n.clients[i]) })
+		do(name("target sends request to engine"), func(n *world) { n.sendToEngine(i) })
 	case c.location == atTarget && c.stage == stageRead:
-		do(name("target records the send of request"), func(n *world) { n.clients[i].stage = stageSendRecorded; n.record(i, stageSendRecorded) })
+		do(name("target records the send of request"), func(n *world) {
+			n.clients[i].stage = stageSendRecorded
+			if !c.refused || !d.firstSendOnly {
+				n.record(i, stageSendRecorded)
+			}
+		})
 	case c.location == atTarget && c.stage == stageSendRecorded:
-		do(name("target sends request to engine"), func(n *world) { n.clients[i].stage = stageSent; n.execute(&n.clients[i]) })
+		do(name("target sends request to engine"), func(n *world) { n.sendToEngine(i) })
+		if c.idempotency == IdempotentWithKey && !c.refused {
+			do(name("engine refuses request"), func(n *world) { n.refuse(d, i) })
+		}
 	case c.location == atTarget && c.stage == stageSent:
 		do(name("target records the response to request"), func(n *world) { n.clients[i].stage = stageResponseRecorded; n.record(i, stageResponseRecorded) })
 	case c.location == atTarget && c.stage == stageResponseRecorded:
@@ -348,6 +412,8 @@
 			return fmt.Sprintf("request %d has two responses", i)
 		case c.idempotency == NotIdempotent && c.executions > 1:
 			return fmt.Sprintf("request %d, which must not run twice, ran twice", i)
+		case c.idempotency == IdempotentWithKey && c.ranIn == [zones]bool{true, true}:
+			return fmt.Sprintf("request %d, which engines of one zone recognize by its key, ran in two zones", i)
 		case c.executedAfterWindow:
 			return fmt.Sprintf("request %d ran again after the end of its key window", i)
 		}
@@ -445,6 +511,8 @@
 		"reclaimed before all messages are read": {reclaimBeforeRead: true},
 		"sent before the record":                 {sendBeforeRecord: true},
 		"resent in doubt":                        {resendInDoubt: true},
+		"group left out":                         {groupLeftOut: true},
+		"first send recorded only":               {firstSendOnly: true},
 	} {
 		states, _, problem, trace := explore(d, 3e6)
 		if problem == "" {
@@ -454,3 +522,68 @@
 		t.Logf("%s: %s after %d steps", name, problem, len(trace))
 	}
 }
+
+const (
+	modelSeeds   = 20 // seeds of random runs, within which each defect of where a request goes must show
+	runsPerSeed  = 500
+	maxRunLength = 60 // steps; the deepest state of TestModel is reached in fewer
+	rareChance   = 8  // one in this many steps is a rare one, if one is possible
+)
+
+// rareSteps are the names of steps that a random run seldom takes: faults, and what would otherwise happen before the
+// connections are transferred.
+var rareSteps = []string{
+	"target starts and can't take over", "timeouts expire", "key windows end", "target crashes", "source crashes",
+	"heartbeat passes the probation", "client sends request 0", "client sends request 1",
+}
+
+// randomStep returns one of the steps: seldom a rare one, otherwise any other one.
+func randomStep(random *rand.Rand, steps []step) step {
+	isRare := func(s step) bool { return slices.Contains(rareSteps, s.name) }
+	ordinary := slices.DeleteFunc(slices.Clone(steps), isRare)
+	if len(ordinary) > 0 && random.IntN(rareChance) > 0 {
+		steps = ordinary
+	}
+	return steps[random.IntN(len(steps))]
+}
+
+// randomRuns plays random runs of the model until one violates an invariant, and returns the violation; "" for none.
+func randomRuns(d defects, seed uint64) string {
+	random := rand.New(rand.NewPCG(seed, 0))
+	for range runsPerSeed {
+		w := initialWorld()
+		for range maxRunLength {
+			next := w.steps(d)
+			if len(next) == 0 {
+				break
+			}
+			w = randomStep(random, next).next
+			if problem := w.violation(); problem != "" {
+				return problem
+			}
+		}
+	}
+	return ""
+}
+
+// Guards against a keyed request that runs in two zones after the target's death (issue 57): random runs of the
+// model, each seed by itself, break no invariant, and show within 20 seeds that the group is left out.
+func TestRandomRunsKeepKeyedRequestsInTheirZone(t *testing.T) {
+	for seed := range uint64(modelSeeds) {
+		if problem := randomRuns(defects{}, seed); problem != "" {
+			t.Errorf("seed %d: %s", seed, problem)
+		}
+	}
+	for name, d := range map[string]defects{"group left out": {groupLeftOut: true}, "first send recorded only": {firstSendOnly: true}} {
+		found := 0
+		for seed := range uint64(modelSeeds) {
+			if randomRuns(d, seed) != "" {
+				found++
+			}
+		}
+		t.Logf("%s: found by %d of %d seeds", name, found, modelSeeds)
+		if found == 0 {
+			t.Errorf("%s: found by none of %d seeds", name, modelSeeds)
+		}
+	}
+}
--- a/internal/decide/handover/recovery.go
+++ b/internal/decide/handover/recovery.go
@@ -1,6 +1,11 @@
 package handover
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"gannetspur/policy"
+)
 
 // Idempotency is whether a request may be sent to an engine again. It has the same values as the
 // policy package's type.
@@ -9,7 +14,7 @@
 // Levels of idempotency. The zero value is the most cautious one.
 const (
 	NotIdempotent     Idempotency = iota // must not run twice
-	IdempotentWithKey                    // engines drop a repeat with the same idempotency key during Request.KeyWindow
+	IdempotentWithKey                    // engines drop a repeat with the same idempotency key, see policy.PriorAttempt
 	Idempotent                           // may run any number of times
 )
 
@@ -19,12 +24,11 @@
 type Request struct {
 	InFlight         bool
 	Idempotency      Idempotency
-	Sent             bool          // the request is sent to an engine after this record, so it may have run
-	FirstSentAt      time.Duration // when any process first sent it, on the clock that both processes share
-	KeyWindow        time.Duration // if IdempotentWithKey: engines drop a repeat until this long after FirstSentAt
-	Deadline         time.Duration // when the client gives up, on the same clock as FirstSentAt
-	ResponseLength   int           // bytes of the response that is being written; 0: none yet
-	ResponseRecorded bool          // the record includes those bytes, so that the source can write them itself
+	Sent             bool                  // the request is sent to an engine after this record, so it may have run
+	Attempts         []policy.PriorAttempt // if Sent: the sends of all processes, on the clock that both processes share
+	Deadline         time.Duration         // when the client gives up, on the same clock
+	ResponseLength   int                   // bytes of the response that is being written; 0: none yet
+	ResponseRecorded bool                  // the record includes those bytes, so that the source can write them itself
 }
 
 // Recovery is what happens to a request that was in flight in a process that died.
@@ -33,7 +37,7 @@
 // Values of Recovery.
 const (
 	NothingToRecover       Recovery = iota // there is no request, or its response was written completely
-	Resend                                 // send it to an engine, for the first time or again, with its key and FirstSentAt
+	Resend                                 // send it to an engine, for the first time or again, with its key and Attempts
 	ReportInDoubt                          // it may have run and must not be repeated: tell the client so at once
 	ReportDeadlineExceeded                 // tell the client that the deadline has passed
 	CloseConnection                        // part of a lost response was written: close, so that the client notices
@@ -61,8 +65,16 @@
 		return ReportDeadlineExceeded
 	case !r.Sent || r.Idempotency == Idempotent:
 		return Resend
-	case r.Idempotency == IdempotentWithKey && now < r.FirstSentAt+r.KeyWindow-keyWindowMargin:
+	case r.Idempotency == IdempotentWithKey && r.mayRepeatKey(now):
 		return Resend
 	}
 	return ReportInDoubt
 }
+
+// mayRepeatKey reports whether it is known of every attempt which engines drop a repeat of it, and they still do so.
+// The process that sends the repeat chooses one of these engines.
+func (r Request) mayRepeatKey(now time.Duration) bool {
+	return len(r.Attempts) > 0 && !slices.ContainsFunc(r.Attempts, func(a policy.PriorAttempt) bool {
+		return !a.GroupKnown() || now >= a.WindowEnd(a.Window)-keyWindowMargin
+	})
+}
--- a/internal/decide/handover/replay_test.go
+++ b/internal/decide/handover/replay_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"gannetspur/policy"
 )
 
 // Guards against changed decisions: it replays pseudorandom streams of events and compares digests of
@@ -60,7 +62,7 @@
 func (d digest) text() string { return hex.EncodeToString(d.Sum(nil)) }
 
 func (d digest) addRequest(r Request) {
-	d.add("request", r.InFlight, int(r.Idempotency), r.Sent, int64(r.FirstSentAt), int64(r.KeyWindow), int64(r.Deadline), r.ResponseLength, r.ResponseRecorded)
+	d.add("request", r.InFlight, int(r.Idempotency), r.Sent, int64(firstSentAt(r)), int64(keyWindow(r)), int64(r.Deadline), r.ResponseLength, r.ResponseRecorded)
 }
 
 // replaySource feeds source machines with pseudorandom streams of events, among them some that can't
@@ -174,11 +176,32 @@
 
 func anyRequest(r *rand.Rand) Request {
 	return Request{
-		InFlight: r.IntN(3) > 0, Idempotency: Idempotency(r.IntN(3)), Sent: r.IntN(2) > 0, FirstSentAt: randomDuration(r, 3000), KeyWindow: randomDuration(r, 9000),
+		InFlight: r.IntN(3) > 0, Idempotency: Idempotency(r.IntN(3)), Sent: r.IntN(2) > 0, Attempts: attemptsAt("e", randomDuration(r, 3000), randomDuration(r, 9000)),
 		Deadline: randomDuration(r, 9000), ResponseLength: r.IntN(3), ResponseRecorded: r.IntN(2) > 0,
 	}
 }
 
+// attemptsAt returns one attempt at an engine, whose key window is the given one.
+func attemptsAt(engine string, sentAt, window time.Duration) []policy.PriorAttempt {
+	return []policy.PriorAttempt{{SentAt: sentAt, Placement: policy.Placement{Engine: engine, Zone: "a"}, Scope: policy.DedupZone, Window: window}}
+}
+
+// firstSentAt returns when the only attempt of a request was sent; 0 if there is none.
+func firstSentAt(r Request) time.Duration {
+	if len(r.Attempts) == 0 {
+		return 0
+	}
+	return r.Attempts[0].SentAt
+}
+
+// keyWindow returns the key window of the only attempt of a request; 0 if there is none.
+func keyWindow(r Request) time.Duration {
+	if len(r.Attempts) == 0 {
+		return 0
+	}
+	return r.Attempts[0].Window
+}
+
 // addSourceEffect adds an effect of the source. The stored digests depend on its fixed strings.
 func (d digest) addSourceEffect(e SourceEffect) {
 	switch e := e.(type) {
@@ -292,7 +315,7 @@
 		case 0:
 			now = request.Deadline + time.Duration(r.IntN(3)-1)
 		case 1:
-			now = request.FirstSentAt + request.KeyWindow - 50*time.Millisecond + time.Duration(r.IntN(3)-1)
+			now = firstSentAt(request) + keyWindow(request) - 50*time.Millisecond + time.Duration(r.IntN(3)-1)
 		}
 		d.add(int(Recover(request, r.IntN(3), now)))
 	}
--- a/internal/frontend/httpapi/replay_test.go
+++ b/internal/frontend/httpapi/replay_test.go
@@ -65,6 +65,7 @@
 	return true
 }
 
+func (s *scriptedSites) SharesDeduplication() bool                             { return true }
 func (s *scriptedSites) ForwardRejected(*core.Request) bool                    { return false }
 func (s *scriptedSites) Drop(*core.Request)                                    {}
 func (s *scriptedSites) AttemptStarted(*core.Attempt)                          {}
--- a/internal/gateway/upgrade_harness_test.go
+++ b/internal/gateway/upgrade_harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -26,16 +27,19 @@
 // such as "q-1-3" that identifies it in the engines' ledger; its first letter is the load.Kind: q for a lookup, k for a load
 // with an idempotency key, w for a write. A test can have the engines hold the statement of a mark.
 type testGateway struct {
-	t       *testing.T
-	addr    string           // that clients connect to
-	admin   string           // path of the admin socket
-	file    string           // path of the upgrade file
-	cluster *harness.Harness // the engines and their discovery
-	ledger  *emulator.Ledger
-	store   *emulator.Store     // what the engines committed
-	old     *exec.Cmd           // the first process
-	ended   chan error          // how the first process exited
-	events  chan map[string]any // log events of all processes; closed once all have exited
+	t        *testing.T
+	platform bool             // it serves the platform's frontend
+	clients  uint64           // number of clients of the platform's frontend so far
+	addr     string           // that clients connect to
+	admin    string           // path of the admin socket
+	file     string           // path of the upgrade file
+	settings string           // path of the file with the classes
+	cluster  *harness.Harness // the engines and their discovery
+	ledger   *emulator.Ledger
+	store    *emulator.Store     // what the engines committed
+	old      *exec.Cmd           // the first process
+	ended    chan error          // how the first process exited
+	events   chan map[string]any // log events of all processes; closed once all have exited
 
 	mu   sync.Mutex
 	held map[string]chan struct{} // by mark; a statement waits until its channel is closed
@@ -43,18 +47,33 @@
 	waiting atomic.Int64 // number of statements that have waited for a held mark
 }
 
-// newTestGateway starts the engines and the gateway, and waits until a client is served. change lists pairs of old and new
-// text to replace in the settings file and in the upgrade file.
+// gatewayOptions configure a testGateway.
+type gatewayOptions struct {
+	platform bool     // serve the platform's frontend instead of the PostgreSQL frontend
+	engines  int      // number of engines; 0: two
+	zones    []string // zones of the engines, in turns; empty: all are in one
+	change   []string // pairs of old and new text to replace in the settings file and in the upgrade file
+}
+
+// newTestGateway starts two engines and a gateway with the PostgreSQL frontend, and waits until a client is served. change
+// lists pairs of old and new text to replace in the settings file and in the upgrade file.
 func newTestGateway(t *testing.T, change ...string) *testGateway {
 	t.Helper()
+	return startTestGateway(t, gatewayOptions{change: change})
+}
+
+// startTestGateway starts the engines and the gateway, and waits until a client is served.
+func startTestGateway(t *testing.T, opts gatewayOptions) *testGateway {
+	t.Helper()
+	change := opts.change
 	dir := t.TempDir()
 	addr, err := harness.UnusedAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &testGateway{t: t, addr: addr, admin: filepath.Join(dir, "a"), ledger: emulator.NewLedger(12 * time.Second), store: emulator.NewStore(), held: map[string]chan struct{}{}, ended: make(chan error, 1), events: make(chan map[string]any, 4096)}
+	g := &testGateway{t: t, platform: opts.platform, addr: addr, admin: filepath.Join(dir, "a"), ledger: emulator.NewLedger(12 * time.Second), store: emulator.NewStore(), held: map[string]chan struct{}{}, ended: make(chan error, 1), events: make(chan map[string]any, 4096)}
 	cluster, err := harness.New(harness.Options{
-		Root: "../..", Dir: dir, Engines: 2, HTTP: addr, Postgres: addr, Ledger: g.ledger, Log: slog.New(slog.DiscardHandler), Work: g.work,
+		Root: "../..", Dir: dir, Engines: cmp.Or(opts.engines, 2), Zones: opts.zones, HTTP: addr, Postgres: addr, Ledger: g.ledger, Log: slog.New(slog.DiscardHandler), Work: g.work,
 		Store: g.store, Heard: g.heard,
 	})
 	if err != nil {
@@ -62,17 +81,14 @@
 	}
 	g.cluster = cluster
 	t.Cleanup(cluster.Close)
-	replace := func(path string, pairs ...string) {
-		raw, err := os.ReadFile(path)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, []byte(strings.NewReplacer(pairs...).Replace(string(raw))), 0o600); err != nil {
-			t.Fatal(err)
-		}
+	g.settings = filepath.Join(dir, "postgres-settings.json")
+	deploy := cluster.Deploy
+	if opts.platform {
+		g.settings = cluster.Config
+		deploy = cluster.Config
 	}
 	if len(change) > 0 {
-		replace(filepath.Join(dir, "postgres-settings.json"), change...)
+		g.replaceIn(g.settings, change...)
 	}
 	raw, err := os.ReadFile("../../deploy/upgrade.toml")
 	if err != nil {
@@ -83,12 +99,12 @@
 		t.Fatal(err)
 	}
 	// Without client requests, the probation lasts until the test ends it.
-	replace(g.file, `"/tmp/ringwood-admin.sock"`, fmt.Sprintf("%q", g.admin), "prove_for_s = 3 ", "prove_for_s = 0.3 ", "prove_within_s = 15 ", "prove_within_s = 60 ", "good_answers = 20", "good_answers = 8", "greet_within_s = 5", "greet_within_s = 20", "silent_for_s = 1 ", "silent_for_s = 10 ")
+	g.replaceIn(g.file, `"/tmp/ringwood-admin.sock"`, fmt.Sprintf("%q", g.admin), "prove_for_s = 3 ", "prove_for_s = 0.3 ", "prove_within_s = 15 ", "prove_within_s = 60 ", "good_answers = 20", "good_answers = 8", "greet_within_s = 5", "greet_within_s = 20", "silent_for_s = 1 ", "silent_for_s = 10 ")
 	if len(change) > 0 {
-		replace(g.file, change...)
+		g.replaceIn(g.file, change...)
 	}
 	g.old = exec.Command(os.Args[0], "-test.run=^TestUpgradeChild$")
-	g.old.Env = append(os.Environ(), upgradeEnv+"="+cluster.Deploy+"|"+g.file)
+	g.old.Env = append(os.Environ(), upgradeEnv+"="+deploy+"|"+g.file)
 	out, w, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
@@ -121,7 +137,7 @@
 	})
 	g.awaitEvent("serving")
 	for range 200 {
-		c := g.newClient()
+		c := g.connect()
 		verdict, _ := c.Send(load.Lookup, "q-0-1", nil, time.Second)
 		c.Close()
 		if verdict == load.Served {
@@ -133,6 +149,18 @@
 	return nil
 }
 
+// replaceIn replaces text in a file, by pairs of old and new text.
+func (g *testGateway) replaceIn(path string, pairs ...string) {
+	g.t.Helper()
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	if err := os.WriteFile(path, []byte(strings.NewReplacer(pairs...).Replace(string(raw))), 0o600); err != nil {
+		g.t.Fatal(err)
+	}
+}
+
 // killAll kills whichever process answers on the admin socket, again and again until all processes have exited; their event
 // stream ends then. One attempt is not enough: a process that has just become the owner does not have the socket yet, so
 // that an attempt may find no process, or one that is about to exit.
@@ -278,7 +306,7 @@
 // responses to pass its probation.
 func (g *testGateway) completeProbation(result <-chan admin.Reply) admin.Reply {
 	g.t.Helper()
-	c := g.newClient()
+	c := g.connect()
 	defer func() { c.Close() }()
 	for n := 0; ; n++ {
 		select {
@@ -302,6 +330,20 @@
 	return c
 }
 
+// connect connects a client of the gateway's frontend.
+func (g *testGateway) connect() load.Client {
+	g.t.Helper()
+	if !g.platform {
+		return g.newClient()
+	}
+	g.clients++
+	c, err := load.DialHTTP(g.addr, g.clients)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return c
+}
+
 // outcome is how a statement ended for its client.
 type outcome struct {
 	verdict load.Verdict
--- a/internal/gateway/upgrade_test.go
+++ b/internal/gateway/upgrade_test.go
@@ -28,7 +28,11 @@
 	if !ok {
 		t.Skip("only runs as a child process of the upgrade tests")
 	}
-	if err := Run(Files{Postgres: deploy, Upgrade: upgrade}, slog.New(slog.NewJSONHandler(os.Stderr, nil))); err != nil {
+	files := Files{Postgres: deploy, Upgrade: upgrade}
+	if strings.HasSuffix(deploy, ".json") { // the platform's configuration
+		files = Files{Config: deploy, Upgrade: upgrade}
+	}
+	if err := Run(files, slog.New(slog.NewJSONHandler(os.Stderr, nil))); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/internal/handover/channel_test.go
+++ b/internal/handover/channel_test.go
@@ -40,7 +40,7 @@
 	defer func() { _ = r.Close() }()
 	sent := []Message{
 		&Hello{Major: 1, Minor: 2, Problem: "no"}, &ConnectionTransfer{Conn: 7, Frontend: "rest", State: []byte{1}, Unread: bytes.Repeat([]byte("x"), 200_000)},
-		&RequestRecord{Conn: 7, Idempotency: 1, FirstSentAt: time.Second, KeyWindow: 12 * time.Second}, &OutputRecord{Conn: 7, Offset: 9, Data: []byte("y"), Idle: true, Consumed: 3}, &OwnershipCommit{},
+		&RequestRecord{Conn: 7, UngroupedIdempotency: 1, FirstSentAt: time.Second, KeyWindow: 12 * time.Second}, &OutputRecord{Conn: 7, Offset: 9, Data: []byte("y"), Idle: true, Consumed: 3}, &OwnershipCommit{},
 	}
 	go func() {
 		for _, m := range sent {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -24,7 +24,8 @@
 )
 
 // Version is the version of the handover protocol in this program. A change that the previous
-// version can ignore increments Minor, any other change increments Major.
+// version can ignore increments Minor, any other change increments Major. A field that older versions may ignore
+// changes neither, if what they do without it is safe.
 var Version = decide.Version{Major: 1, Minor: 1}
 
 // AnswerTotals returns the number of successful answers counted so far, and the number of
--- a/internal/handover/messages.go
+++ b/internal/handover/messages.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	decide "gannetspur/internal/decide/handover"
-
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -40,17 +38,6 @@
 		ReceivedAt time.Duration `cbor:"3,keyasint"`
 		Data       []byte        `cbor:"4,keyasint"`
 	}
-	// RequestRecord reports that the target is about to send the request in flight on a connection
-	// to an engine. Idempotency is a decide.Idempotency. FirstSentAt is when any process first sent the
-	// request. KeyWindow is how long engines drop a repeat of a request with an idempotency key.
-	// Deadline is when the client stops waiting.
-	RequestRecord struct {
-		Conn        uint32        `cbor:"1,keyasint"`
-		Idempotency uint8         `cbor:"2,keyasint"`
-		FirstSentAt time.Duration `cbor:"3,keyasint"`
-		KeyWindow   time.Duration `cbor:"4,keyasint"`
-		Deadline    time.Duration `cbor:"5,keyasint"`
-	}
 	// OutputRecord holds the bytes, starting at Offset, that the target is about to write to a
 	// connection. If Idle is set, no request is in flight after them, and State is the encoded state
 	// of the handler, which covers all input before the position Consumed. State is nil if Closing is
@@ -180,11 +167,3 @@
 	}
 	return nil
 }
-
-// request converts the record to the type that the state machine uses.
-func (m *RequestRecord) request() decide.Request {
-	return decide.Request{
-		InFlight: true, Idempotency: decide.Idempotency(m.Idempotency), Sent: true,
-		FirstSentAt: m.FirstSentAt, KeyWindow: m.KeyWindow, Deadline: m.Deadline,
-	}
-}
--- a/internal/handover/recorder.go
+++ b/internal/handover/recorder.go
@@ -1,8 +1,6 @@
 package handover
 
 import (
-	"time"
-
 	"gannetspur/internal/core"
 	"gannetspur/internal/netio"
 )
@@ -27,16 +25,14 @@
 	return r
 }
 
-// recordRequest reports to the source that a request is about to be sent to an engine.
-func (t *Target) recordRequest(r *core.Request, firstSentAt time.Duration) {
+// recordRequest reports to the source the sends after which a request may have run.
+func (t *Target) recordRequest(r *core.Request) {
 	recorder := t.recorders[r.Client]
 	if recorder == nil {
 		return
 	}
 	class, _ := t.core.Class(r.Class)
-	t.send(&RequestRecord{
-		Conn: recorder.conn, Idempotency: uint8(class.Idempotency), FirstSentAt: firstSentAt, KeyWindow: class.DedupWindow, Deadline: r.Deadline,
-	})
+	t.send(newRequestRecord(recorder.conn, r.Deadline, class.Idempotency, t.core.AttemptsThatMayHaveRun(r)))
 }
 
 // stopRecording removes all recorders. This process is the owner now, so no other process will
@@ -48,7 +44,7 @@
 		}
 	}
 	clear(t.recorders)
-	t.core.OnFirstSend(nil)
+	t.core.OnAttemptsChanged(nil)
 }
 
 // Input reports bytes that are about to be read. Unlike the other methods it may be called on the
--- a/internal/handover/retained.go
+++ b/internal/handover/retained.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"gannetspur/internal/core"
-	decide "gannetspur/internal/decide/handover"
 	"gannetspur/internal/netio"
 
 	"golang.org/x/sys/unix"
@@ -133,8 +132,7 @@
 func (r *retainedConnection) orphanedRequest(now time.Duration) core.Orphan {
 	orphan := core.Orphan{ReceivedAt: r.receivedAt, PartlyAnswered: r.partOutput}
 	if r.request != nil {
-		orphan.FirstSentAt = r.request.FirstSentAt
-		orphan.MustFail = decide.Recover(r.request.request(), 0, now) != decide.Resend
+		r.request.recover(&orphan, now)
 	}
 	return orphan
 }
--- a/internal/handover/retained_test.go
+++ b/internal/handover/retained_test.go
@@ -7,6 +7,9 @@
 	"gannetspur/internal/core"
 	decide "gannetspur/internal/decide/handover"
 	"gannetspur/internal/netio"
+	"gannetspur/policy"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 // Input is retained until an output record without a request in flight brings a new state, which
@@ -70,6 +73,39 @@
 	}
 }
 
+// unknownEngine returns an attempt as a sender reports it that does not tell its engine.
+func unknownEngine(window time.Duration) []policy.PriorAttempt {
+	return []policy.PriorAttempt{{SentAt: 2 * time.Second, Window: window}}
+}
+
+// inZone returns an attempt at an engine whose zone drops repeats.
+func inZone(window time.Duration) []policy.PriorAttempt {
+	placement := policy.Placement{Engine: "e", Zone: "a", Cell: 1}
+	return []policy.PriorAttempt{{SentAt: 2 * time.Second, Placement: placement, Scope: policy.DedupZone, Window: window}}
+}
+
+// What a source that does not know the group may rely on: an idempotency that holds at engines of any group.
+func TestUngroupedIdempotency(t *testing.T) {
+	everywhere := policy.PriorAttempt{Placement: policy.Placement{Engine: "e"}, Scope: policy.DedupAll}
+	inZone := policy.PriorAttempt{Placement: policy.Placement{Engine: "e"}, Scope: policy.DedupZone}
+	for name, tt := range map[string]struct {
+		idempotency policy.Idempotency
+		attempts    []policy.PriorAttempt
+		want        decide.Idempotency
+	}{
+		"never ran":                 {policy.NotIdempotent, nil, decide.Idempotent},
+		"not idempotent":            {policy.NotIdempotent, []policy.PriorAttempt{everywhere}, decide.NotIdempotent},
+		"key known everywhere":      {policy.IdempotentWithKey, []policy.PriorAttempt{everywhere}, decide.IdempotentWithKey},
+		"key known in a zone":       {policy.IdempotentWithKey, []policy.PriorAttempt{inZone}, decide.NotIdempotent},
+		"one of two keys in a zone": {policy.IdempotentWithKey, []policy.PriorAttempt{everywhere, inZone}, decide.NotIdempotent},
+		"idempotent":                {policy.Idempotent, []policy.PriorAttempt{inZone}, decide.Idempotent},
+	} {
+		if got := newRequestRecord(1, time.Minute, tt.idempotency, tt.attempts).UngroupedIdempotency; decide.Idempotency(got) != tt.want {
+			t.Errorf("%s: idempotency = %d, want %d", name, got, tt.want)
+		}
+	}
+}
+
 // A request that was sent to an engine must fail unless it may be sent again.
 func TestOrphanedRequest(t *testing.T) {
 	const now = 10 * time.Second
@@ -77,21 +113,44 @@
 		request *RequestRecord
 		want    core.Orphan
 	}{
-		"not sent":       {nil, core.Orphan{ReceivedAt: time.Second}},
-		"not idempotent": {&RequestRecord{FirstSentAt: 2 * time.Second, Deadline: time.Minute}, core.Orphan{ReceivedAt: time.Second, FirstSentAt: 2 * time.Second, MustFail: true}},
+		"not sent": {nil, core.Orphan{ReceivedAt: time.Second}},
+		"not idempotent": {
+			&RequestRecord{FirstSentAt: 2 * time.Second, Deadline: time.Minute},
+			core.Orphan{ReceivedAt: time.Second, Attempts: unknownEngine(0), MustFail: true},
+		},
 		"idempotent": {
-			&RequestRecord{Idempotency: uint8(decide.Idempotent), FirstSentAt: 2 * time.Second, Deadline: time.Minute},
-			core.Orphan{ReceivedAt: time.Second, FirstSentAt: 2 * time.Second},
+			&RequestRecord{UngroupedIdempotency: uint8(decide.Idempotent), FirstSentAt: 2 * time.Second, Deadline: time.Minute},
+			core.Orphan{ReceivedAt: time.Second, Attempts: unknownEngine(0), Idempotency: policy.Idempotent},
 		},
 		"key window over": {
-			&RequestRecord{Idempotency: uint8(decide.IdempotentWithKey), FirstSentAt: 2 * time.Second, KeyWindow: 8 * time.Second, Deadline: time.Minute},
-			core.Orphan{ReceivedAt: time.Second, FirstSentAt: 2 * time.Second, MustFail: true},
+			newRequestRecord(0, time.Minute, policy.IdempotentWithKey, inZone(8*time.Second)),
+			core.Orphan{ReceivedAt: time.Second, Attempts: inZone(8 * time.Second), Idempotency: policy.IdempotentWithKey, MustFail: true},
+		},
+		"key window, group known": {
+			newRequestRecord(0, time.Minute, policy.IdempotentWithKey, inZone(9*time.Second)),
+			core.Orphan{ReceivedAt: time.Second, Attempts: inZone(9 * time.Second), Idempotency: policy.IdempotentWithKey},
+		},
+		"key window, sender does not report the group": {
+			&RequestRecord{UngroupedIdempotency: uint8(decide.IdempotentWithKey), FirstSentAt: 2 * time.Second, KeyWindow: 9 * time.Second, Deadline: time.Minute},
+			core.Orphan{ReceivedAt: time.Second, Attempts: unknownEngine(9 * time.Second), Idempotency: policy.IdempotentWithKey, MustFail: true},
+		},
+		"key window, scope of a later version": {
+			&RequestRecord{AttemptsKnown: true, Idempotency: 1, Attempts: []AttemptRecord{{SentAt: 2 * time.Second, Engine: "e", Zone: "a", Scope: 9, Window: 9 * time.Second}}, Deadline: time.Minute},
+			core.Orphan{ReceivedAt: time.Second, Attempts: unknownEngine(9 * time.Second), Idempotency: policy.IdempotentWithKey, MustFail: true},
+		},
+		"the only attempt never ran": {
+			newRequestRecord(0, time.Minute, policy.IdempotentWithKey, nil),
+			core.Orphan{ReceivedAt: time.Second, Idempotency: policy.IdempotentWithKey},
+		},
+		"the deadline has passed": {
+			newRequestRecord(0, now, policy.IdempotentWithKey, inZone(9*time.Second)),
+			core.Orphan{ReceivedAt: time.Second, Attempts: inZone(9 * time.Second), Idempotency: policy.IdempotentWithKey, MustFail: true},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := &retainedConnection{receivedAt: time.Second, request: tt.request}
-			if got := r.orphanedRequest(now); got != tt.want {
-				t.Errorf("orphaned request = %+v, want %+v", got, tt.want)
+			if diff := cmp.Diff(tt.want, r.orphanedRequest(now)); diff != "" {
+				t.Errorf("orphaned request (-want +got):\n%s", diff)
 			}
 		})
 	}
--- a/internal/handover/stored_test.go
+++ b/internal/handover/stored_test.go
@@ -18,7 +18,7 @@
 )
 
 // storedFrames has at least one message of each kind. testdata/frames holds their frames as version
-// c18a9bd sent them, and output-in-transaction as protocol 1.1 sends it. Processes of different versions must be able
+// c18a9bd sent them, and those added since as the version that added them sends them. Processes of different versions must be able
 // to read each other's frames.
 var storedFrames = []struct {
 	file        string
@@ -30,7 +30,15 @@
 	{"ready", &Ready{}, 0},
 	{"alive", &Heartbeat{Successes: 17, Failures: 3, InFlight: 300}, 0},
 	{"input", &InputRecord{Conn: 70000, Offset: 1 << 40, ReceivedAt: 90 * time.Minute, Data: []byte("GET /x\x00\xff")}, 0},
-	{"sending", &RequestRecord{Conn: 7, Idempotency: 1, FirstSentAt: 3 * time.Second, KeyWindow: 12 * time.Second, Deadline: time.Minute}, 0},
+	{"sending", &RequestRecord{Conn: 7, UngroupedIdempotency: 1, FirstSentAt: 3 * time.Second, KeyWindow: 12 * time.Second, Deadline: time.Minute}, 0},
+	{"sending-with-attempts", &RequestRecord{
+		Conn: 7, FirstSentAt: 3 * time.Second, KeyWindow: 11 * time.Second, Deadline: time.Minute, AttemptsKnown: true, Idempotency: 1,
+		Attempts: []AttemptRecord{
+			{SentAt: 3 * time.Second, Engine: "s-1", Zone: "hall-a", Cell: 4, Scope: scopeZone, Window: 12 * time.Second},
+			{SentAt: 4 * time.Second, Scope: scopeAll, Window: 10 * time.Second, OtherSite: true},
+		},
+	}, 0},
+	{"sending-nothing-ran", &RequestRecord{Conn: 7, UngroupedIdempotency: 2, Deadline: time.Minute, AttemptsKnown: true, Idempotency: 1}, 0},
 	{"output", &OutputRecord{Conn: 7, Offset: 99, Data: []byte("HTTP/1.1 200 OK"), Idle: true, Closing: true, Consumed: 1 << 33, State: []byte{0xa1, 1, 0xf5}}, 0},
 	{"output-unsettled", &OutputRecord{Conn: 7, Offset: 99, Data: []byte("part")}, 0},
 	{"output-in-transaction", &OutputRecord{Conn: 7, Offset: 99, Data: []byte("part"), Idle: true, Closing: true, Consumed: 1 << 33, State: []byte{0xa1, 1, 0xf5}, InTransaction: true}, 0},
--- a/internal/handover/target.go
+++ b/internal/handover/target.go
@@ -52,7 +52,7 @@
 // Start sends the Hello, with the build of this program, and starts the heartbeats and a goroutine that
 // reads the channel. The goroutine returns when the source has died or exited.
 func (t *Target) Start(build string) {
-	t.core.OnFirstSend(t.recordRequest)
+	t.core.OnAttemptsChanged(t.recordRequest)
 	t.frontend.OnSharedStateChange(func(b []byte) { t.send(&SharedState{b}) })
 	t.frontend.OnUnknownRequest(func(b []byte) { t.send(&ForwardedCall{b}) })
 	go func() {
--- a/internal/handover/transfer.go
+++ b/internal/handover/transfer.go
@@ -68,11 +68,20 @@
 		return
 	}
 	s.counters.Inc("upgrade.taken-back")
+	s.logOrphan(id, orphan)
 	if orphan.MustFail {
 		s.counters.Inc("upgrade.in-doubt")
 	}
 }
 
+// logOrphan logs what the target's records tell of a request that may have run.
+func (s *Source) logOrphan(id decide.ConnID, orphan core.Orphan) {
+	for _, a := range orphan.Attempts {
+		s.log.Info("upgrade.request-taken-back", "conn", uint32(id), "in_doubt", orphan.MustFail, "engine", a.Placement.Engine, "zone", a.Placement.Zone,
+			"cell", a.Placement.Cell, "group_known", a.GroupKnown(), "other_site", a.OtherSite, "sent_ago", s.loop.Now()-a.SentAt, "window", a.Window)
+	}
+}
+
 // reattach adds a retained connection to the loop again. It takes ownership of the descriptor.
 func (s *Source) reattach(r *retainedConnection) (core.Orphan, error) {
 	position, err := netio.StreamPositionOf(r.fd)
--- a/internal/site/forwarding/forward.go
+++ b/internal/site/forwarding/forward.go
@@ -1,11 +1,13 @@
 package forwarding
 
 import (
+	"slices"
+	"time"
+
 	"gannetspur/internal/core"
 	decide "gannetspur/internal/decide/remotesite"
 	"gannetspur/internal/site/message"
 	"gannetspur/policy"
-	"time"
 )
 
 // forwardedRequest is a request from a client of this gateway that was forwarded to another site
@@ -89,15 +91,20 @@
 		return false
 	}
 	first, origin, known := s.keys.FirstSend(s.clock.Now(), r.IdempotencyKey)
-	if known {
+	switch {
+	case !known:
+	case origin == decide.OtherSite:
 		s.core.RecordRemoteSend(r, first)
+	default:
+		s.core.RecordLocalSend(r, first)
 	}
-	if r.PriorSentAt == 0 {
+	if len(r.PriorAttempts) == 0 {
 		return false
 	}
 	q := s.query(r, false)
 	q.Attempts = 0
-	q.DedupNotShared = q.DedupNotShared && origin == decide.OtherSite
+	ranAtOtherSite := slices.ContainsFunc(r.PriorAttempts, func(a policy.PriorAttempt) bool { return a.OtherSite })
+	q.DedupNotShared = q.DedupNotShared && ranAtOtherSite
 	if decide.MayAttempt(s.cfg, &q, 0) {
 		return false
 	}
--- a/internal/site/forwarding/serve.go
+++ b/internal/site/forwarding/serve.go
@@ -47,7 +47,7 @@
 		ClientRetry: m.ClientRetry, FromOtherSite: true, MaxSends: m.MaxSends,
 	}
 	if m.FirstSentAgoUS > 0 {
-		r.PriorSentAt = max(now-microseconds(m.FirstSentAgoUS-1)-l.peer.OneWayDelay(), 1)
+		s.core.RecordRemoteSend(r, max(now-microseconds(m.FirstSentAgoUS-1)-l.peer.OneWayDelay(), 1))
 	}
 	q := s.query(r, false)
 	l.peer.requestedWork += q.Work
--- a/internal/site/forwarding/service.go
+++ b/internal/site/forwarding/service.go
@@ -128,6 +128,9 @@
 // threads returns the number of threads that a request of a class uses, at least 1.
 func (s *Service) threads(class string) float64 { return max(s.classes[class].Threads, 1) }
 
+// SharesDeduplication reports whether the engines of all sites drop each other's repeats of an idempotency key.
+func (s *Service) SharesDeduplication() bool { return s.cfg.SharedDedup }
+
 // AttemptStarted records an attempt at an engine of this site and its idempotency key, if it has one.
 func (s *Service) AttemptStarted(a *core.Attempt) {
 	r := a.Request
--- a/internal/testbed/emulator/emul.go
+++ b/internal/testbed/emulator/emul.go
@@ -124,6 +124,9 @@
 		if m.State == Draining {
 			all["draining"] = "true"
 		}
+		if m.Zone.Name != "" {
+			all["zone"] = m.Zone.Name
+		}
 		if !m.Boot.IsZero() {
 			all["boot_ms"] = strconv.FormatInt(m.Boot.UnixMilli(), 10)
 		}
--- a/internal/testbed/emulator/fleet.go
+++ b/internal/testbed/emulator/fleet.go
@@ -26,12 +26,19 @@
 
 func (s State) String() string { return stateNames[s] }
 
+// Zone is a zone as discovery reports it: the event bus by its number in the settings, Consul by its name.
+type Zone struct {
+	Number byte
+	Name   string // empty: Consul reports none
+}
+
 // Member is an engine of a fleet.
 type Member struct {
 	ID    string         // name in the catalog
 	Addr  netip.AddrPort // address that discovery reports
 	State State
 	Boot  time.Time // time of the latest restart, as discovery reports it; zero: never restarted
+	Zone  Zone      // zone that discovery reports
 
 	booted time.Time // time of the latest restart by the engine's own clock
 	listen string    // address that the engine listens on, which may differ from Addr behind a proxy
@@ -89,6 +96,14 @@
 	return nil
 }
 
+// SetZone lets discovery report an engine in another zone. engine is the number of the engine, from 1.
+func (f *Fleet) SetZone(engine int, zone Zone) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members[engine-1].Zone = zone
+	f.announce(engine)
+}
+
 // Close closes the listeners of all engines, which ends their connections.
 func (f *Fleet) Close() {
 	f.mu.Lock()
@@ -239,7 +254,7 @@
 	ip := m.Addr.Addr().As4()
 	b = append(b, ip[:]...)
 	b = binary.BigEndian.AppendUint16(b, m.Addr.Port())
-	b = append(b, byte(m.State), 0, 0, 0, 0, 0, 0, 0x03, 0xe8) // zone and kind 0, cell 0, weight 1
+	b = append(b, byte(m.State), m.Zone.Number, 0, 0, 0, 0, 0, 0x03, 0xe8) // kind 0, cell 0, weight 1
 	boot := uint64(0)
 	if !m.Boot.IsZero() {
 		boot = uint64(m.Boot.UnixMilli())
--- a/internal/testbed/emulator/ledger.go
+++ b/internal/testbed/emulator/ledger.go
@@ -16,18 +16,32 @@
 }
 
 // Ledger records which statements ran on the engines of a fleet, and when, and which were dropped as
-// repeats. All engines that share a ledger drop repeats of a key within the window from its first run, as
-// those of the register do. A nil ledger records and drops nothing.
+// repeats. The engines of a group drop each other's repeats of a key within the window from its first run; all
+// engines are in one group unless SetGroup puts them into others. A nil ledger records and drops nothing.
 type Ledger struct {
 	window time.Duration
 	mu     sync.Mutex
 	runs   []Run
-	keys   map[string]time.Time
+	groups map[string]string // by engine
+	keys   map[groupKey]time.Time
 }
 
+// groupKey is an idempotency key in the memory of a group of engines.
+type groupKey struct{ group, key string }
+
 // NewLedger returns an empty ledger that drops repeats of a key within the window.
 func NewLedger(window time.Duration) *Ledger {
-	return &Ledger{window: window, keys: map[string]time.Time{}}
+	return &Ledger{window: window, groups: map[string]string{}, keys: map[groupKey]time.Time{}}
+}
+
+// SetGroup puts an engine into the group of engines that drop each other's repeats.
+func (l *Ledger) SetGroup(engine, group string) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.groups[engine] = group
 }
 
 // marks matches the marks by which a load generator identifies requests: the letter of the kind (q, r, k or
@@ -56,10 +70,11 @@
 	defer l.mu.Unlock()
 	r := Run{Engine: engine, Mark: mark, Key: key, At: now}
 	if key != "" {
-		if since, ok := l.keys[key]; ok && now.Sub(since) < l.window {
+		known := groupKey{l.groups[engine], key}
+		if since, ok := l.keys[known]; ok && now.Sub(since) < l.window {
 			r.Dropped = true
 		} else {
-			l.keys[key] = now
+			l.keys[known] = now
 		}
 	}
 	l.runs = append(l.runs, r)
--- a/internal/testbed/harness/files.go
+++ b/internal/testbed/harness/files.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -52,7 +53,7 @@
 	}
 	var targets []target
 	for _, m := range h.Lines.Members() {
-		targets = append(targets, target{UID: m.ID, Endpoint: m.Addr.String(), AZ: "hall-a", Model: "std-8", State: "in_service"})
+		targets = append(targets, target{UID: m.ID, Endpoint: m.Addr.String(), AZ: cmp.Or(m.Zone.Name, "hall-a"), Model: "std-8", State: "in_service"})
 	}
 	config["listen"] = opts.HTTP
 	config["bus"] = bus
--- a/internal/testbed/harness/harness.go
+++ b/internal/testbed/harness/harness.go
@@ -21,6 +21,7 @@
 	Root     string                          // root of the repository, whose example and deploy files are the templates
 	Dir      string                          // directory for the written files
 	Engines  int                             // number of engines of each wire protocol
+	Zones    []string                        // zones of the engines, in turns, in the order of the settings; engines of a zone share a ledger's keys
 	Work     emulator.Work                   // how engines execute statements
 	HTTP     string                          // listen address of the HTTP frontend
 	Postgres string                          // listen address of the PostgreSQL frontend
@@ -92,14 +93,14 @@
 			engine.Machine = opts.Machine(i)
 			start = engine.Machine.Start
 		}
-		lines := engineSpec{id: fmt.Sprintf("s-%08x", i+1), options: engine, serve: emulator.Lines, start: start}
+		lines := engineSpec{number: i, id: fmt.Sprintf("s-%08x", i+1), options: engine, serve: emulator.Lines, start: start}
 		if err := h.startEngine(h.Lines, opts, lines); err != nil {
 			return err
 		}
 		engine.User = opts.User
 		engine.Store = opts.Store
 		engine.Heard = opts.Heard
-		postgres := engineSpec{id: fmt.Sprintf("engine-%d", i+1), options: engine, serve: emulator.Postgres, start: start}
+		postgres := engineSpec{number: i, id: fmt.Sprintf("engine-%d", i+1), options: engine, serve: emulator.Postgres, start: start}
 		if err := h.startEngine(h.Postgres, opts, postgres); err != nil {
 			return err
 		}
@@ -109,6 +110,7 @@
 
 // engineSpec describes one engine to start.
 type engineSpec struct {
+	number  int // from 0
 	id      string
 	options emulator.Options
 	serve   func(net.Listener, emulator.Options)
@@ -137,7 +139,16 @@
 		addr = link.Addr()
 	}
 	serve := func(listener net.Listener) { spec.serve(listener, spec.options) }
-	return fleet.Add(spec.id, listener, addr, serve, spec.start)
+	if err := fleet.Add(spec.id, listener, addr, serve, spec.start); err != nil {
+		return err
+	}
+	if len(opts.Zones) > 0 {
+		number := spec.number % len(opts.Zones)
+		zone := emulator.Zone{Number: byte(number), Name: opts.Zones[number]}
+		opts.Ledger.SetGroup(spec.options.Name, zone.Name)
+		fleet.SetZone(spec.number+1, zone)
+	}
+	return nil
 }
 
 // listen opens a loopback listener that Close closes.
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -44,6 +44,7 @@
 	q := &query{
 		id: ev.Query, class: c, key: ev.Key, dataSet: ev.DataSet, deadline: ev.Deadline,
 		workMS: c.workMS, memoryMB: ev.MemoryMB, threads: c.Threads, limitFraction: 1,
+		priorAttempts: ev.PriorAttempts,
 	}
 	if estimateMS := milliseconds(ev.Work); estimateMS > 0 {
 		ratio := c.estimateRatio(estimateMS)
--- a/policy/answer.go
+++ b/policy/answer.go
@@ -21,7 +21,7 @@
 func (g *Gateway) mayReject(q *query) bool {
 	c := q.class
 	isRepeatable := c.Idempotency == Idempotent ||
-		c.Idempotency == IdempotentWithKey && c.DedupScope == DedupAll
+		c.Idempotency == IdempotentWithKey && q.isRepeatDroppedEverywhere(g.now)
 	return isRepeatable || !q.mayHaveRun()
 }
 
--- a/policy/attempt.go
+++ b/policy/attempt.go
@@ -110,6 +110,9 @@
 	if q.answered || len(q.attempts) >= max(g.settings.Limits.MaxAttempts, 1) {
 		return false
 	}
+	if q.priorAttemptsForbidRetry(g.now) {
+		return false
+	}
 	if len(q.attempts) > 0 && !g.retries.allows(g.now) {
 		return false
 	}
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -115,6 +115,9 @@
 	if e.state != EngineLive || !isAllowed(c.Zones, e.zone) || !isAllowed(c.Kinds, e.kind) {
 		return false
 	}
+	if !q.priorAttemptsPermit(e) {
+		return false
+	}
 	return !slices.ContainsFunc(q.attempts, func(a *attempt) bool {
 		isCancelledThere := a.cancelled && a.engine == e && !g.settings.Limits.AllowHedging
 		inDedupScope := c.Idempotency != IdempotentWithKey || a.dropsRepeatAt(e)
--- a/policy/event.go
+++ b/policy/event.go
@@ -18,6 +18,8 @@
 	Work        time.Duration // estimated work, summed over its threads; 0: no estimate
 	MemoryMB    float64       // estimated memory; 0: no estimate
 	ClientRetry bool          // the client marks the query as its own retry
+	// PriorAttempts are the sends by other gateways that may have been executed.
+	PriorAttempts []PriorAttempt
 }
 
 // Result is the outcome of an attempt.
--- a/policy/query.go
+++ b/policy/query.go
@@ -22,6 +22,7 @@
 	logValue      float64
 	limitFraction float64 // fraction of each limit that the query may use
 	attempts      []*attempt
+	priorAttempts []PriorAttempt
 	answered      bool // has its final answer, or its client has disconnected
 }
 
@@ -70,7 +71,8 @@
 }
 
 func (q *query) mayHaveRun() bool {
-	return slices.ContainsFunc(q.attempts, func(a *attempt) bool { return a.mayHaveRun })
+	return len(q.priorAttempts) > 0 ||
+		slices.ContainsFunc(q.attempts, func(a *attempt) bool { return a.mayHaveRun })
 }
 
 func (q *query) wasSentTo(e *engine) bool {
