Record a request before it is forwarded to another site, as before it is sent to an engine

Cause: a forwarded request was not recorded for the old process of an upgrade, which would have taken it for one that never ran and sent it here, also if its class allows no repeat. Not reachable today: a new process opens links to other sites once it is the owner, and nothing is recorded from then on. It is recorded before it is written to the link, as any other send, so that this does not depend on that order. Change: Core.BeginForwarding is called before the write, ForwardingFailed if nothing was written. The attempt has OtherSite set: no engine here drops its repeat unless the group is "all" and the sites share their keys. Measured: TestForwardingIsReported.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -97,8 +97,8 @@
 func (c *Core) SetCostObserver(o CostObserver) { c.observers.cost = o }
 
 // OnAttemptsChanged sets a function that is called with a request whenever AttemptsThatMayHaveRun changes for
-// it: right before each send to an engine, so that the caller can record that the request may have run, and once a
-// send is known to have run nothing.
+// it: right before each send to an engine or to another site, so that the caller can record that the request
+// may have run, and once a send is known to have run nothing.
 func (c *Core) OnAttemptsChanged(f func(r *Request)) { c.observers.attemptsChanged = f }
 
 // OnOverridesChanged sets a function that is called whenever DisableEngine or EnableEngine changed
--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -29,6 +29,20 @@
 	UpdateEngine(e Engine)
 }
 
+// BeginForwarding is called right before a request is written to the link to another site, which may run it from
+// then on. Forwarded or ForwardingFailed must follow.
+func (c *Core) BeginForwarding(r *Request) {
+	r.remote.forwardedAt = c.clock.Now()
+	r.remote.begun = true
+	c.reportAttempts(r)
+}
+
+// ForwardingFailed reports that a request was not written to the link after BeginForwarding.
+func (c *Core) ForwardingFailed(r *Request) {
+	r.remote.begun = false
+	c.reportAttempts(r)
+}
+
 // Forwarded marks a request as forwarded to another site. No engine of this site may have an attempt
 // of it in flight. Exactly one of the following ends this state: a call of CompleteForwarded, a call of
 // ReturnForwarded, or the end of the request. If none has come by the time until, the core cancels the
@@ -36,7 +50,9 @@
 func (c *Core) Forwarded(r *Request, until time.Duration) {
 	c.counters.Inc("away." + r.Class)
 	c.recordSent(r)
-	r.remote.forwardedAt = c.clock.Now()
+	if !r.remote.begun {
+		c.BeginForwarding(r)
+	}
 	r.remote.timer = c.timers.Add(until, func() {
 		c.RecordRemoteSend(r, r.remote.forwardedAt)
 		c.sites.Drop(r)
@@ -76,6 +92,7 @@
 // final answer.
 func (c *Core) ReturnForwarded(r *Request) {
 	r.remote.clear()
+	c.reportAttempts(r)
 	if !c.requests.isOpen(r) || r.admitted {
 		return
 	}
--- a/internal/core/prior_attempts.go
+++ b/internal/core/prior_attempts.go
@@ -12,7 +12,7 @@
 // again.
 func (c *Core) AttemptsThatMayHaveRun(r *Request) []policy.PriorAttempt {
 	class := c.classes[r.Class]
-	attempts := make([]policy.PriorAttempt, 0, len(r.PriorAttempts)+len(r.attempts))
+	attempts := make([]policy.PriorAttempt, 0, len(r.PriorAttempts)+len(r.attempts)+1)
 	attempts = append(attempts, r.PriorAttempts...)
 	for _, a := range r.attempts {
 		if a.mayHaveRun() {
@@ -21,6 +21,9 @@
 			})
 		}
 	}
+	if r.remote.begun {
+		attempts = append(attempts, c.remoteAttempt(r, r.remote.forwardedAt))
+	}
 	return attempts
 }
 
--- a/internal/core/prior_attempts_test.go
+++ b/internal/core/prior_attempts_test.go
@@ -37,6 +37,28 @@
 	}
 }
 
+// Guards against a forwarded request that runs at this site too after its process died: the observer is told before
+// the request may be written to the link, and again if it was not.
+func TestForwardingIsReported(t *testing.T) {
+	f := newFixture(t, 0)
+	var got []int // number of attempts at each report
+	f.core.OnAttemptsChanged(func(r *Request) { got = append(got, len(f.core.AttemptsThatMayHaveRun(r))) })
+	f.forward = func(r *Request, rejected bool) bool {
+		if rejected {
+			return false
+		}
+		f.core.BeginForwarding(r)
+		f.core.ForwardingFailed(r)
+		f.core.BeginForwarding(r)
+		f.core.Forwarded(r, r.Deadline)
+		return true
+	}
+	f.core.ReturnForwarded(f.accept("write"))
+	if diff := cmp.Diff([]int{1, 0, 1, 0}, got); diff != "" {
+		t.Errorf("attempts at each report (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against a resend by settings under which the earlier attempt or the next one has no key.
 func TestOrphanWithOtherIdempotency(t *testing.T) {
 	attempts := []policy.PriorAttempt{{SentAt: time.Hour - time.Second, Placement: policy.Placement{Engine: "0"}, Scope: policy.DedupAll, Window: time.Minute}}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -68,6 +68,7 @@
 type remoteState struct {
 	timer       *timerqueue.Timer // ends the wait for the other site; nil if the request is not at one
 	forwardedAt time.Duration     // time on the core's clock
+	begun       bool              // it is at the other site, or about to be written to the link there
 	// policyAnswer is the policy's rejection or failure of the request here, while the request is at
 	// the other site; nil if there was none. See Core.Hedge.
 	policyAnswer *Answer
@@ -77,6 +78,7 @@
 func (s *remoteState) clear() {
 	s.timer.Stop()
 	s.timer = nil
+	s.begun = false
 }
 
 // SendCount returns the number of sends to engines at all sites, as far as they are known here.
--- a/internal/handover/request_record.go
+++ b/internal/handover/request_record.go
@@ -9,7 +9,8 @@
 )
 
 // RequestRecord reports on the request in flight on a connection, whenever the sends after which it may have run
-// change: right before the target sends it to an engine, and once such a send is known to have run nothing. It replaces the previous record of the connection. A source that does not know AttemptsKnown reads the
+// change: right before the target sends it to an engine or to another site, and once such a send is known to have run
+// nothing. It replaces the previous record of the connection. A source that does not know AttemptsKnown reads the
 // fields up to Deadline only.
 type RequestRecord struct {
 	Conn uint32 `cbor:"1,keyasint"`
--- a/internal/site/forwarding/forward.go
+++ b/internal/site/forwarding/forward.go
@@ -137,8 +137,10 @@
 	if l.compress {
 		statement, m.UncompressedSize = s.packer.Pack(statement)
 	}
+	s.core.BeginForwarding(r)
 	id, ok, err := l.mux.Request(m, statement)
 	if err != nil || !ok {
+		s.core.ForwardingFailed(r)
 		return false
 	}
 	f := &forwardedRequest{request: r, link: l, stream: id, sentAt: now, grant: m.MaxSends, rejectedLocally: q.RejectedLocally, work: q.Work}
