PostgreSQL: keep what is known of a dead process's request until it is handled

Callers: behind 32 messages without an answer, a statement that must not run twice ran again when the new process of an upgrade died; its client was told of one success. Cause: the orphan was dropped after the first turn of the loop, which may end before the request is reached. Change: it is dropped once the request or the rest of the input was handled; until then the connection is not settled, and not handed to a further process, on either front end.

--- a/internal/frontend/httpapi/handover.go
+++ b/internal/frontend/httpapi/handover.go
@@ -109,8 +109,8 @@
 	}, nil
 }
 
-// Idle reports whether the connection has no unanswered request.
-func (c *conn) Idle() bool { return c.request == nil }
+// Idle reports whether the connection has no unanswered request, here or of a process that died.
+func (c *conn) Idle() bool { return c.request == nil && c.orphan == nil }
 
 // Settled reports whether EncodeState covers all requests that were read.
 func (c *conn) Settled() bool { return c.Idle() }
--- a/internal/frontend/postgres/connection.go
+++ b/internal/frontend/postgres/connection.go
@@ -58,8 +58,8 @@
 type inFlightRequest struct {
 	request  *core.Request     // nil if none is in flight
 	onAnswer func(core.Answer) // receives the final answer; nil if the request is a transaction's
-	// orphan describes the request of the first message that is processed here, if a process that died
-	// had already read that message. It is nil otherwise, and after the first call of Data.
+	// orphan describes the first request in the input, if a process that died had already read it. It is nil
+	// otherwise, and once that request or the rest of the input was handled.
 	orphan *core.Orphan
 }
 
@@ -80,7 +80,8 @@
 		c.fatal(errPartlyAnswered(orphan)) // handling the message again would repeat a part of its answer
 		return
 	}
-	if err := c.readMessages(in); err != nil {
+	paused, err := c.readMessages(in)
+	if err != nil {
 		c.frontend.counters.Inc("pgwire.malformed")
 		c.fatal(asProtocolError(err))
 		return
@@ -90,25 +91,27 @@
 		c.startStallTimer()
 	}
 	c.socket.LimitReadAhead(c.inFlight.request != nil)
-	c.inFlight.orphan = nil
+	if !paused {
+		c.inFlight.orphan = nil
+	}
 	c.flush()
 }
 
 // mayRead reports whether the next message may be read.
 func (c *connection) mayRead() bool { return c.inFlight.request == nil && !c.ended }
 
-// readMessages processes the complete messages in the buffer. It pauses while a request is in flight
-// or while the client does not read its answers, and after a turn's work.
-func (c *connection) readMessages(in *netio.Buffer) error {
+// readMessages processes the complete messages in the buffer, while no request is in flight. It pauses while the
+// client does not read its answers, and after a turn's work.
+func (c *connection) readMessages(in *netio.Buffer) (paused bool, err error) {
 	var turn netio.Turn
 	for c.mayRead() {
 		if turn.Over() {
 			c.socket.ScheduleData()
-			return nil
+			return true, nil
 		}
 		if c.socket.OutputFull(maxPendingWrite) {
 			c.socket.WhenWritten(c.socket.ScheduleData)
-			return nil
+			return true, nil
 		}
 		read := c.readStartup
 		if c.started {
@@ -118,10 +121,10 @@
 		more, err := read(in)
 		turn.Spend(before - in.Len())
 		if err != nil || !more {
-			return err
+			return false, err
 		}
 	}
-	return nil
+	return false, nil
 }
 
 // startStallTimer starts a timer that closes the connection if the rest of a message does not arrive in time.
--- a/internal/frontend/postgres/handover.go
+++ b/internal/frontend/postgres/handover.go
@@ -116,10 +116,10 @@
 // login is in progress, and the connection does not use TLS, whose state can't be handed over.
 func (c *connection) Idle() bool { return c.Settled() && c.transaction == nil }
 
-// Settled reports whether EncodeState covers all messages that were read: no request is in flight, though a
-// transaction may be open, no login is in progress, and the connection does not use TLS.
+// Settled reports whether EncodeState covers all messages that were read: no request is in flight, here or in a process
+// that died, though a transaction may be open, no login is in progress, and the connection does not use TLS.
 func (c *connection) Settled() bool {
-	return c.inFlight.request == nil && c.login.exchange == nil && !c.socket.UsesTLS()
+	return c.inFlight.request == nil && c.inFlight.orphan == nil && c.login.exchange == nil && !c.socket.UsesTLS()
 }
 
 // Closing reports whether the connection is about to end.
--- a/internal/gateway/upgrade_transaction_test.go
+++ b/internal/gateway/upgrade_transaction_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -241,3 +242,24 @@
 		}
 	}
 }
+
+// TestUpgradeNewProcessDiesBehindManyMessages guards against a statement that runs twice because the old process
+// forgets that the dead one had sent it: messages without an answer stand before it, which take more than one turn of
+// the loop.
+func TestUpgradeNewProcessDiesBehindManyMessages(t *testing.T) {
+	const flushes = 100 // a turn handles 32 of them
+	g := newTestGateway(t)
+	c := g.newRawClient()
+	c.answer()
+	pid, _ := g.startProbation()
+	g.hold("w-1-1")
+	flush := pgproto.AppendMessage(nil, 'H')
+	c.send(bytes.Repeat(flush, flushes), pgproto.AppendMessage(nil, 'Q', pgproto.CString(write("w-1-1"))))
+	g.awaitRuns("w-1-1", 1)
+	g.kill(pid)
+	close(g.held["w-1-1"])
+	if got, want := c.answer(), "E(40003) Z(I)"; got != want {
+		t.Errorf("answer = %q, want %q", got, want)
+	}
+	g.awaitRuns("w-1-1", 1)
+}
