Remember where keys were sent, and send a key that comes again to the same group

Callers: a client left while its load ("group": "zone") was at an engine, and sent it again with its key; it ran in two zones. The same after an upgrade, after one whose new process died, after a doubt that was told, and at the other process of a replacement. Cause: where a request may have run was known while it was open only, and to its own process only. Change: internal/decide/sentkeys holds the attempts of each key until their windows end; a new request with the key is restricted by them. The history goes with the state; the old process forwards later sends (SentKeyChanged, announced by Hello.ReadsSentKeys) and learns the new one's from its records; processes beside each other announce keys as they do ids. Nothing is kept for classes with the group "all".

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -71,6 +71,7 @@
 		c.sites.AttemptStarted(a)
 	}
 	c.recordSent(r)
+	c.changeSentKey(r, c.describe(a), false)
 	c.startTimeout(a, a.SentAt, s.Timeout)
 	c.reportAttempts(r)
 	c.backend.Send(a)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,6 +13,7 @@
 
 	"gannetspur/internal/decide/enginestart"
 	"gannetspur/internal/decide/sentids"
+	"gannetspur/internal/decide/sentkeys"
 	"gannetspur/internal/metrics"
 	"gannetspur/internal/timerqueue"
 	"gannetspur/policy"
@@ -38,8 +39,9 @@
 	starts    *enginestart.Tracker
 	stats     stats
 
-	sentIDs        *sentids.History // of requests that must not run again
-	sentIDExchange SentIDExchange   // nil if no other process serves this front end
+	sentIDs        *sentids.History  // of requests that must not run again
+	sentKeys       *sentkeys.History // of requests whose repeats only some engines drop
+	sentIDExchange SentIDExchange    // nil if no other process serves this front end
 
 	classes map[string]policy.Class // by name
 	// callInterval is the period of the event loop. A request that is not served counts as late from
@@ -52,6 +54,7 @@
 type observers struct {
 	cost             CostObserver
 	attemptsChanged  func(r *Request)
+	sentKey          func(sentkeys.Change)
 	overridesChanged func()
 }
 
@@ -79,7 +82,8 @@
 		policy: policyLoop{gateway: gateway}, requests: newRequestTable(),
 		endpoints: newEndpointList(), starts: enginestart.New(settings.Rules.WarmUpPeriod),
 		stats: newStats(settings.Classes), sentIDs: sentids.New(sentIDRetention, maxSentIDs),
-		classes: map[string]policy.Class{}, callInterval: settings.CallInterval,
+		sentKeys: sentkeys.New(maxSentKeys),
+		classes:  map[string]policy.Class{}, callInterval: settings.CallInterval,
 	}
 	for _, class := range settings.Classes {
 		c.classes[class.Name] = class
--- a/internal/core/end_attempt.go
+++ b/internal/core/end_attempt.go
@@ -33,6 +33,7 @@
 		c.sites.AttemptEnded(a, outcome, report)
 	}
 	if a.neverRan {
+		c.changeSentKey(r, c.describe(a), true)
 		c.reportAttempts(r)
 	}
 	c.recordEngineError(a, report.EngineError)
--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -34,12 +34,14 @@
 func (c *Core) BeginForwarding(r *Request) {
 	r.remote.forwardedAt = c.clock.Now()
 	r.remote.begun = true
+	c.changeSentKey(r, c.remoteAttempt(r, r.remote.forwardedAt), false)
 	c.reportAttempts(r)
 }
 
 // ForwardingFailed reports that a request was not written to the link after BeginForwarding.
 func (c *Core) ForwardingFailed(r *Request) {
 	r.remote.begun = false
+	c.changeSentKey(r, c.remoteAttempt(r, r.remote.forwardedAt), true)
 	c.reportAttempts(r)
 }
 
@@ -69,6 +71,11 @@
 	c.recordPriorAttempt(r, c.remoteAttempt(r, at))
 }
 
+// RecordRemoteNeverRan records that a request did not run at the other site that it was forwarded to last.
+func (c *Core) RecordRemoteNeverRan(r *Request) {
+	c.changeSentKey(r, c.remoteAttempt(r, r.remote.forwardedAt), true)
+}
+
 // RecordLocalSend records that a request may have run at an unknown engine of this site, to which it was first sent
 // at the given time.
 func (c *Core) RecordLocalSend(r *Request, at time.Duration) {
--- a/internal/core/lifecycle.go
+++ b/internal/core/lifecycle.go
@@ -25,6 +25,7 @@
 // gets exactly one final answer, possibly before Accept returns.
 func (c *Core) Accept(r *Request) {
 	c.register(r)
+	c.recallSentKeys(r)
 	if c.shutdown {
 		c.answer(r.queryNumber, c.shutdownAnswer(r))
 		return
@@ -43,6 +44,7 @@
 		return
 	}
 	mayRepeat := c.adoptPriorAttempts(r, orphan)
+	c.rememberPriorAttempts(r)
 	if orphan.MustFail || !mayRepeat {
 		c.failOrphan(r)
 		return
--- a/internal/core/prior_attempts.go
+++ b/internal/core/prior_attempts.go
@@ -11,14 +11,10 @@
 // other sites included. Each one restricts where and until when a request with an idempotency key may be sent
 // again.
 func (c *Core) AttemptsThatMayHaveRun(r *Request) []policy.PriorAttempt {
-	class := c.classes[r.Class]
-	attempts := make([]policy.PriorAttempt, 0, len(r.PriorAttempts)+len(r.attempts)+1)
-	attempts = append(attempts, r.PriorAttempts...)
+	attempts := slices.Clone(r.PriorAttempts)
 	for _, a := range r.attempts {
 		if a.mayHaveRun() {
-			attempts = append(attempts, policy.PriorAttempt{
-				SentAt: a.SentAt, Placement: a.placement, Scope: class.DedupScope, Window: class.DedupWindow,
-			})
+			attempts = append(attempts, c.describe(a))
 		}
 	}
 	if r.remote.begun {
@@ -27,6 +23,12 @@
 	return attempts
 }
 
+// describe describes an attempt to other processes, and to later requests with its idempotency key.
+func (c *Core) describe(a *Attempt) policy.PriorAttempt {
+	class := c.classes[a.Request.Class]
+	return policy.PriorAttempt{SentAt: a.SentAt, Placement: a.placement, Scope: class.DedupScope, Window: class.DedupWindow}
+}
+
 // remoteAttempt describes a send of a request to an engine of another site.
 func (c *Core) remoteAttempt(r *Request, at time.Duration) policy.PriorAttempt {
 	class := c.classes[r.Class]
--- a/internal/core/sent_ids.go
+++ b/internal/core/sent_ids.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"gannetspur/internal/decide/sentkeys"
 	"gannetspur/policy"
 )
 
@@ -14,12 +15,21 @@
 	maxSentIDs = 16 << 10
 )
 
-// SentIDExchange exchanges ids of requests that may have run with other processes of the same front end.
+// SentIDExchange exchanges ids and idempotency keys of requests that may have run with other processes of the same
+// front end.
 type SentIDExchange interface {
 	// Announce tells the others of an id, before the request is sent.
 	Announce(id string)
-	// Receive calls record for each id that the others have announced since the last call.
-	Receive(record func(id string))
+	// AnnounceKey tells the others of an attempt that may have run, before it is sent, or of one that ran nothing.
+	AnnounceKey(change sentkeys.Change)
+	// Receive passes on what the others have announced since the last call.
+	Receive(receiver SentIDReceiver)
+}
+
+// SentIDReceiver is told of what other processes have sent. A Core is one.
+type SentIDReceiver interface {
+	RecordSentID(id string)
+	ApplySentKey(change sentkeys.Change)
 }
 
 // SetSentIDExchange sets the exchange with other processes; nil means that there is none.
@@ -28,10 +38,15 @@
 // MayHaveRun reports whether a request of this id, of a class that allows no repeat, may have run. The request may be
 // over, its client may have left, and another process of this front end may have sent it.
 func (c *Core) MayHaveRun(id string) bool {
+	c.receiveSent()
+	return c.sentIDs.Contains(c.clock.Now(), id)
+}
+
+// receiveSent learns what other processes have sent.
+func (c *Core) receiveSent() {
 	if c.sentIDExchange != nil {
-		c.sentIDExchange.Receive(c.RecordSentID)
+		c.sentIDExchange.Receive(c)
 	}
-	return c.sentIDs.Contains(c.clock.Now(), id)
 }
 
 // RecordSentID remembers the id of a request that another process has sent and that must not run again.
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -7,17 +7,19 @@
 
 	"gannetspur/internal/decide/adminstate"
 	"gannetspur/internal/decide/enginestart"
+	"gannetspur/internal/decide/sentkeys"
 	"gannetspur/policy"
 )
 
 // Snapshot is the state of a core apart from its requests. A live upgrade transfers it to the core
 // of the new process, encoded as CBOR.
 type Snapshot struct {
-	Engines   []Engine             `cbor:"Engines"`           // as reported by discovery, sorted by id
-	Learned   policy.Snapshot      `cbor:"Learned"`           // state that the policy learned
-	Overrides adminstate.Overrides `cbor:"Bans"`              // engines that operators disabled or enabled
-	Starts    enginestart.Starts   `cbor:"Starts,omitempty"`  // on the clock of this process
-	SentIDs   []string             `cbor:"SentIDs,omitempty"` // of requests that may have run and must not run again
+	Engines   []Engine             `cbor:"Engines"`            // as reported by discovery, sorted by id
+	Learned   policy.Snapshot      `cbor:"Learned"`            // state that the policy learned
+	Overrides adminstate.Overrides `cbor:"Bans"`               // engines that operators disabled or enabled
+	Starts    enginestart.Starts   `cbor:"Starts,omitempty"`   // on the clock of this process
+	SentIDs   []string             `cbor:"SentIDs,omitempty"`  // of requests that may have run and must not run again
+	SentKeys  []SentKey            `cbor:"SentKeys,omitempty"` // of requests whose repeats only some engines drop
 }
 
 // Snapshot returns a copy of the core's state apart from its requests.
@@ -26,7 +28,7 @@
 	return Snapshot{
 		Engines: slices.SortedFunc(maps.Values(c.endpoints.engines), byID),
 		Learned: c.policy.gateway.Snapshot(), Overrides: c.Overrides(),
-		Starts: c.starts.Snapshot(), SentIDs: c.sentIDs.IDs(),
+		Starts: c.starts.Snapshot(), SentIDs: c.sentIDs.IDs(), SentKeys: encodeSentKeys(c.SentKeys()),
 	}
 }
 
@@ -37,6 +39,9 @@
 	for _, id := range s.SentIDs {
 		c.sentIDs.Record(c.clock.Now(), id)
 	}
+	for _, sent := range s.SentKeys {
+		c.ApplySentKey(sent.Change())
+	}
 	c.restoreStarts(s)
 	c.policy.gateway.Restore(c.clock.Now(), s.Learned)
 	c.UpdateEndpoints(policy.ListFull, s.Engines)
@@ -54,3 +59,11 @@
 	maps.Copy(starts, s.Starts)
 	c.starts.Restore(starts)
 }
+
+// encodeSentKeys encodes the remembered idempotency keys.
+func encodeSentKeys(changes []sentkeys.Change) (encoded []SentKey) {
+	for _, change := range changes {
+		encoded = append(encoded, NewSentKey(change))
+	}
+	return encoded
+}
--- a/internal/gateway/upgrade.go
+++ b/internal/gateway/upgrade.go
@@ -65,6 +65,7 @@
 		BeginShutdown:    p.beginShutdown,
 		OnHandedOver:     p.closeUnmovable,
 		OnServingResumed: p.resumeMembership,
+		SentKeys:         p.core,
 		Exit:             p.exitAfterHandover,
 	}, p.counters, p.log)
 }
--- a/internal/gateway/upgrade_groups_test.go
+++ b/internal/gateway/upgrade_groups_test.go
@@ -29,10 +29,11 @@
 
 // forEachFrontend runs a test with a gateway of either frontend, whose engines are in two zones. change is as in
 // gatewayOptions.
-func forEachFrontend(t *testing.T, change []string, test func(t *testing.T, g *testGateway)) {
+func forEachFrontend(t *testing.T, change []string, test func(g *testGateway)) {
+	t.Helper()
 	for _, name := range []string{"postgres", "platform"} {
 		t.Run(name, func(t *testing.T) {
-			test(t, startTestGateway(t, gatewayOptions{
+			test(startTestGateway(t, gatewayOptions{
 				platform: name == "platform", engines: 2 * enginesPerZone, zones: []string{firstZone, secondZone}, change: change,
 			}))
 		})
@@ -113,7 +114,7 @@
 // (issue 57): engines drop repeats of their own zone only, so each load is sent again to an engine of the zone where
 // it may have run, and none is refused.
 func TestUpgradeKeepsLoadsInTheirZone(t *testing.T) {
-	forEachFrontend(t, []string{groupAll, groupZone}, func(t *testing.T, g *testGateway) {
+	forEachFrontend(t, []string{groupAll, groupZone}, func(g *testGateway) {
 		clients := g.connectAll()
 		pid, _ := g.startProbation()
 		loads := g.sendLoads(clients)
@@ -125,7 +126,7 @@
 // TestUpgradeFollowsTheAttemptThatMayHaveRun guards against a resend to the zone of an engine that refused the
 // connection: the engines of one zone are gone when the loads are sent, and the others execute them.
 func TestUpgradeFollowsTheAttemptThatMayHaveRun(t *testing.T) {
-	forEachFrontend(t, []string{groupAll, groupZone}, func(t *testing.T, g *testGateway) {
+	forEachFrontend(t, []string{groupAll, groupZone}, func(g *testGateway) {
 		clients := g.connectAll()
 		pid, _ := g.startProbation()
 		for engine := 1; engine <= 2*enginesPerZone; engine += 2 {
@@ -140,7 +141,7 @@
 // TestUpgradeTellsADoubtWithoutTheZone guards against a resend to another zone where all engines of the load's own zone
 // have left: its client is told that the load may have run.
 func TestUpgradeTellsADoubtWithoutTheZone(t *testing.T) {
-	forEachFrontend(t, []string{groupAll, groupZone}, func(t *testing.T, g *testGateway) {
+	forEachFrontend(t, []string{groupAll, groupZone}, func(g *testGateway) {
 		g.drainZone(secondZone, 1)
 		clients := g.connectAll()
 		pid, _ := g.startProbation()
@@ -155,7 +156,7 @@
 // TestUpgradeResendsToAnyZoneWhereAllDropRepeats guards against a safe resend that is refused: with the group "all" an
 // engine of any zone drops the repeat.
 func TestUpgradeResendsToAnyZoneWhereAllDropRepeats(t *testing.T) {
-	forEachFrontend(t, nil, func(t *testing.T, g *testGateway) {
+	forEachFrontend(t, nil, func(g *testGateway) {
 		for engine := 1; engine <= 2*enginesPerZone; engine++ {
 			g.ledger.SetGroup(g.fleet().Members()[engine-1].ID, "")
 		}
@@ -173,7 +174,7 @@
 // TestUpgradeFollowsTheZoneOfTheSend guards against a resend to the zone that an engine was moved to after it got the
 // load: the other engines of its former zone know the key.
 func TestUpgradeFollowsTheZoneOfTheSend(t *testing.T) {
-	forEachFrontend(t, []string{groupAll, groupZone}, func(t *testing.T, g *testGateway) {
+	forEachFrontend(t, []string{groupAll, groupZone}, func(g *testGateway) {
 		clients := g.connectAll()
 		pid, _ := g.startProbation()
 		loads := g.sendLoads(clients)
@@ -191,9 +192,9 @@
 func TestUpgradeObeysTheStricterGroup(t *testing.T) {
 	for name, groups := range map[string][2]string{"stricter before": {groupZone, groupAll}, "stricter after": {groupAll, groupZone}} {
 		t.Run(name, func(t *testing.T) {
-			forEachFrontend(t, []string{groupAll, groups[0]}, func(t *testing.T, g *testGateway) {
+			forEachFrontend(t, []string{groupAll, groups[0]}, func(g *testGateway) {
 				clients := g.connectAll()
-				g.replaceIn(g.settings, groups[0], groups[1])
+				replaceInFile(g.t, g.settings, groups[0], groups[1])
 				pid, _ := g.startProbation()
 				loads := g.sendLoads(clients)
 				g.kill(pid)
@@ -209,9 +210,9 @@
 	const long, short = `"window-ms": 12000`, `"window-ms": 300`
 	for name, windows := range map[string][2]string{"shorter before": {short, long}, "shorter after": {long, short}} {
 		t.Run(name, func(t *testing.T) {
-			forEachFrontend(t, []string{long, windows[0]}, func(t *testing.T, g *testGateway) {
+			forEachFrontend(t, []string{long, windows[0]}, func(g *testGateway) {
 				clients := g.connectAll()[:1]
-				g.replaceIn(g.settings, windows[0], windows[1])
+				replaceInFile(g.t, g.settings, windows[0], windows[1])
 				pid, _ := g.startProbation()
 				loads := g.sendLoads(clients)
 				time.Sleep(300 * time.Millisecond) // the shorter window itself
--- a/internal/gateway/upgrade_harness_test.go
+++ b/internal/gateway/upgrade_harness_test.go
@@ -88,7 +88,7 @@
 		deploy = cluster.Config
 	}
 	if len(change) > 0 {
-		g.replaceIn(g.settings, change...)
+		replaceInFile(t, g.settings, change...)
 	}
 	raw, err := os.ReadFile("../../deploy/upgrade.toml")
 	if err != nil {
@@ -99,9 +99,9 @@
 		t.Fatal(err)
 	}
 	// Without client requests, the probation lasts until the test ends it.
-	g.replaceIn(g.file, `"/tmp/ringwood-admin.sock"`, fmt.Sprintf("%q", g.admin), "prove_for_s = 3 ", "prove_for_s = 0.3 ", "prove_within_s = 15 ", "prove_within_s = 60 ", "good_answers = 20", "good_answers = 8", "greet_within_s = 5", "greet_within_s = 20", "silent_for_s = 1 ", "silent_for_s = 10 ")
+	replaceInFile(t, g.file, `"/tmp/ringwood-admin.sock"`, fmt.Sprintf("%q", g.admin), "prove_for_s = 3 ", "prove_for_s = 0.3 ", "prove_within_s = 15 ", "prove_within_s = 60 ", "good_answers = 20", "good_answers = 8", "greet_within_s = 5", "greet_within_s = 20", "silent_for_s = 1 ", "silent_for_s = 10 ")
 	if len(change) > 0 {
-		g.replaceIn(g.file, change...)
+		replaceInFile(t, g.file, change...)
 	}
 	g.old = exec.Command(os.Args[0], "-test.run=^TestUpgradeChild$")
 	g.old.Env = append(os.Environ(), upgradeEnv+"="+deploy+"|"+g.file)
@@ -149,15 +149,15 @@
 	return nil
 }
 
-// replaceIn replaces text in a file, by pairs of old and new text.
-func (g *testGateway) replaceIn(path string, pairs ...string) {
-	g.t.Helper()
+// replaceInFile replaces text in a file, by pairs of old and new text.
+func replaceInFile(t *testing.T, path string, pairs ...string) {
+	t.Helper()
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		g.t.Fatal(err)
+		t.Fatal(err)
 	}
 	if err := os.WriteFile(path, []byte(strings.NewReplacer(pairs...).Replace(string(raw))), 0o600); err != nil {
-		g.t.Fatal(err)
+		t.Fatal(err)
 	}
 }
 
--- a/internal/handover/messages.go
+++ b/internal/handover/messages.go
@@ -20,6 +20,8 @@
 		Minor   int    `cbor:"2,keyasint"`
 		Problem string `cbor:"3,keyasint,omitempty"`
 		Build   string `cbor:"4,keyasint,omitempty"` // as printed by the version command
+		// ReadsSentKeys means that the target knows the message SentKeyChanged.
+		ReadsSentKeys bool `cbor:"5,keyasint,omitempty"`
 	}
 	// Ready reports that the target has applied the state.
 	Ready struct{}
@@ -120,6 +122,7 @@
 	kindCounterIncrements
 	kindSharedState
 	kindForwardedCall
+	kindSentKeyChanged
 )
 
 // endsConnection reports whether the connection is closed after the output.
@@ -140,6 +143,7 @@
 func (*CounterIncrements) kind() byte  { return kindCounterIncrements }
 func (*SharedState) kind() byte        { return kindSharedState }
 func (*ForwardedCall) kind() byte      { return kindForwardedCall }
+func (*SentKeyChanged) kind() byte     { return kindSentKeyChanged }
 
 // messageConstructors holds a constructor of an empty message for each kind.
 var messageConstructors = map[byte]func() Message{
@@ -158,6 +162,7 @@
 	kindCounterIncrements:  func() Message { return &CounterIncrements{} },
 	kindSharedState:        func() Message { return &SharedState{} },
 	kindForwardedCall:      func() Message { return &ForwardedCall{} },
+	kindSentKeyChanged:     func() Message { return &SentKeyChanged{} },
 }
 
 // newMessage returns an empty message of a kind, or nil if the kind is unknown.
--- a/internal/handover/recorder.go
+++ b/internal/handover/recorder.go
@@ -32,7 +32,12 @@
 		return
 	}
 	class, _ := t.core.Class(r.Class)
-	t.send(newRequestRecord(recorder.conn, r.Deadline, class.Idempotency, t.core.AttemptsThatMayHaveRun(r)))
+	m := newRequestRecord(recorder.conn, r.Deadline, class.Idempotency, t.core.AttemptsThatMayHaveRun(r))
+	if key, ok := t.core.RememberedKey(r); ok {
+		m.Class = key.Class
+		m.Key = key.Token
+	}
+	t.send(m)
 }
 
 // stopRecording removes all recorders. This process is the owner now, so no other process will
--- a/internal/handover/request_record.go
+++ b/internal/handover/request_record.go
@@ -20,29 +20,14 @@
 	KeyWindow            time.Duration `cbor:"4,keyasint"` // how long after FirstSentAt engines drop repeats of a request with a key
 	Deadline             time.Duration `cbor:"5,keyasint"` // when the client stops waiting
 	// AttemptsKnown means that the sender set the fields below.
-	AttemptsKnown bool            `cbor:"6,keyasint,omitempty"`
-	Attempts      []AttemptRecord `cbor:"7,keyasint,omitempty"` // the sends after which the request may have run
-	Idempotency   uint8           `cbor:"8,keyasint,omitempty"` // a decide.Idempotency: that of the request's class
+	AttemptsKnown bool                 `cbor:"6,keyasint,omitempty"`
+	Attempts      []core.AttemptRecord `cbor:"7,keyasint,omitempty"` // the sends after which the request may have run
+	Idempotency   uint8                `cbor:"8,keyasint,omitempty"` // a decide.Idempotency: that of the request's class
+	// Class and Key are set if only some engines drop a repeat of the request's idempotency key.
+	Class string `cbor:"9,keyasint,omitempty"`
+	Key   string `cbor:"10,keyasint,omitempty"`
 }
 
-// AttemptRecord is a policy.PriorAttempt in a RequestRecord.
-type AttemptRecord struct {
-	SentAt    time.Duration `cbor:"1,keyasint"`
-	Engine    string        `cbor:"2,keyasint,omitempty"` // empty: unknown
-	Zone      string        `cbor:"3,keyasint,omitempty"`
-	Cell      int64         `cbor:"4,keyasint,omitempty"`
-	Scope     uint8         `cbor:"5,keyasint,omitempty"` // one of the scope constants
-	Window    time.Duration `cbor:"6,keyasint,omitempty"`
-	OtherSite bool          `cbor:"7,keyasint,omitempty"`
-}
-
-// The values of AttemptRecord.Scope.
-const (
-	scopeCell uint8 = iota
-	scopeZone
-	scopeAll
-)
-
 // newRequestRecord returns the record of a request that is in flight on a connection.
 func newRequestRecord(conn uint32, deadline time.Duration, idempotency policy.Idempotency, attempts []policy.PriorAttempt) *RequestRecord {
 	m := &RequestRecord{
@@ -51,7 +36,7 @@
 	}
 	windowEnd := time.Duration(0)
 	for i, a := range attempts {
-		m.Attempts = append(m.Attempts, newAttemptRecord(a))
+		m.Attempts = append(m.Attempts, core.NewAttemptRecord(a))
 		if i == 0 || a.SentAt < m.FirstSentAt {
 			m.FirstSentAt = a.SentAt
 		}
@@ -79,42 +64,6 @@
 	return decide.IdempotentWithKey
 }
 
-func newAttemptRecord(a policy.PriorAttempt) AttemptRecord {
-	return AttemptRecord{
-		SentAt: a.SentAt, Engine: a.Placement.Engine, Zone: a.Placement.Zone, Cell: a.Placement.Cell,
-		Scope: encodeScope(a.Scope), Window: a.Window, OtherSite: a.OtherSite,
-	}
-}
-
-func encodeScope(scope policy.DedupScope) uint8 {
-	switch scope {
-	case policy.DedupAll:
-		return scopeAll
-	case policy.DedupZone:
-		return scopeZone
-	default:
-		return scopeCell
-	}
-}
-
-// priorAttempt decodes the record. The group is unknown if this version does not know the scope.
-func (r AttemptRecord) priorAttempt() policy.PriorAttempt {
-	a := policy.PriorAttempt{
-		SentAt: r.SentAt, Placement: policy.Placement{Engine: r.Engine, Zone: r.Zone, Cell: r.Cell}, Window: r.Window, OtherSite: r.OtherSite,
-	}
-	switch r.Scope {
-	case scopeAll:
-		a.Scope = policy.DedupAll
-	case scopeZone:
-		a.Scope = policy.DedupZone
-	case scopeCell:
-		a.Scope = policy.DedupCell
-	default:
-		a.Placement = policy.Placement{}
-	}
-	return a
-}
-
 // priorAttempts returns the sends after which the request may have run. Those of a sender that does not report them
 // one by one count as one at an unknown engine.
 func (m *RequestRecord) priorAttempts() []policy.PriorAttempt {
@@ -123,7 +72,7 @@
 	}
 	var attempts []policy.PriorAttempt
 	for _, r := range m.Attempts {
-		attempts = append(attempts, r.priorAttempt())
+		attempts = append(attempts, r.PriorAttempt())
 	}
 	return attempts
 }
--- a/internal/handover/retained_test.go
+++ b/internal/handover/retained_test.go
@@ -135,7 +135,7 @@
 			core.Orphan{ReceivedAt: time.Second, Attempts: unknownEngine(9 * time.Second), Idempotency: policy.IdempotentWithKey, MustFail: true},
 		},
 		"key window, scope of a later version": {
-			&RequestRecord{AttemptsKnown: true, Idempotency: 1, Attempts: []AttemptRecord{{SentAt: 2 * time.Second, Engine: "e", Zone: "a", Scope: 9, Window: 9 * time.Second}}, Deadline: time.Minute},
+			&RequestRecord{AttemptsKnown: true, Idempotency: 1, Attempts: []core.AttemptRecord{{SentAt: 2 * time.Second, Engine: "e", Zone: "a", Scope: 9, Window: 9 * time.Second}}, Deadline: time.Minute},
 			core.Orphan{ReceivedAt: time.Second, Attempts: unknownEngine(9 * time.Second), Idempotency: policy.IdempotentWithKey, MustFail: true},
 		},
 		"the only attempt never ran": {
--- a/internal/handover/source.go
+++ b/internal/handover/source.go
@@ -33,6 +33,8 @@
 	// OnServingResumed is called when this process accepts connections again, because the target has died
 	// as the owner; it may be nil.
 	OnServingResumed func()
+	// SentKeys remembers where requests with an idempotency key were sent; it may be nil.
+	SentKeys SentKeyStore
 	// Exit ends this process. It is called when the target is the owner and all connections are
 	// transferred or closed.
 	Exit func()
@@ -69,6 +71,7 @@
 	startedAt       time.Duration
 	reportedPhase   decide.Phase     // phase that was last logged and reported
 	build           string           // build of the target, from its Hello
+	readsSentKeys   bool             // the target knows SentKeyChanged, from its Hello
 	countersSent    map[string]int64 // counters that were sent with the state
 	memoryCheckedAt time.Duration    // when the target's memory was last checked
 }
@@ -189,12 +192,14 @@
 // startForwarding forwards changes of the frontend's shared state, and calls that it can't answer, to
 // the target.
 func (s *Source) startForwarding() {
+	s.forwardSentKeys()
 	s.frontend.OnSharedStateChange(func(b []byte) { s.send(&SharedState{b}) })
 	s.frontend.OnUnknownRequest(func(b []byte) { s.send(&ForwardedCall{b}) })
 }
 
 // stopForwarding undoes startForwarding.
 func (s *Source) stopForwarding() {
+	s.stopForwardingSentKeys()
 	s.frontend.OnSharedStateChange(nil)
 	s.frontend.OnUnknownRequest(nil)
 }
--- a/internal/handover/source_target.go
+++ b/internal/handover/source_target.go
@@ -81,6 +81,7 @@
 		return
 	}
 	s.send(m)
+	s.forwardSentKeys()
 }
 
 // handleMessage handles a message from the target.
@@ -91,6 +92,7 @@
 	switch m := m.(type) {
 	case *Hello:
 		s.attempt.build = m.Build
+		s.attempt.readsSentKeys = m.ReadsSentKeys
 		s.step(decide.TargetHello{Version: decide.Version{Major: m.Major, Minor: m.Minor}, Problem: m.Problem})
 	case *Ready:
 		s.updateConnections()
@@ -104,6 +106,7 @@
 		s.step(decide.TargetActive{})
 	case *RequestRecord:
 		if r := s.connections.retained(m.Conn); r != nil {
+			s.rememberKey(r.request, m)
 			r.request = m
 		}
 		s.step(decide.RequestRecorded{Conn: decide.ConnID(m.Conn), Request: m.request()})
--- a/internal/handover/stored_test.go
+++ b/internal/handover/stored_test.go
@@ -33,11 +33,19 @@
 	{"sending", &RequestRecord{Conn: 7, UngroupedIdempotency: 1, FirstSentAt: 3 * time.Second, KeyWindow: 12 * time.Second, Deadline: time.Minute}, 0},
 	{"sending-with-attempts", &RequestRecord{
 		Conn: 7, FirstSentAt: 3 * time.Second, KeyWindow: 11 * time.Second, Deadline: time.Minute, AttemptsKnown: true, Idempotency: 1,
-		Attempts: []AttemptRecord{
-			{SentAt: 3 * time.Second, Engine: "s-1", Zone: "hall-a", Cell: 4, Scope: scopeZone, Window: 12 * time.Second},
-			{SentAt: 4 * time.Second, Scope: scopeAll, Window: 10 * time.Second, OtherSite: true},
+		Attempts: []core.AttemptRecord{
+			{SentAt: 3 * time.Second, Engine: "s-1", Zone: "hall-a", Cell: 4, Scope: 1, Window: 12 * time.Second},
+			{SentAt: 4 * time.Second, Scope: 2, Window: 10 * time.Second, OtherSite: true},
 		},
 	}, 0},
+	{"sending-with-key", &RequestRecord{
+		Conn: 7, FirstSentAt: 3 * time.Second, KeyWindow: 12 * time.Second, Deadline: time.Minute, AttemptsKnown: true, Idempotency: 1,
+		Attempts: []core.AttemptRecord{{SentAt: 3 * time.Second, Engine: "s-1", Zone: "hall-a", Scope: 1, Window: 12 * time.Second}},
+		Class:    "load", Key: "batch-7",
+	}, 0},
+	{"hello-reads-keys", &Hello{Major: 1, Minor: 1, Build: "x", ReadsSentKeys: true}, 0},
+	{"sent-key", &SentKeyChanged{core.SentKey{Class: "load", Token: "batch-7", Attempt: core.AttemptRecord{SentAt: 3 * time.Second, Engine: "s-1", Zone: "hall-a", Scope: 1, Window: 12 * time.Second}}}, 0},
+	{"sent-key-never-ran", &SentKeyChanged{core.SentKey{Class: "load", Token: "batch-7", Attempt: core.AttemptRecord{SentAt: 3 * time.Second, Engine: "s-1", OtherSite: true}, NeverRan: true}}, 0},
 	{"sending-nothing-ran", &RequestRecord{Conn: 7, UngroupedIdempotency: 2, Deadline: time.Minute, AttemptsKnown: true, Idempotency: 1}, 0},
 	{"output", &OutputRecord{Conn: 7, Offset: 99, Data: []byte("HTTP/1.1 200 OK"), Idle: true, Closing: true, Consumed: 1 << 33, State: []byte{0xa1, 1, 0xf5}}, 0},
 	{"output-unsettled", &OutputRecord{Conn: 7, Offset: 99, Data: []byte("part")}, 0},
--- a/internal/handover/target.go
+++ b/internal/handover/target.go
@@ -108,7 +108,7 @@
 	for _, effect := range t.machine.Step(event) {
 		switch e := effect.(type) {
 		case decide.SendHello:
-			t.send(&Hello{Major: e.Version.Major, Minor: e.Version.Minor, Problem: e.Problem, Build: t.build})
+			t.send(&Hello{Major: e.Version.Major, Minor: e.Version.Minor, Problem: e.Problem, Build: t.build, ReadsSentKeys: true})
 		case decide.SendReady:
 			t.send(&Ready{})
 		case decide.StopRecording:
@@ -149,6 +149,8 @@
 		if err := t.frontend.ApplySharedState(m.Data); err != nil {
 			t.log.Warn("upgrade.shared", "error", err)
 		}
+	case *SentKeyChanged:
+		t.core.ApplySentKey(m.Change.Change())
 	case *ForwardedCall:
 		t.frontend.HandleForwardedRequest(m.Data)
 	default:
--- a/internal/site/forwarding/forward.go
+++ b/internal/site/forwarding/forward.go
@@ -95,7 +95,7 @@
 	case !known:
 	case origin == decide.OtherSite:
 		s.core.RecordRemoteSend(r, first)
-	default:
+	case len(r.PriorAttempts) == 0: // the core does not know at which engine
 		s.core.RecordLocalSend(r, first)
 	}
 	if len(r.PriorAttempts) == 0 {
@@ -200,6 +200,7 @@
 	if failure == decide.NeverRan {
 		r.PriorSends -= f.grant - min(sends, f.grant)
 		s.keys.Retract(r.IdempotencyKey, f.sentAt)
+		s.core.RecordRemoteNeverRan(r)
 	} else {
 		s.core.RecordRemoteSend(r, f.sentAt)
 	}
--- a/internal/takeover/coordinator.go
+++ b/internal/takeover/coordinator.go
@@ -142,7 +142,7 @@
 		return
 	}
 	c.updateOthers(states)
-	c.sent.update(len(states), c.core.RecordSentID)
+	c.sent.update(len(states), c.core)
 	if share := decide.LimitShare(c.others); share != c.limitShare {
 		c.limitShare = share
 		c.opts.OnLimitShare(share)
--- a/internal/takeover/sent_ids.go
+++ b/internal/takeover/sent_ids.go
@@ -2,18 +2,27 @@
 
 import (
 	"bytes"
+	"encoding/base64"
 	"errors"
 	"io"
 	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
+
+	"gannetspur/internal/core"
+	"gannetspur/internal/decide/sentkeys"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // sentIDsSuffix is the suffix of the file to which a process appends the ids of requests that may have run and must
-// not run again, one per line.
+// not run again, and the attempts of requests with an idempotency key, one per line.
 const sentIDsSuffix = ".sent"
 
+// keyLinePrefix begins a line with a core.SentKey, encoded as CBOR in base64. No id begins so.
+const keyLinePrefix = "key "
+
 // maxSentIDsBytes bounds what is read of another process's file at a time.
 const maxSentIDsBytes = 1 << 20
 
@@ -48,15 +57,38 @@
 	}
 }
 
-// Receive calls record for each id that other processes have written since the last call.
-func (s *SentIDs) Receive(record func(id string)) {
+// AnnounceKey appends an attempt of a request with an idempotency key to the file of this process, if there are others.
+// A version that does not know such lines takes them for ids that no request has.
+func (s *SentIDs) AnnounceKey(change sentkeys.Change) {
+	encoded, err := cbor.Marshal(core.NewSentKey(change))
+	if err == nil { // marshalling this type never fails
+		s.Announce(keyLinePrefix + base64.RawStdEncoding.EncodeToString(encoded))
+	}
+}
+
+// Receive passes on what other processes have written since the last call.
+func (s *SentIDs) Receive(receiver core.SentIDReceiver) {
 	for _, other := range s.others {
-		other.read(record)
+		other.read(receiver)
+	}
+}
+
+// receiveLine passes on one line of a file. A key that can't be read is ignored.
+func receiveLine(line string, receiver core.SentIDReceiver) {
+	encoded, isKey := strings.CutPrefix(line, keyLinePrefix)
+	if !isKey {
+		receiver.RecordSentID(line)
+		return
+	}
+	var key core.SentKey
+	b, err := base64.RawStdEncoding.DecodeString(encoded)
+	if err == nil && cbor.Unmarshal(b, &key) == nil {
+		receiver.ApplySentKey(key.Change())
 	}
 }
 
-// read calls record for each further complete line.
-func (f *sentFile) read(record func(id string)) {
+// read passes on each further complete line.
+func (f *sentFile) read(receiver core.SentIDReceiver) {
 	b, err := io.ReadAll(io.LimitReader(f.file, maxSentIDsBytes))
 	if err != nil || len(b) == 0 {
 		return
@@ -67,7 +99,7 @@
 		if !complete {
 			break
 		}
-		record(string(line))
+		receiveLine(string(line), receiver)
 		b = rest
 	}
 	f.partial = bytes.Clone(b)
@@ -75,7 +107,7 @@
 
 // update opens the files of the processes in the folder, and this process's own file while there are others. It reads
 // the rest of the files of processes that have ended.
-func (s *SentIDs) update(otherProcesses int, record func(id string)) {
+func (s *SentIDs) update(otherProcesses int, receiver core.SentIDReceiver) {
 	found := map[string]bool{}
 	names, _ := filepath.Glob(s.folder.path("*", sentIDsSuffix)) // fails for a malformed pattern only
 	for _, name := range names {
@@ -90,7 +122,7 @@
 	}
 	for id, other := range s.others {
 		if !found[id] {
-			other.read(record)
+			other.read(receiver)
 			_ = other.file.Close() // nothing was written to it
 			delete(s.others, id)
 		}
