Platform: remember ids and keys that were sent over a kill and a new start

Callers: after a kill or a stop and a new start, a load that its client repeated with its key ran in another zone, and a request that must not run twice ran again under its id. Cause: what was sent was written down only while processes stood beside each other, and the files of dead processes were removed unread. Change: each id and grouped key is written before its request is sent, always; ids that never ran are withdrawn. A process that starts reads what dead ones left, with instants converted from their clock, and nothing from before the machine's start.

--- a/internal/core/sent_ids.go
+++ b/internal/core/sent_ids.go
@@ -20,6 +20,8 @@
 type SentIDExchange interface {
 	// Announce tells the others of an id, before the request is sent.
 	Announce(id string)
+	// Withdraw tells the others that the request of an announced id never ran.
+	Withdraw(id string)
 	// AnnounceKey tells the others of an attempt that may have run, before it is sent, or of one that ran nothing.
 	AnnounceKey(change sentkeys.Change)
 	// Receive passes on what the others have announced since the last call.
@@ -28,7 +30,10 @@
 
 // SentIDReceiver is told of what other processes have sent. A Core is one.
 type SentIDReceiver interface {
-	RecordSentID(id string)
+	// RecordSentID remembers the id of a request that another process has sent at a time of this core's clock.
+	RecordSentID(id string, at time.Duration)
+	// ForgetSentID forgets an id, because its request never ran.
+	ForgetSentID(id string)
 	ApplySentKey(change sentkeys.Change)
 }
 
@@ -49,8 +54,22 @@
 	}
 }
 
-// RecordSentID remembers the id of a request that another process has sent and that must not run again.
-func (c *Core) RecordSentID(id string) { c.sentIDs.Record(c.clock.Now(), id) }
+// RecordSentID remembers the id of a request that another process has sent and that must not run again. at is the time of
+// the send on this core's clock.
+func (c *Core) RecordSentID(id string, at time.Duration) { c.sentIDs.Record(at, id) }
+
+// ForgetSentID forgets the id of a request that another process has sent, because it never ran.
+func (c *Core) ForgetSentID(id string) { c.sentIDs.Remove(id) }
+
+// AnnounceSent announces all ids and idempotency keys that are remembered.
+func (c *Core) AnnounceSent() {
+	for _, id := range c.sentIDs.IDs() {
+		c.sentIDExchange.Announce(id)
+	}
+	for _, change := range c.SentKeys() {
+		c.sentIDExchange.AnnounceKey(change)
+	}
+}
 
 // recordSent remembers the id of a request that is about to be sent, if its class allows no repeat.
 func (c *Core) recordSent(r *Request) {
@@ -65,7 +84,11 @@
 
 // forgetIfNeverRan forgets the id of a request that is over and never ran.
 func (c *Core) forgetIfNeverRan(r *Request) {
-	if r.UniqueID && len(r.PriorAttempts) == 0 && !r.MayHaveRunHere() && len(r.attempts) > 0 {
-		c.sentIDs.Remove(r.ID)
+	if !r.UniqueID || len(r.PriorAttempts) > 0 || r.MayHaveRunHere() || len(r.attempts) == 0 {
+		return
+	}
+	if c.sentIDExchange != nil && c.sentIDs.Contains(c.clock.Now(), r.ID) {
+		c.sentIDExchange.Withdraw(r.ID)
 	}
+	c.sentIDs.Remove(r.ID)
 }
--- a/internal/gateway/replacement_keys_test.go
+++ b/internal/gateway/replacement_keys_test.go
@@ -111,3 +111,37 @@
 	p.repeat("with the second process", zones)
 	close(p.hold)
 }
+
+// TestSentIsKnownAfterAKill guards against a process that forgets what it has sent when it is killed or stopped, and
+// started again: keys stay in their zone, and an id of a class that allows no repeat is not run again.
+func TestSentIsKnownAfterAKill(t *testing.T) {
+	const keys = 4
+	for name, stop := range map[string]func(child *childProcess){
+		"killed":  func(child *childProcess) { _ = child.cmd.Process.Kill(); _ = child.cmd.Wait() },
+		"stopped": func(child *childProcess) { child.end("count taken.load") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newKeyedPlatform(t)
+			p.addWriteClass()
+			first := p.start()
+			first.await("msg=serving")
+			zones := map[string]string{}
+			for n := range keys {
+				key := fmt.Sprintf("key-%d", n)
+				zones[key] = p.sendAndLeave(key)
+			}
+			const id = "a000000000000bad"
+			if got := roundTrip(t, p.addr, writeRequest(id)); !strings.HasPrefix(got, "200 ") {
+				t.Fatalf("first request of id %s: %s, want status 200", id, got)
+			}
+			stop(first)
+			second := p.start()
+			second.await("msg=serving")
+			p.repeat("after a new start", zones)
+			if got := roundTrip(t, p.addr, writeRequest(id)); !strings.HasPrefix(got, "409 ") {
+				t.Errorf("second request of id %s: %s, want status 409", id, got)
+			}
+			close(p.hold)
+		})
+	}
+}
--- a/internal/gateway/upgrade_harness_test.go
+++ b/internal/gateway/upgrade_harness_test.go
@@ -222,6 +222,14 @@
 	return g.held[mark]
 }
 
+// release makes engines no longer hold statements with the mark.
+func (g *testGateway) release(mark string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.held[mark])
+	delete(g.held, mark)
+}
+
 // awaitRuns waits until engines have received the statement of a mark want times. It returns how often they dropped it as a
 // repetition of an idempotency key. It fails the test if the count differs after 5 s.
 func (g *testGateway) awaitRuns(mark string, want int) (dropped int) {
--- a/internal/takeover/coordinator.go
+++ b/internal/takeover/coordinator.go
@@ -58,8 +58,13 @@
 	if err != nil {
 		return nil, err
 	}
+	sent := newSentIDs(folder, loop, log)
+	left := sent.readDead() // before the files of dead processes are removed
 	adoptClock(loop, folder, log)
-	sent := newSentIDs(folder, log)
+	for _, file := range left {
+		file.replay(loop, c)
+	}
+	sent.update(c)
 	c.SetSentIDExchange(sent)
 	return &Coordinator{
 		loop: loop, core: c, folder: folder, sent: sent, opts: opts, log: log, limitShare: 1,
@@ -104,8 +109,15 @@
 	}
 }
 
-// Close removes this process's files, which tells the others that it has ended.
-func (c *Coordinator) Close() { c.folder.Close() }
+// Close removes this process's files, which tells the others that it has ended. What it has sent stays for a process that
+// starts soon after, if there is none now that has read it.
+func (c *Coordinator) Close() {
+	if len(c.others) > 0 || c.sent.ownBytes == 0 {
+		c.folder.Close()
+		return
+	}
+	c.folder.CloseKeepingSent()
+}
 
 // writeState replaces this process's state file. If that fails, for example because the disk is full,
 // this process continues; a process that would take over from it then starts from its configuration.
@@ -142,7 +154,10 @@
 		return
 	}
 	c.updateOthers(states)
-	c.sent.update(len(states), c.core)
+	c.sent.update(c.core)
+	if len(states) == 0 {
+		c.sent.compact(c.core)
+	}
 	if share := decide.LimitShare(c.others); share != c.limitShare {
 		c.limitShare = share
 		c.opts.OnLimitShare(share)
--- a/internal/takeover/folder.go
+++ b/internal/takeover/folder.go
@@ -168,7 +168,13 @@
 
 // removeFiles removes all files of a process.
 func (f *Folder) removeFiles(id string) {
-	for _, suffix := range []string{stateSuffix, temporarySuffix, sentIDsSuffix, lockSuffix} {
+	f.removeStateFiles(id)
+	_ = os.Remove(f.path(id, sentIDsSuffix)) // it may not exist
+}
+
+// removeStateFiles removes the files of a process apart from that of what it has sent.
+func (f *Folder) removeStateFiles(id string) {
+	for _, suffix := range []string{stateSuffix, temporarySuffix, lockSuffix} {
 		_ = os.Remove(f.path(id, suffix)) // some may not exist
 	}
 }
@@ -176,5 +182,15 @@
 // Close removes this process's files and releases its lock.
 func (f *Folder) Close() {
 	f.removeFiles(f.self)
+	f.unlock()
+}
+
+// CloseKeepingSent is Close, but leaves the file of what this process has sent to the next one that opens the folder.
+func (f *Folder) CloseKeepingSent() {
+	f.removeStateFiles(f.self)
+	f.unlock()
+}
+
+func (f *Folder) unlock() {
 	_ = f.lock.Close() // nothing was written to it
 }
