Test that a second death of an upgrade's new process does not lose where a load ran

On both front ends: the first new process dies while the load's zone is drained, the client repeats its key at the second one, which tells a doubt and dies too; once the zone is back the load goes there.

--- a/internal/gateway/repeated_key_test.go
+++ b/internal/gateway/repeated_key_test.go
@@ -123,3 +123,27 @@
 	g.awaitEvent("upgrade.exit")
 	g.repeat([]openLoad{{mark: key}})
 }
+
+// TestSecondDeathKeepsTheZone guards against an attempt that is forgotten because a second upgrade begins after the first
+// one's new process has died, and its new process dies too.
+func TestSecondDeathKeepsTheZone(t *testing.T) {
+	forEachFrontend(t, []string{groupAll, groupZone}, func(g *testGateway) {
+		g.drainZone(firstZone, 1)
+		clients := g.connectAll()
+		pid, _ := g.startProbation()
+		loads := g.sendLoads(clients)
+		g.undrainZone(firstZone, 2)
+		g.drainZone(secondZone, 2)
+		g.kill(pid)
+		g.expectOneEffect(loads, g.doubt())
+		pid, _ = g.startProbation()
+		var repeated []openLoad
+		for i, l := range loads { // at the second new process, which has the clients' connections
+			repeated = append(repeated, openLoad{l.mark, sendAsync(clients[i], l.mark)})
+		}
+		g.expectOneEffect(repeated, g.doubt())
+		g.kill(pid)
+		g.undrainZone(secondZone, 1)
+		g.repeat(loads)
+	})
+}
