--- a/internal/core/sent_ids.go
+++ b/internal/core/sent_ids.go
@@ -56,7 +56,21 @@
 
 // RecordSentID remembers the id of a request that another process has sent and that must not run again. at is the time of
 // the send on this core's clock.
-func (c *Core) RecordSentID(id string, at time.Duration) { c.sentIDs.Record(at, id) }
+func (c *Core) RecordSentID(id string, at time.Duration) { c.recordSentID(id, at) }
+
+// recordSentID remembers an id, and reports whether it is new.
+func (c *Core) recordSentID(id string, at time.Duration) (isNew bool) {
+	isNew = c.sentIDs.Record(at, id)
+	c.countEvicted("sent-ids.evicted", c.sentIDs.TakeEvicted())
+	return isNew
+}
+
+// countEvicted counts what was forgotten early for want of room.
+func (c *Core) countEvicted(counter string, evicted int64) {
+	if evicted > 0 {
+		c.counters.AddN(counter, evicted)
+	}
+}
 
 // ForgetSentID forgets the id of a request that another process has sent, because it never ran.
 func (c *Core) ForgetSentID(id string) { c.sentIDs.Remove(id) }
@@ -76,7 +90,7 @@
 	if !r.UniqueID || c.classes[r.Class].Idempotency != policy.NotIdempotent {
 		return
 	}
-	isNew := c.sentIDs.Record(c.clock.Now(), r.ID) // a retry was announced before
+	isNew := c.recordSentID(r.ID, c.clock.Now()) // a retry was announced before
 	if isNew && c.sentIDExchange != nil {
 		c.sentIDExchange.Announce(r.ID)
 	}
--- a/internal/core/sent_keys.go
+++ b/internal/core/sent_keys.go
@@ -13,7 +13,14 @@
 func (c *Core) OnSentKey(f func(sentkeys.Change)) { c.observers.sentKey = f }
 
 // ApplySentKey applies a change of the remembered idempotency keys that another process has made.
-func (c *Core) ApplySentKey(change sentkeys.Change) { c.sentKeys.Apply(c.clock.Now(), change) }
+func (c *Core) ApplySentKey(change sentkeys.Change) { c.applySentKey(change) }
+
+// applySentKey applies a change of the remembered idempotency keys, and reports whether it changed them.
+func (c *Core) applySentKey(change sentkeys.Change) (changed bool) {
+	changed = c.sentKeys.Apply(c.clock.Now(), change)
+	c.countEvicted("sent-keys.evicted", c.sentKeys.TakeEvicted())
+	return changed
+}
 
 // SentKeys returns the changes that make another core remember the same idempotency keys.
 func (c *Core) SentKeys() []sentkeys.Change { return c.sentKeys.Changes(c.clock.Now()) }
@@ -39,7 +46,7 @@
 		return
 	}
 	change := sentkeys.Change{Key: key, Attempt: attempt, NeverRan: neverRan}
-	if !c.sentKeys.Apply(c.clock.Now(), change) {
+	if !c.applySentKey(change) {
 		return
 	}
 	if c.observers.sentKey != nil {
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -37,7 +37,7 @@
 func (c *Core) Restore(s Snapshot) {
 	c.MergeOverrides(s.Overrides)
 	for _, id := range s.SentIDs {
-		c.sentIDs.Record(c.clock.Now(), id)
+		c.RecordSentID(id, c.clock.Now())
 	}
 	for _, sent := range s.SentKeys {
 		c.ApplySentKey(sent.Change())
--- a/internal/decide/sentids/history.go
+++ b/internal/decide/sentids/history.go
@@ -36,8 +36,12 @@
 // Remove forgets an id, because its request never ran.
 func (h *History) Remove(id string) { delete(h.until, id) }
 
-// Evicted returns how many ids were forgotten before their retention was over.
-func (h *History) Evicted() int64 { return h.evicted }
+// TakeEvicted returns how many ids were forgotten before their retention was over, since the last call.
+func (h *History) TakeEvicted() int64 {
+	evicted := h.evicted
+	h.evicted = 0
+	return evicted
+}
 
 // IDs returns the ids that are remembered, the oldest first.
 func (h *History) IDs() (ids []string) {
--- a/internal/decide/sentids/history_test.go
+++ b/internal/decide/sentids/history_test.go
@@ -35,8 +35,9 @@
 	for n := range 1000 {
 		h.Record(0, strconv.Itoa(n))
 	}
-	if len(h.until) != 10 || len(h.order) != 10 || h.Evicted() != 990 {
-		t.Errorf("%d ids in %d places, %d evicted, want 10, 10 and 990", len(h.until), len(h.order), h.Evicted())
+	evicted := h.TakeEvicted()
+	if len(h.until) != 10 || len(h.order) != 10 || evicted != 990 {
+		t.Errorf("%d ids in %d places, %d evicted, want 10, 10 and 990", len(h.until), len(h.order), evicted)
 	}
 	if !h.Contains(0, "999") || h.Contains(0, "1") {
 		t.Error("want the latest ids remembered, and the first forgotten")
--- a/internal/decide/sentkeys/sentkeys.go
+++ b/internal/decide/sentkeys/sentkeys.go
@@ -71,8 +71,12 @@
 	return changes
 }
 
-// Evicted returns how many attempts were forgotten before the end of their windows.
-func (h *History) Evicted() int64 { return h.evicted }
+// TakeEvicted returns how many attempts were forgotten before the end of their windows, since the last call.
+func (h *History) TakeEvicted() int64 {
+	evicted := h.evicted
+	h.evicted = 0
+	return evicted
+}
 
 // isOver reports whether engines no longer drop a repeat of the attempt.
 func isOver(now time.Duration, a policy.PriorAttempt) bool { return now >= a.WindowEnd(a.Window) }
--- a/internal/decide/sentkeys/sentkeys_test.go
+++ b/internal/decide/sentkeys/sentkeys_test.go
@@ -68,8 +68,8 @@
 		for _, attempts := range h.attempts {
 			kept += len(attempts)
 		}
-		if kept != 10 || len(h.order) != 10 || h.Evicted() != 990 {
-			t.Errorf("%s: %d attempts in %d places, %d evicted, want 10, 10 and 990", name, kept, len(h.order), h.Evicted())
+		if evicted := h.TakeEvicted(); kept != 10 || len(h.order) != 10 || evicted != 990 {
+			t.Errorf("%s: %d attempts in %d places, %d evicted, want 10, 10 and 990", name, kept, len(h.order), evicted)
 		}
 		h.Apply(2*time.Minute, Change{Key: Key{"load", "last"}, Attempt: attempt("e", 2*time.Minute)})
 		if len(h.order) != 1 || len(h.attempts) != 1 {
--- a/internal/gateway/repeated_key_test.go
+++ b/internal/gateway/repeated_key_test.go
@@ -7,13 +7,11 @@
 	"gannetspur/internal/testbed/load"
 )
 
-// leave closes the connections of clients whose loads are at engines, and lets the engines go on.
-func (g *testGateway) leave(clients []load.Client, loads []openLoad) {
+// leave closes the connections of the loads' clients, and lets the engines go on.
+func (g *testGateway) leave(loads []openLoad) {
 	g.t.Helper()
-	for _, c := range clients {
-		c.Close()
-	}
 	for _, l := range loads {
+		l.client.Close()
 		<-l.result
 		g.release(l.mark)
 	}
@@ -24,7 +22,7 @@
 	g.t.Helper()
 	var repeated []openLoad
 	for _, l := range loads {
-		repeated = append(repeated, openLoad{l.mark, sendAsync(g.connect(), l.mark)})
+		repeated = append(repeated, sendLoad(g.connect(), l.mark))
 	}
 	g.expectOneEffect(repeated, load.Served)
 }
@@ -34,9 +32,8 @@
 func TestRepeatedKeyStaysInItsZone(t *testing.T) {
 	forEachFrontend(t, []string{groupAll, groupZone}, func(g *testGateway) {
 		g.drainZone(firstZone, 1) // which is the gateway's own, and preferred
-		clients := g.connectAll()
-		loads := g.sendLoads(clients)
-		g.leave(clients, loads)
+		loads := g.sendLoads(g.connectAll())
+		g.leave(loads)
 		g.undrainZone(firstZone, 1)
 		g.repeat(loads)
 	})
@@ -46,9 +43,8 @@
 func TestRepeatedKeyStaysInItsZoneAfterAnUpgrade(t *testing.T) {
 	forEachFrontend(t, []string{groupAll, groupZone}, func(g *testGateway) {
 		g.drainZone(firstZone, 1)
-		clients := g.connectAll()
-		loads := g.sendLoads(clients)
-		g.leave(clients, loads)
+		loads := g.sendLoads(g.connectAll())
+		g.leave(loads)
 		g.undrainZone(firstZone, 1)
 		_, result := g.startProbation()
 		if reply := g.completeProbation(result); reply.Problem != "" {
@@ -64,10 +60,8 @@
 func TestRepeatedKeyStaysInItsZoneAfterAFailedUpgrade(t *testing.T) {
 	forEachFrontend(t, []string{groupAll, groupZone}, func(g *testGateway) {
 		g.drainZone(firstZone, 1)
-		clients := g.connectAll()
-		pid, _ := g.startProbation()
-		loads := g.sendLoads(clients)
-		g.leave(clients, loads)
+		pid, loads := g.sendInProbation()
+		g.leave(loads)
 		g.undrainZone(firstZone, 2)
 		g.kill(pid)
 		g.repeat(loads)
@@ -78,12 +72,7 @@
 // sends it itself, once the engines of its zone are back.
 func TestTakenBackKeyStaysInItsZone(t *testing.T) {
 	forEachFrontend(t, []string{groupAll, groupZone}, func(g *testGateway) {
-		g.drainZone(secondZone, 1)
-		clients := g.connectAll()
-		pid, _ := g.startProbation()
-		loads := g.sendLoads(clients)
-		g.undrainZone(secondZone, 2)
-		g.drainZone(firstZone, 2)
+		pid, loads := g.sendInFirstZone()
 		g.kill(pid)
 		g.expectOneEffect(loads, g.doubt())
 		g.undrainZone(firstZone, 1)
@@ -128,22 +117,17 @@
 // one's new process has died, and its new process dies too.
 func TestSecondDeathKeepsTheZone(t *testing.T) {
 	forEachFrontend(t, []string{groupAll, groupZone}, func(g *testGateway) {
-		g.drainZone(firstZone, 1)
-		clients := g.connectAll()
-		pid, _ := g.startProbation()
-		loads := g.sendLoads(clients)
-		g.undrainZone(firstZone, 2)
-		g.drainZone(secondZone, 2)
+		pid, loads := g.sendInFirstZone()
 		g.kill(pid)
 		g.expectOneEffect(loads, g.doubt())
 		pid, _ = g.startProbation()
 		var repeated []openLoad
-		for i, l := range loads { // at the second new process, which has the clients' connections
-			repeated = append(repeated, openLoad{l.mark, sendAsync(clients[i], l.mark)})
+		for _, l := range loads { // at the second new process, which has the clients' connections
+			repeated = append(repeated, sendLoad(l.client, l.mark))
 		}
 		g.expectOneEffect(repeated, g.doubt())
 		g.kill(pid)
-		g.undrainZone(secondZone, 1)
+		g.undrainZone(firstZone, 1)
 		g.repeat(loads)
 	})
 }
--- a/internal/gateway/upgrade_groups_test.go
+++ b/internal/gateway/upgrade_groups_test.go
@@ -59,16 +59,20 @@
 // openLoad is a load that is at an engine.
 type openLoad struct {
 	mark   string
+	client load.Client
 	result <-chan outcome
 }
 
+// sendLoad sends the load of a mark.
+func sendLoad(c load.Client, mark string) openLoad { return openLoad{mark, c, sendAsync(c, mark)} }
+
 // sendLoads sends loads, each on a connection of its own, and waits until an engine executes each of them.
 func (g *testGateway) sendLoads(clients []load.Client) (loads []openLoad) {
 	g.t.Helper()
 	for i, c := range clients {
 		mark := fmt.Sprintf("k-1-%d", i+1)
 		g.hold(mark)
-		loads = append(loads, openLoad{mark, sendAsync(c, mark)})
+		loads = append(loads, sendLoad(c, mark))
 		g.awaitRuns(mark, 1)
 	}
 	return loads
@@ -84,7 +88,7 @@
 		result := sendAsync(c, mark)
 		for len(result) == 0 {
 			if g.runCount(mark) > 0 {
-				return openLoad{mark, result}
+				return openLoad{mark, c, result}
 			}
 			time.Sleep(time.Millisecond)
 		}
@@ -116,6 +120,24 @@
 	return clients
 }
 
+// sendInProbation begins an upgrade, and sends loads to its new process.
+func (g *testGateway) sendInProbation() (pid int, loads []openLoad) {
+	g.t.Helper()
+	clients := g.connectAll()
+	pid, _ = g.startProbation()
+	return pid, g.sendLoads(clients)
+}
+
+// sendInFirstZone is sendInProbation, after which discovery reports the engines of the second zone alone as ready.
+func (g *testGateway) sendInFirstZone() (pid int, loads []openLoad) {
+	g.t.Helper()
+	g.drainZone(secondZone, 1)
+	pid, loads = g.sendInProbation()
+	g.undrainZone(secondZone, 2)
+	g.drainZone(firstZone, 2)
+	return pid, loads
+}
+
 // kill kills the new process of an upgrade, and waits until the old one has taken everything back.
 func (g *testGateway) kill(pid int) {
 	g.t.Helper()
@@ -147,9 +169,7 @@
 // it may have run, and none is refused.
 func TestUpgradeKeepsLoadsInTheirZone(t *testing.T) {
 	forEachFrontend(t, []string{groupAll, groupZone}, func(g *testGateway) {
-		clients := g.connectAll()
-		pid, _ := g.startProbation()
-		loads := g.sendLoads(clients)
+		pid, loads := g.sendInProbation()
 		g.kill(pid)
 		g.expectOneEffect(loads, load.Served)
 	})
@@ -177,12 +197,7 @@
 // have left: its client is told that the load may have run.
 func TestUpgradeTellsADoubtWithoutTheZone(t *testing.T) {
 	forEachFrontend(t, []string{groupAll, groupZone}, func(g *testGateway) {
-		g.drainZone(secondZone, 1)
-		clients := g.connectAll()
-		pid, _ := g.startProbation()
-		loads := g.sendLoads(clients)
-		g.undrainZone(secondZone, 2)
-		g.drainZone(firstZone, 2)
+		pid, loads := g.sendInFirstZone()
 		g.kill(pid)
 		g.expectOneEffect(loads, g.doubt())
 	})
@@ -195,12 +210,7 @@
 		for engine := 1; engine <= 2*enginesPerZone; engine++ {
 			g.ledger.SetGroup(g.fleet().Members()[engine-1].ID, "")
 		}
-		g.drainZone(secondZone, 1)
-		clients := g.connectAll()
-		pid, _ := g.startProbation()
-		loads := g.sendLoads(clients)
-		g.undrainZone(secondZone, 2)
-		g.drainZone(firstZone, 2)
+		pid, loads := g.sendInFirstZone()
 		g.kill(pid)
 		g.expectOneEffect(loads, load.Served)
 	})
@@ -210,9 +220,7 @@
 // load: the other engines of its former zone know the key.
 func TestUpgradeFollowsTheZoneOfTheSend(t *testing.T) {
 	forEachFrontend(t, []string{groupAll, groupZone}, func(g *testGateway) {
-		clients := g.connectAll()
-		pid, _ := g.startProbation()
-		loads := g.sendLoads(clients)
+		pid, loads := g.sendInProbation()
 		g.fleet().SetZone(1, emulator.Zone{Number: 1, Name: secondZone})
 		g.fleet().SetZone(2, emulator.Zone{Number: 0, Name: firstZone})
 		g.ledger.SetGroup(g.fleet().Members()[0].ID, secondZone)
@@ -228,10 +236,8 @@
 	for name, groups := range map[string][2]string{"stricter before": {groupZone, groupAll}, "stricter after": {groupAll, groupZone}} {
 		t.Run(name, func(t *testing.T) {
 			forEachFrontend(t, []string{groupAll, groups[0]}, func(g *testGateway) {
-				clients := g.connectAll()
 				replaceInFile(g.t, g.settings, groups[0], groups[1])
-				pid, _ := g.startProbation()
-				loads := g.sendLoads(clients)
+				pid, loads := g.sendInProbation()
 				g.kill(pid)
 				g.expectOneEffect(loads, load.Served)
 			})
@@ -246,10 +252,8 @@
 	for name, windows := range map[string][2]string{"shorter before": {short, long}, "shorter after": {long, short}} {
 		t.Run(name, func(t *testing.T) {
 			forEachFrontend(t, []string{long, windows[0]}, func(g *testGateway) {
-				clients := g.connectAll()[:1]
 				replaceInFile(g.t, g.settings, windows[0], windows[1])
-				pid, _ := g.startProbation()
-				loads := g.sendLoads(clients)
+				pid, loads := g.sendInProbation()
 				time.Sleep(300 * time.Millisecond) // the shorter window itself
 				g.kill(pid)
 				g.expectOneEffect(loads, g.doubt())
