Refuse a request whose key ran earlier, where no engine takes it, in place of a doubt

Callers: with a grouped key, a client's second request was told that it may have run where the group's engines had no room, though it had been sent nowhere. Clients do not send such requests again. Cause: the attempts of an earlier request with the key counted as attempts of the new one. Change: PriorAttempt.EarlierRequest. Such attempts restrict where a request goes; only its own make a doubt.

--- a/internal/core/answer.go
+++ b/internal/core/answer.go
@@ -41,7 +41,7 @@
 	if a.EngineError == nil {
 		a.EngineError = r.engineError
 	}
-	a.Sent = a.Sent || len(r.PriorAttempts) > 0 || len(r.attempts) > 0
+	a.Sent = a.Sent || r.mayHaveRunElsewhere() || len(r.attempts) > 0
 	c.counters.Inc("answered." + a.Verdict.String() + "." + r.Class)
 	c.stats.countAnswer(r.Class, a.Verdict)
 	if a.DeadlinePassed {
--- a/internal/core/attempt_record.go
+++ b/internal/core/attempt_record.go
@@ -16,6 +16,8 @@
 	Scope     uint8         `cbor:"5,keyasint,omitempty"` // one of the scope constants
 	Window    time.Duration `cbor:"6,keyasint,omitempty"`
 	OtherSite bool          `cbor:"7,keyasint,omitempty"`
+	// EarlierRequest has the meaning of the field of the same name in policy.PriorAttempt.
+	EarlierRequest bool `cbor:"8,keyasint,omitempty"`
 }
 
 // The values of AttemptRecord.Scope.
@@ -29,7 +31,7 @@
 func NewAttemptRecord(a policy.PriorAttempt) AttemptRecord {
 	return AttemptRecord{
 		SentAt: a.SentAt, Engine: a.Placement.Engine, Zone: a.Placement.Zone, Cell: a.Placement.Cell,
-		Scope: encodeScope(a.Scope), Window: a.Window, OtherSite: a.OtherSite,
+		Scope: encodeScope(a.Scope), Window: a.Window, OtherSite: a.OtherSite, EarlierRequest: a.EarlierRequest,
 	}
 }
 
@@ -47,7 +49,7 @@
 // PriorAttempt decodes the record. The group is unknown if this version does not know the scope.
 func (r AttemptRecord) PriorAttempt() policy.PriorAttempt {
 	a := policy.PriorAttempt{
-		SentAt: r.SentAt, Placement: policy.Placement{Engine: r.Engine, Zone: r.Zone, Cell: r.Cell}, Window: r.Window, OtherSite: r.OtherSite,
+		SentAt: r.SentAt, Placement: policy.Placement{Engine: r.Engine, Zone: r.Zone, Cell: r.Cell}, Window: r.Window, OtherSite: r.OtherSite, EarlierRequest: r.EarlierRequest,
 	}
 	switch r.Scope {
 	case scopeAll:
--- a/internal/core/idempotency.go
+++ b/internal/core/idempotency.go
@@ -21,7 +21,7 @@
 	if c.classes[r.Class].Idempotency == policy.Idempotent {
 		return false
 	}
-	return len(r.PriorAttempts) > 0 || c.isForwarded(r) || r.MayHaveRunHere()
+	return r.mayHaveRunElsewhere() || c.isForwarded(r) || r.MayHaveRunHere()
 }
 
 // keyedWriteDeadline returns the time from which on a request with an idempotency key may not be
--- a/internal/core/prior_attempts.go
+++ b/internal/core/prior_attempts.go
@@ -51,6 +51,11 @@
 	}
 }
 
+// mayHaveRunElsewhere reports whether a process that died or another site may have run the request itself.
+func (r *Request) mayHaveRunElsewhere() bool {
+	return slices.ContainsFunc(r.PriorAttempts, func(a policy.PriorAttempt) bool { return !a.EarlierRequest })
+}
+
 // reportAttempts notifies the observer that AttemptsThatMayHaveRun has changed for a request.
 func (c *Core) reportAttempts(r *Request) {
 	if c.observers.attemptsChanged != nil && !r.answered {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -33,7 +33,8 @@
 	ClientRetry bool          // the client marked the request as a retry
 	Client      Client
 	CostContext CostContext // set by the CostObserver; nil if the cost is not observed
-	// PriorAttempts are the sends by other processes or at other sites after which the request may have run.
+	// PriorAttempts are the sends by other processes or at other sites after which the request may have run, and those
+	// of earlier requests with its idempotency key.
 	PriorAttempts []policy.PriorAttempt
 	// FromOtherSite marks a request that another site forwarded here. It is not forwarded again.
 	FromOtherSite bool
--- a/internal/core/sent_keys.go
+++ b/internal/core/sent_keys.go
@@ -66,6 +66,7 @@
 	}
 	c.receiveSent()
 	for _, attempt := range c.sentKeys.Attempts(c.clock.Now(), key) {
+		attempt.EarlierRequest = true
 		c.recordPriorAttempt(r, attempt)
 	}
 }
--- a/internal/core/sent_keys_test.go
+++ b/internal/core/sent_keys_test.go
@@ -36,6 +36,7 @@
 	attemptIn := func(zone string, at time.Duration) []policy.PriorAttempt {
 		return []policy.PriorAttempt{{
 			SentAt: at, Placement: policy.Placement{Engine: "in-" + zone, Zone: zone}, Scope: policy.DedupZone, Window: 12 * time.Second,
+			EarlierRequest: true,
 		}}
 	}
 	for name, tt := range map[string]struct {
--- a/internal/decide/sentkeys/sentkeys.go
+++ b/internal/decide/sentkeys/sentkeys.go
@@ -34,6 +34,7 @@
 
 // Apply records an attempt, or removes it if it ran nothing. It reports whether that changed the history.
 func (h *History) Apply(now time.Duration, c Change) (changed bool) {
+	c.Attempt.EarlierRequest = false // it is told by who asks
 	known := slices.Contains(h.attempts[c.Key], c.Attempt)
 	if known != c.NeverRan {
 		return false
--- a/policy/prior_attempt.go
+++ b/policy/prior_attempt.go
@@ -11,6 +11,9 @@
 	SentAt    time.Duration // on this gateway's clock
 	Placement Placement     // unknown for an attempt at another site
 	OtherSite bool          // sent to an engine of another site
+	// EarlierRequest is set if it is an attempt of an earlier request of the client with the same idempotency
+	// key. It restricts where the query goes, but the query itself has not run by it.
+	EarlierRequest bool
 	// Scope and Window are those of the query's class in the settings of the sender. Where they differ from
 	// this gateway's, the stricter ones hold.
 	Scope  DedupScope
@@ -46,6 +49,11 @@
 	return !slices.ContainsFunc(q.priorAttempts, func(a PriorAttempt) bool { return a.Scope != DedupAll })
 }
 
+// mayHaveRunElsewhere reports whether a prior attempt of the query itself may have been executed.
+func (q *query) mayHaveRunElsewhere() bool {
+	return slices.ContainsFunc(q.priorAttempts, func(a PriorAttempt) bool { return !a.EarlierRequest })
+}
+
 // priorAttemptsPermit reports whether the prior attempts of the query permit another one at the engine.
 func (q *query) priorAttemptsPermit(e *engine) bool {
 	if q.class.Idempotency != IdempotentWithKey {
--- a/policy/prior_attempt_test.go
+++ b/policy/prior_attempt_test.go
@@ -76,6 +76,22 @@
 	}
 }
 
+// TestEarlierRequestRestrictsButIsNotDoubted guards against a query that is failed where it may be refused: an
+// earlier query with its key may have run where no engine is left, but the query itself has not.
+func TestEarlierRequestRestrictsButIsNotDoubted(t *testing.T) {
+	for isEarlier, want := range map[bool]string{true: "Reject", false: "Fail"} {
+		d := newDriver(t, testSettings(), liveEngine("e", "a", 1))
+		prior := PriorAttempt{
+			SentAt: d.now, Placement: Placement{Engine: "gone", Cell: 2}, Window: time.Second, EarlierRequest: isEarlier,
+		}
+		query := QueryArrived{Query: 1, Class: "keyed", Deadline: d.now + time.Second, PriorAttempts: []PriorAttempt{prior}}
+		actions := d.handle(query)
+		if len(sendsIn(actions)) > 0 || contains[Reject](actions) != isEarlier || contains[Fail](actions) == isEarlier {
+			t.Errorf("earlier request %v: actions = %+v, want a %s", isEarlier, actions, want)
+		}
+	}
+}
+
 // TestPriorAttemptsOfOtherClasses checks that a query that is not idempotent is not sent after a prior
 // attempt, and that an idempotent one is sent anywhere, at any time.
 func TestPriorAttemptsOfOtherClasses(t *testing.T) {
--- a/policy/query.go
+++ b/policy/query.go
@@ -71,7 +71,7 @@
 }
 
 func (q *query) mayHaveRun() bool {
-	return len(q.priorAttempts) > 0 ||
+	return q.mayHaveRunElsewhere() ||
 		slices.ContainsFunc(q.attempts, func(a *attempt) bool { return a.mayHaveRun })
 }
 
