--- a/internal/core/sent_ids.go
+++ b/internal/core/sent_ids.go
@@ -18,14 +18,19 @@
 // SentIDExchange exchanges ids and idempotency keys of requests that may have run with other processes of the same
 // front end.
 type SentIDExchange interface {
-	// Announce tells the others of an id, before the request is sent.
+	SentAnnouncer
+	// Receive passes on what the others have announced since the last call.
+	Receive(receiver SentIDReceiver)
+}
+
+// SentAnnouncer tells other processes, or later ones, of what this process sends.
+type SentAnnouncer interface {
+	// Announce tells them of an id, before the request is sent.
 	Announce(id string)
-	// Withdraw tells the others that the request of an announced id never ran.
+	// Withdraw tells them that the request of an announced id never ran.
 	Withdraw(id string)
-	// AnnounceKey tells the others of an attempt that may have run, before it is sent, or of one that ran nothing.
+	// AnnounceKey tells them of an attempt that may have run, before it is sent, or of one that ran nothing.
 	AnnounceKey(change sentkeys.Change)
-	// Receive passes on what the others have announced since the last call.
-	Receive(receiver SentIDReceiver)
 }
 
 // SentIDReceiver is told of what other processes have sent. A Core is one.
@@ -76,12 +81,12 @@
 func (c *Core) ForgetSentID(id string) { c.sentIDs.Remove(id) }
 
 // AnnounceSent announces all ids and idempotency keys that are remembered.
-func (c *Core) AnnounceSent() {
+func (c *Core) AnnounceSent(to SentAnnouncer) {
 	for _, id := range c.sentIDs.IDs() {
-		c.sentIDExchange.Announce(id)
+		to.Announce(id)
 	}
 	for _, change := range c.SentKeys() {
-		c.sentIDExchange.AnnounceKey(change)
+		to.AnnounceKey(change)
 	}
 }
 
@@ -101,8 +106,9 @@
 	if !r.UniqueID || len(r.PriorAttempts) > 0 || r.MayHaveRunHere() || len(r.attempts) == 0 {
 		return
 	}
-	if c.sentIDExchange != nil && c.sentIDs.Contains(c.clock.Now(), r.ID) {
+	wasAnnounced := c.sentIDs.Contains(c.clock.Now(), r.ID)
+	c.sentIDs.Remove(r.ID)
+	if c.sentIDExchange != nil && wasAnnounced {
 		c.sentIDExchange.Withdraw(r.ID)
 	}
-	c.sentIDs.Remove(r.ID)
 }
--- a/internal/takeover/coordinator.go
+++ b/internal/takeover/coordinator.go
@@ -58,14 +58,14 @@
 	if err != nil {
 		return nil, err
 	}
-	sent := newSentIDs(folder, loop, log)
-	left := sent.readDead() // before the files of dead processes are removed
+	journals := takeJournalsOfDead(folder) // before the files of dead processes are removed
 	adoptClock(loop, folder, log)
-	for _, file := range left {
-		file.replay(loop, c)
-	}
-	sent.update(c)
+	sent := newSentIDs(folder, loop, c, log)
 	c.SetSentIDExchange(sent)
+	for _, content := range journals {
+		replayJournal(content, loop, c)
+	}
+	c.AnnounceSent(sent) // should this process die too
 	return &Coordinator{
 		loop: loop, core: c, folder: folder, sent: sent, opts: opts, log: log, limitShare: 1,
 		self: decide.Process{ID: folder.Self(), StartedAt: loop.Now()},
@@ -112,11 +112,11 @@
 // Close removes this process's files, which tells the others that it has ended. What it has sent stays for a process that
 // starts soon after, if there is none now that has read it.
 func (c *Coordinator) Close() {
-	if len(c.others) > 0 || c.sent.ownBytes == 0 {
+	if len(c.others) > 0 || !c.sent.hasSent() {
 		c.folder.Close()
 		return
 	}
-	c.folder.CloseKeepingSent()
+	c.folder.CloseKeepingJournal()
 }
 
 // writeState replaces this process's state file. If that fails, for example because the disk is full,
@@ -154,10 +154,7 @@
 		return
 	}
 	c.updateOthers(states)
-	c.sent.update(c.core)
-	if len(states) == 0 {
-		c.sent.compact(c.core)
-	}
+	c.sent.update(len(states), c.core)
 	if share := decide.LimitShare(c.others); share != c.limitShare {
 		c.limitShare = share
 		c.opts.OnLimitShare(share)
--- a/internal/takeover/folder.go
+++ b/internal/takeover/folder.go
@@ -168,13 +168,13 @@
 
 // removeFiles removes all files of a process.
 func (f *Folder) removeFiles(id string) {
-	f.removeStateFiles(id)
-	_ = os.Remove(f.path(id, sentIDsSuffix)) // it may not exist
+	f.removeFilesButJournal(id)
+	_ = os.Remove(f.path(id, journalSuffix)) // it may not exist
 }
 
-// removeStateFiles removes the files of a process apart from that of what it has sent.
-func (f *Folder) removeStateFiles(id string) {
-	for _, suffix := range []string{stateSuffix, temporarySuffix, lockSuffix} {
+// removeFilesButJournal removes the files of a process apart from its journal.
+func (f *Folder) removeFilesButJournal(id string) {
+	for _, suffix := range []string{stateSuffix, temporarySuffix, sentIDsSuffix, lockSuffix} {
 		_ = os.Remove(f.path(id, suffix)) // some may not exist
 	}
 }
@@ -185,9 +185,9 @@
 	f.unlock()
 }
 
-// CloseKeepingSent is Close, but leaves the file of what this process has sent to the next one that opens the folder.
-func (f *Folder) CloseKeepingSent() {
-	f.removeStateFiles(f.self)
+// CloseKeepingJournal is Close, but leaves the journal of what this process has sent to the next one that opens the folder.
+func (f *Folder) CloseKeepingJournal() {
+	f.removeFilesButJournal(f.self)
 	f.unlock()
 }
 
--- a/internal/takeover/sent_ids_test.go
+++ b/internal/takeover/sent_ids_test.go
@@ -50,7 +50,7 @@
 	dir := t.TempDir()
 	dead, loop := newCoordinator(t, dir, 0)
 	dead.sent.AnnounceKey(sentChange("a", loop.Now()))
-	path := dead.folder.path(dead.folder.self, sentIDsSuffix)
+	path := dead.folder.path(dead.folder.self, journalSuffix)
 	content, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
@@ -65,26 +65,20 @@
 	}
 }
 
-// TestSentFileIsBounded guards against a file that grows with ever new ids, and against a reader that misses what is written
-// behind the place where the file was cut.
-func TestSentFileIsBounded(t *testing.T) {
+// TestFullJournalIsRewritten guards against ids that are forgotten with a process because its journal was full.
+func TestFullJournalIsRewritten(t *testing.T) {
 	dir := t.TempDir()
-	writer, loop := newCoordinator(t, dir, 0)
-	reader, _ := newCoordinator(t, dir, 0)
-	writer.core.RecordSentID("remembered", loop.Now())
-	for range 100 {
-		writer.sent.Announce("forgotten")
-	}
-	reader.core.MayHaveRun("forgotten") // reads the file to its end
-	writer.sent.ownBytes = maxOwnBytes
-	writer.sent.compact(writer.core)
-	if writer.sent.ownBytes >= maxOwnBytes/2 {
-		t.Errorf("size of the file written anew = %d bytes, want little", writer.sent.ownBytes)
+	dead, loop := newCoordinator(t, dir, 0)
+	dead.core.RecordSentID("remembered", loop.Now())
+	for range journalBytes / len("forgotten\n") {
+		dead.sent.Announce("forgotten")
 	}
-	writer.sent.Announce("later")
+	dead.sent.Announce("later")
+	dead.dieWithoutClosing()
+	next, _ := newCoordinator(t, dir, 0)
 	for _, id := range []string{"remembered", "later"} {
-		if !reader.core.MayHaveRun(id) {
-			t.Errorf("id %s is not known to the other process, want it known", id)
+		if !next.core.MayHaveRun(id) {
+			t.Errorf("id %s is not known to the next process, want it known", id)
 		}
 	}
 }
