--- a/internal/core/sent_keys.go
+++ b/internal/core/sent_keys.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"gannetspur/internal/decide/sentkeys"
 	"gannetspur/policy"
 )
@@ -66,6 +68,9 @@
 	}
 	c.receiveSent()
 	for _, attempt := range c.sentKeys.Attempts(c.clock.Now(), key) {
+		if slices.Contains(r.PriorAttempts, attempt) {
+			continue // an orphan's own
+		}
 		attempt.EarlierRequest = true
 		c.recordPriorAttempt(r, attempt)
 	}
--- a/internal/handover/sent_keys.go
+++ b/internal/handover/sent_keys.go
@@ -5,7 +5,6 @@
 
 	"gannetspur/internal/core"
 	"gannetspur/internal/decide/sentkeys"
-	"gannetspur/policy"
 )
 
 // SentKeyStore is the part of a core that remembers where requests with an idempotency key were sent.
@@ -47,8 +46,7 @@
 	attempts := record.priorAttempts()
 	if previous != nil && previous.Key == record.Key && previous.Class == record.Class {
 		for _, a := range previous.priorAttempts() {
-			isGone := !slices.ContainsFunc(attempts, func(other policy.PriorAttempt) bool { return other == a })
-			if isGone {
+			if !slices.Contains(attempts, a) {
 				s.opts.SentKeys.ApplySentKey(sentkeys.Change{Key: key, Attempt: a, NeverRan: true})
 			}
 		}
